Direct router on the users' platform; the store client speaks its protocol

The whole path, thin: routes, keys, allowances, time limits, streams with resume, retries within a shared budget, graceful stop, membership.

platform/ holds names, formats and calls.

--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/__main__.py
@@ -0,0 +1,48 @@
+"""Run a direct router: ``python -m berylwalk.direct``."""
+
+import os
+from argparse import ArgumentParser
+from pathlib import Path
+from signal import SIGHUP, SIGINT, SIGTERM
+
+from anyio import create_task_group, open_signal_receiver, run
+
+from berylwalk.direct._daemon import DirectRouter
+from berylwalk.platform import SETTINGS_VARIABLE, read_vm_settings
+
+
+async def _serve(path: Path) -> None:
+    with (
+        open_signal_receiver(SIGTERM, SIGINT) as stops,
+        open_signal_receiver(SIGHUP) as reloads,
+    ):
+        router = DirectRouter.from_settings(read_vm_settings(path))
+        async with create_task_group() as tasks:
+
+            async def reload() -> None:
+                async for _ in reloads:
+                    router.note_reload()
+
+            tasks.start_soon(reload)
+            await router.run(stops)
+            tasks.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Run the router until it is asked to stop."""
+    parser = ArgumentParser(prog="berylwalk.direct", description=__doc__)
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        default=os.environ.get(SETTINGS_VARIABLE),
+        help=f"settings file of the VM; default: the path in {SETTINGS_VARIABLE}",
+    )
+    parser.add_argument("--uvloop", action="store_true", help="run on uvloop")
+    args = parser.parse_args()
+    if args.settings is None:
+        parser.error(f"--settings or {SETTINGS_VARIABLE} is needed")
+    run(_serve, Path(args.settings), backend_options={"use_uvloop": args.uvloop})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -0,0 +1,144 @@
+"""One send of a request to one target."""
+
+from collections.abc import Callable
+
+from anyio import Event as Signal
+
+from berylwalk.direct._relay import Relay
+from berylwalk.dispatch import AttemptEnd
+from berylwalk.forwarding import AnswerEnd, EventSplitter, Headers, header_value
+from berylwalk.platform import REQUEST_ID_HEADER, says_not_run
+
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+EVENT_STREAM = b"text/event-stream"
+
+
+class Attempt:
+    """Takes the answer of one target.
+
+    Events of a stream are passed on as they arrive. Any other answer is held
+    until it is whole, so that a broken one can be told from it.
+
+    Parameters
+    ----------
+    relay : Relay
+        The caller's side.
+    request_id : bytes
+        What the answer has to repeat.
+    expects_stream : bool
+        Whether a success is passed on event by event.
+    clock : callable
+        Time of the loop, in seconds.
+    on_first_event : callable
+        Called when the first event has arrived.
+
+    Attributes
+    ----------
+    done : Signal
+        Set at the end.
+    end : AttemptEnd or None
+        How it ended.
+    """
+
+    def __init__(
+        self,
+        relay: Relay,
+        *,
+        request_id: bytes,
+        expects_stream: bool,
+        clock: Callable[[], float],
+        on_first_event: Callable[[], None],
+    ) -> None:
+        self._relay = relay
+        self._request_id = request_id
+        self._expects_stream = expects_stream
+        self._clock = clock
+        self._on_first_event = on_first_event
+        self._splitter: EventSplitter | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self.status = 0
+        self.headers: Headers = []
+        self.done = Signal()
+        self.end: AttemptEnd | None = None
+        self.detail = ""
+        self.first_event_at: float | None = None
+        self.last_event_at: float | None = None
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is passed on event by event."""
+        return self._splitter is not None
+
+    @property
+    def body(self) -> bytes:
+        """Body of an answer that is no stream."""
+        return b"".join(self._body)
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Take the status and headers."""
+        self.status = status
+        self.headers = headers
+        content_type = header_value(headers, b"content-type") or b""
+        if self._expects_stream and status == 200 and EVENT_STREAM in content_type:
+            if header_value(headers, REQUEST_ID_HEADER) != self._request_id:
+                self._finish(AttemptEnd.BROKEN, "the answer names no request")
+                return
+            self._splitter = EventSplitter()
+
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if self.end is not None:
+            return
+        if self._splitter is None:
+            self._body.append(data)
+            self._body_bytes += len(data)
+            if self._body_bytes > MAX_BUFFERED_BYTES:
+                self._finish(AttemptEnd.BROKEN, "the answer is too long")
+            return
+        try:
+            events = self._splitter.feed(data)
+        except ValueError as error:
+            self._finish(AttemptEnd.BROKEN, str(error))
+            return
+        if not events:
+            return
+        self.last_event_at = self._clock()
+        if self.first_event_at is None:
+            self.first_event_at = self.last_event_at
+            self._on_first_event()
+        self._relay.pass_on(self.status, self.headers, events)
+
+    def on_end(self, end: AnswerEnd, detail: str) -> None:
+        """Take the end of the answer."""
+        if self.end is not None:
+            return
+        if end is not AnswerEnd.COMPLETE:
+            self._finish(AttemptEnd.BROKEN, f"{end}: {detail}")
+        elif self._splitter is not None:
+            if self._splitter.has_rest:
+                self._finish(AttemptEnd.BROKEN, "the last event is not whole")
+            else:
+                self._finish(AttemptEnd.ANSWERED, "")
+        else:
+            self._finish(*self._judge_whole_answer())
+
+    def give_up(self, end: AttemptEnd, detail: str) -> None:
+        """End it without waiting for the target."""
+        self._finish(end, detail)
+
+    def _judge_whole_answer(self) -> tuple[AttemptEnd, str]:
+        if says_not_run(self.status, self.headers):
+            return AttemptEnd.REFUSED, f"status {self.status}"
+        if self.status >= 500:
+            return AttemptEnd.FAILED, f"status {self.status}"
+        named = header_value(self.headers, REQUEST_ID_HEADER)
+        if self.status < 300 and named != self._request_id:
+            return AttemptEnd.BROKEN, "the answer names no request"
+        return AttemptEnd.ANSWERED, ""
+
+    def _finish(self, end: AttemptEnd, detail: str) -> None:
+        if self.end is None:
+            self.end = end
+            self.detail = detail
+            self.done.set()
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -0,0 +1,60 @@
+"""What the parts of a direct router share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from berylwalk.direct._decision_log import DecisionLog
+from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.dispatch import (
+    Allowances,
+    ConfigurationState,
+    Dispatcher,
+    PeerTable,
+    RouterSettings,
+    TargetTable,
+    WindowedRetryBudget,
+)
+from berylwalk.forwarding import TargetPool
+
+
+@dataclass(slots=True, kw_only=True)
+class RouterContext:
+    """State and connections of one direct router.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+        Settings of the VM.
+    configuration : ConfigurationState
+        Configuration in force.
+    targets : TargetTable
+        Beliefs about targets.
+    dispatcher : Dispatcher
+        Places and waiting requests.
+    allowances : Allowances
+        What client accounts may spend.
+    retries : WindowedRetryBudget
+        What may be sent again.
+    peers : PeerTable
+        The other routers.
+    pool : TargetPool
+        Connections to targets.
+    log : DecisionLog
+        Lines for later explanation.
+    metrics : RouterMetrics
+        Counters and histograms.
+    clock : callable
+        Time of the loop, in seconds.
+    """
+
+    settings: RouterSettings
+    configuration: ConfigurationState
+    targets: TargetTable
+    dispatcher: Dispatcher
+    allowances: Allowances
+    retries: WindowedRetryBudget
+    peers: PeerTable
+    pool: TargetPool
+    log: DecisionLog
+    metrics: RouterMetrics
+    clock: Callable[[], float]
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -0,0 +1,251 @@
+"""The direct router as a daemon."""
+
+from asyncio import get_running_loop
+from collections.abc import AsyncIterator
+from typing import Self
+
+from anyio import create_task_group, sleep
+from anyio.abc import TaskGroup
+
+from berylwalk.direct._context import RouterContext
+from berylwalk.direct._decision_log import DecisionLog
+from berylwalk.direct._exchange import Exchange
+from berylwalk.direct._feeds import ConfigurationFeed, TargetFeed
+from berylwalk.direct._gauges import refresh_gauges
+from berylwalk.direct._listeners import Listener
+from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.direct._peering import Peering
+from berylwalk.dispatch import (
+    Allowances,
+    CallerLimits,
+    ConfigurationState,
+    Dispatcher,
+    PeerTable,
+    RouterSettings,
+    Service,
+    SocketAddress,
+    TargetTable,
+    WindowedRetryBudget,
+)
+from berylwalk.forwarding import CallerConnection, CallerRequest, TargetPool
+from berylwalk.platform import REQUEST_ID_HEADER, KeyValueClient
+
+STORE_TIMEOUT_S = 0.9
+"""Bound of one call of the store: four times its answers when it is slow."""
+KEY_TRUST_MARGIN_S = 0.5
+"""Time before the bound on revoked keys at which they are no longer trusted."""
+READY_AGE_S = 3.0
+"""Age of the configuration from which this router asks for no new callers."""
+SWEEP_S = 0.25
+NEW_WORK_AFTER_STOP_S = 3.0
+"""Time after the request to stop for which new requests are still taken: the
+balancer needs two questions, a second apart, to see that this router leaves."""
+STOP_MARGIN_S = 0.35
+"""Time before the platform kills the process at which it ends by itself."""
+
+
+class DirectRouter:
+    """Forwards requests straight to targets.
+
+    Build it with `from_settings`, inside the running loop.
+
+    Parameters
+    ----------
+    context : RouterContext
+        State and connections.
+    store : KeyValueClient
+        The platform's store.
+    """
+
+    def __init__(self, context: RouterContext, store: KeyValueClient) -> None:
+        loop = get_running_loop()
+        settings = context.settings
+        self._context = context
+        self._store = store
+        self._peering = Peering(context, store)
+        self._configuration_feed = ConfigurationFeed(context, store)
+        self._target_feed = TargetFeed(context, store)
+        self._exchanges_by_connection: dict[CallerConnection, Exchange] = {}
+        self._tasks: TaskGroup | None = None
+        self._stopping_since: float | None = None
+        self._callers = Listener(
+            loop,
+            settings.caller_address,
+            serve=self._serve,
+            on_gone=self._caller_left,
+            limits=self._limits,
+        )
+        self._readiness = Listener(
+            loop, settings.readiness_address, serve=self._answer_readiness
+        )
+        metrics_address = SocketAddress(
+            settings.caller_address.host, settings.metrics_port
+        )
+        self._metrics = Listener(loop, metrics_address, serve=self._answer_metrics)
+
+    @classmethod
+    def from_settings(cls, settings: RouterSettings) -> Self:
+        """Build a router from the settings of its VM."""
+        loop = get_running_loop()
+        clock = loop.time
+        metrics = RouterMetrics()
+        configuration = ConfigurationState(
+            key_trust_s=settings.key_revocation_s - KEY_TRUST_MARGIN_S
+        )
+        targets = TargetTable()
+
+        def service_named(name: str) -> Service | None:
+            current = configuration.current
+            return None if current is None else current.services_by_name.get(name)
+
+        def note_bytes(target_id: str) -> None:
+            target = targets.by_id.get(target_id)
+            if target is not None:
+                target.note_heard(clock())
+
+        address = settings.store_address
+        store = KeyValueClient.from_config(
+            [f"http://{address.host}:{address.port}"], timeout_s=STORE_TIMEOUT_S
+        )
+        context = RouterContext(
+            settings=settings,
+            configuration=configuration,
+            targets=targets,
+            dispatcher=Dispatcher(
+                targets,
+                failure_domain=settings.failure_domain,
+                service_named=service_named,
+            ),
+            allowances=Allowances(started_at=clock()),
+            retries=WindowedRetryBudget(
+                ratio=settings.retry_ratio,
+                slack=settings.retry_slack,
+                window_s=settings.retry_window_s,
+            ),
+            peers=PeerTable(settings.name),
+            pool=TargetPool(
+                loop,
+                id_header=REQUEST_ID_HEADER,
+                on_bytes=note_bytes,
+                on_opened=metrics.connections.inc,
+            ),
+            log=DecisionLog.to_stdout(settings.name, clock=clock),
+            metrics=metrics,
+            clock=clock,
+        )
+        return cls(context, store)
+
+    async def run(self, stops: AsyncIterator[object]) -> None:
+        """Serve until a stop is requested, then end gracefully.
+
+        Parameters
+        ----------
+        stops : async iterator
+            Yields when the process is asked to stop.
+        """
+        await self._store.start()
+        await self._peering.start()
+        async with create_task_group() as tasks:
+            self._tasks = tasks
+            for run in (
+                self._configuration_feed.run,
+                self._target_feed.run,
+                self._peering.run,
+                self._sweep,
+            ):
+                tasks.start_soon(run)
+            for listener in (self._readiness, self._callers, self._metrics):
+                await listener.start()
+            self._context.log.process(
+                "started", failure_domain=self._context.settings.failure_domain
+            )
+            await anext(stops)
+            await self._stop()
+            tasks.cancel_scope.cancel()
+        await self._store.close()
+
+    async def _stop(self) -> None:
+        context = self._context
+        now = context.clock()
+        self._stopping_since = now
+        context.log.process(
+            "stopping", open_requests=len(self._exchanges_by_connection)
+        )
+        self._callers.say_closing()
+        ends_at = now + context.settings.stop_grace_s - STOP_MARGIN_S
+        await sleep(NEW_WORK_AFTER_STOP_S)
+        self._callers.close()
+        while context.clock() < ends_at:
+            self._callers.close_idle()
+            if not self._exchanges_by_connection:
+                break
+            await sleep(0.05)
+        context.log.process("stopped", cut_requests=len(self._exchanges_by_connection))
+        await self._peering.close()
+        # What was written to callers and not sent yet.
+        await sleep(0.05)
+
+    def note_reload(self) -> None:
+        """Note that the settings file has changed.
+
+        Addresses are those of the process's life; all else that may change
+        comes from the store.
+        """
+        self._context.log.process("reloaded")
+
+    def _serve(self, connection: CallerConnection, request: CallerRequest) -> None:
+        exchange = Exchange(self._context, connection, request)
+        self._exchanges_by_connection[connection] = exchange
+        self._tasks.start_soon(self._run_exchange, connection, exchange)
+
+    async def _run_exchange(
+        self, connection: CallerConnection, exchange: Exchange
+    ) -> None:
+        try:
+            await exchange.run()
+        except Exception as error:
+            self._context.log.process("exchange-failed", detail=repr(error))
+            connection.cut()
+            raise
+        finally:
+            if self._exchanges_by_connection.get(connection) is exchange:
+                del self._exchanges_by_connection[connection]
+
+    def _caller_left(self, connection: CallerConnection) -> None:
+        exchange = self._exchanges_by_connection.get(connection)
+        if exchange is not None:
+            exchange.cancel()
+
+    def _limits(self) -> CallerLimits:
+        current = self._context.configuration.current
+        return CallerLimits() if current is None else current.limits
+
+    def _answer_readiness(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        connection.respond(200 if self.is_ready else 503, [], b"")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the router asks for callers."""
+        if self._stopping_since is not None:
+            return False
+        context = self._context
+        age_s = context.configuration.age_s(context.clock())
+        return age_s <= READY_AGE_S
+
+    def _answer_metrics(
+        self, connection: CallerConnection, request: CallerRequest
+    ) -> None:
+        refresh_gauges(self._context)
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        connection.respond(200, headers, self._context.metrics.text())
+
+    async def _sweep(self) -> None:
+        while True:
+            await sleep(SWEEP_S)
+            for listener in (self._callers, self._readiness, self._metrics):
+                listener.sweep()
+            self._context.pool.sweep()
+            self._context.dispatcher.pump_all(self._context.clock())
+            self._context.log.flush()
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_decision_log.py
@@ -0,0 +1,113 @@
+"""One JSON line for each decision, bounded in number and never blocking."""
+
+import os
+import sys
+from collections.abc import Callable
+from time import time
+from typing import Self
+
+from msgspec.json import Encoder
+
+LINES_PER_S = 400.0
+"""Ten times the decisions of a router at the load it is made for."""
+BURST_LINES = 800.0
+OWN_SHARE = 0.25
+"""Part of the burst kept for lines about the process rather than a request."""
+MAX_PENDING_BYTES = 256 * 1024
+
+
+class DecisionLog:
+    """Writes JSON lines to a descriptor that may be slow.
+
+    Under load lines about requests are dropped first, then those about the
+    process; the number of dropped lines is told in the next line.
+
+    Parameters
+    ----------
+    node : str
+        Name of the VM in each line.
+    write : callable
+        Writes bytes without blocking; returns how many were taken, or raises
+        BlockingIOError.
+    clock : callable
+        Monotonic clock, in seconds.
+    wall_clock : callable
+        Time of day, in seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        *,
+        write: Callable[[bytes], int],
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float] = time,
+    ) -> None:
+        self._node = node
+        self._write = write
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._encoder = Encoder(enc_hook=str, decimal_format="number")
+        self._level = BURST_LINES
+        self._updated_at = clock()
+        self._pending = b""
+        self._untold = 0
+        self.dropped = 0
+
+    @classmethod
+    def to_stdout(cls, node: str, *, clock: Callable[[], float]) -> Self:
+        """Return a log on standard output, which is set not to block."""
+        descriptor = sys.stdout.fileno()
+        os.set_blocking(descriptor, False)
+        return cls(node, write=lambda data: os.write(descriptor, data), clock=clock)
+
+    def request(self, event: str, request_id: bytes, **fields: object) -> None:
+        """Log a decision that touches a request."""
+        if self._admit(BURST_LINES * OWN_SHARE):
+            known = {"request_id": request_id.decode("latin-1")}
+            self._emit(event, known | fields)
+
+    def process(self, event: str, **fields: object) -> None:
+        """Log a change of what the process is or believes."""
+        if self._admit(0.0):
+            self._emit(event, fields)
+
+    def flush(self) -> None:
+        """Write what could not be written before."""
+        if self._pending:
+            self._send(b"")
+
+    def _admit(self, reserve: float) -> bool:
+        now = self._clock()
+        earned = (now - self._updated_at) * LINES_PER_S
+        self._level = min(BURST_LINES, self._level + earned)
+        self._updated_at = now
+        if self._level - 1 < reserve or len(self._pending) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            self._untold += 1
+            return False
+        self._level -= 1
+        return True
+
+    def _emit(self, event: str, fields: dict[str, object]) -> None:
+        line: dict[str, object] = {
+            "time": round(self._wall_clock(), 4),
+            "node": self._node,
+            "event": event,
+        }
+        line.update(fields)
+        if self._untold:
+            line["lines_dropped"] = self._untold
+            self._untold = 0
+        self._send(self._encoder.encode(line) + b"\n")
+
+    def _send(self, data: bytes) -> None:
+        data = self._pending + data
+        try:
+            taken = self._write(data)
+        except BlockingIOError:
+            taken = 0
+        except OSError:
+            # Nobody reads the log any more; there is no place left to tell it.
+            taken = len(data)
+        self._pending = data[taken:]
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -0,0 +1,29 @@
+"""What is believed, written into the gauges when they are asked for."""
+
+from berylwalk.direct._context import RouterContext
+
+LONGEST_AGE_S = 1e6
+"""Shown for what was never heard."""
+
+
+def refresh_gauges(context: RouterContext) -> None:
+    """Write the present beliefs of a router into its gauges."""
+    metrics = context.metrics
+    now = context.clock()
+    age_s = min(context.configuration.age_s(now), LONGEST_AGE_S)
+    metrics.configuration_age_s.set(age_s)
+    for service, length in context.dispatcher.lengths().items():
+        metrics.waiting.labels(service).set(length)
+        metrics.retries_left.labels(service).set(context.retries.left(service, now))
+    for target_id, target in context.targets.by_id.items():
+        metrics.in_flight.labels(target_id).set(target.in_flight)
+        metrics.peer_in_flight.labels(target_id).set(target.peer_in_flight)
+        metrics.target_cost.labels(target_id).set(target.cost_per_token or 0.0)
+        metrics.target_errors.labels(target_id).set(target.errors)
+        heard_s = min(now - target.heard_at, LONGEST_AGE_S)
+        metrics.target_heard_age_s.labels(target_id).set(heard_s)
+    for name, level in context.allowances.levels().items():
+        metrics.allowance_left.labels(name).set(level)
+    metrics.peers_heard.set(context.peers.heard(now))
+    metrics.peers_known.set(context.peers.known())
+    metrics.log_lines_dropped.set(context.log.dropped)
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -0,0 +1,108 @@
+"""The addresses on which a direct router is called."""
+
+from asyncio import AbstractEventLoop, Server
+from collections.abc import Callable
+
+from berylwalk.dispatch import CallerLimits, SocketAddress
+from berylwalk.forwarding import CallerConnection, CallerRequest, ConnectionLimits
+
+BACKLOG = 1024
+
+Serve = Callable[[CallerConnection, CallerRequest], None]
+
+
+def connection_limits(limits: CallerLimits) -> ConnectionLimits:
+    """Return the limits of a configuration as connections take them."""
+    return ConnectionLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
+
+
+class Listener:
+    """One listening address and its open connections.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        Serves the connections.
+    address : SocketAddress
+        Where to listen.
+    serve : callable
+        Answers one request.
+    on_gone : callable
+        Told of callers that left before their answer.
+    limits : callable
+        Returns the limits in force.
+    """
+
+    def __init__(
+        self,
+        loop: AbstractEventLoop,
+        address: SocketAddress,
+        *,
+        serve: Serve,
+        on_gone: Callable[[CallerConnection], None] = lambda connection: None,
+        limits: Callable[[], CallerLimits] = CallerLimits,
+    ) -> None:
+        self._loop = loop
+        self._address = address
+        self._serve = serve
+        self._on_gone = on_gone
+        self._limits = limits
+        self._server: Server | None = None
+        self.connections: set[CallerConnection] = set()
+        self.closing = False
+
+    async def start(self) -> None:
+        """Listen.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be bound.
+        """
+        self._server = await self._loop.create_server(
+            self._build,
+            self._address.host,
+            self._address.port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    def close(self) -> None:
+        """Take no new connection; open ones go on."""
+        if self._server is not None:
+            self._server.close()
+
+    def say_closing(self) -> None:
+        """Tell callers with their next answers to go elsewhere."""
+        self.closing = True
+        for connection in self.connections:
+            connection.closing = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is asked."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
+    def sweep(self) -> None:
+        """Close connections whose callers are idle or slow for too long."""
+        now = self._loop.time()
+        for connection in list(self.connections):
+            connection.close_if_overdue(now)
+
+    def _build(self) -> CallerConnection:
+        connection = CallerConnection(
+            serve=self._serve,
+            on_gone=self._on_gone,
+            limits=lambda: connection_limits(self._limits()),
+            clock=self._loop.time,
+            registry=self.connections,
+            call_later=self._loop.call_later,
+        )
+        connection.closing = self.closing
+        return connection
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -0,0 +1,117 @@
+"""Counters, gauges and latency histograms of a direct router."""
+
+from contextlib import suppress
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+WAIT_BUCKETS_S = (0.001, 0.01, 0.05, 0.1, 0.2, 0.4, 0.8)
+
+
+class RouterMetrics:
+    """Metrics with bounded labels; served as text.
+
+    Labels are route kinds, ranks, outcomes, reasons, services and targets:
+    sets that the configuration bounds. No label holds a request's id.
+    """
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry()
+        self._registry = registry
+        self.requests = Counter(
+            "berylwalk_requests",
+            "Requests ended, by route kind, rank, status and reason.",
+            ("kind", "priority", "status", "reason"),
+            registry=registry,
+        )
+        self.first_event_s = Histogram(
+            "berylwalk_first_event_seconds",
+            "Time from arrival to the answer, or to its first event.",
+            ("kind", "priority"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.waited_s = Histogram(
+            "berylwalk_waited_seconds",
+            "Time that a request waited for a place at a target.",
+            ("service",),
+            buckets=WAIT_BUCKETS_S,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "berylwalk_attempts",
+            "Ends of attempts at targets.",
+            ("service", "end"),
+            registry=registry,
+        )
+        self.connections = Counter(
+            "berylwalk_target_connections_opened",
+            "Connections to targets that were opened.",
+            registry=registry,
+        )
+        self.store_calls = Counter(
+            "berylwalk_store_calls",
+            "Calls of the platform's store, by purpose and outcome.",
+            ("purpose", "outcome"),
+            registry=registry,
+        )
+        self.configuration_version = self._gauge(
+            "configuration_version", "Version in force."
+        )
+        self.configuration_age_s = self._gauge(
+            "configuration_age_seconds", "Time since the last confirming read."
+        )
+        self.waiting = self._gauge(
+            "waiting_requests", "Requests that wait for a place.", "service"
+        )
+        self.in_flight = self._gauge(
+            "target_in_flight", "Own requests at a target.", "target"
+        )
+        self.peer_in_flight = self._gauge(
+            "target_peer_in_flight", "Requests of other routers.", "target"
+        )
+        self.target_cost = self._gauge(
+            "target_cost_seconds", "Learned seconds per token of load.", "target"
+        )
+        self.target_errors = self._gauge(
+            "target_error_share", "Moving share of failed answers.", "target"
+        )
+        self.target_heard_age_s = self._gauge(
+            "target_heard_age_seconds", "Time since bytes came from it.", "target"
+        )
+        self.retries_left = self._gauge(
+            "retries_left", "Repeated sends allowed now.", "service"
+        )
+        self.allowance_left = self._gauge(
+            "allowance_left", "What an account may spend now.", "account"
+        )
+        self.peers_heard = self._gauge("routers_heard", "Routers heard, with this one.")
+        self.peers_known = self._gauge("routers_known", "Routers known, with this one.")
+        self.log_lines_dropped = self._gauge(
+            "log_lines_dropped", "Log lines dropped since the start."
+        )
+
+    def forget_target(self, target_id: str) -> None:
+        """Drop the labels of a target that is gone."""
+        for gauge in (
+            self.in_flight,
+            self.peer_in_flight,
+            self.target_cost,
+            self.target_errors,
+            self.target_heard_age_s,
+        ):
+            with suppress(KeyError):
+                gauge.remove(target_id)
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"berylwalk_{name}", text, labels, registry=self._registry)
--- /dev/null
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -0,0 +1,65 @@
+"""Decisions of a router that forwards straight to targets; pure, without I/O."""
+
+from berylwalk.dispatch._access import (
+    Allowed,
+    ConfigurationState,
+    DenialReason,
+    Denied,
+)
+from berylwalk.dispatch._allowances import Allowances
+from berylwalk.dispatch._configuration import (
+    Account,
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from berylwalk.dispatch._dispatcher import Dispatcher
+from berylwalk.dispatch._outcomes import AttemptEnd, Attempts
+from berylwalk.dispatch._peer_view import Peer, PeerTable
+from berylwalk.dispatch._placing import choose_target, load_with, place_limit
+from berylwalk.dispatch._retries import WindowedRetryBudget
+from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
+from berylwalk.dispatch._targets import (
+    Target,
+    TargetEntry,
+    TargetState,
+    TargetTable,
+    Work,
+)
+from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
+
+__all__ = [
+    "Account",
+    "Allowances",
+    "Allowed",
+    "AttemptEnd",
+    "Attempts",
+    "CallerLimits",
+    "Configuration",
+    "ConfigurationState",
+    "DenialReason",
+    "Denied",
+    "Dispatcher",
+    "Peer",
+    "PeerTable",
+    "Route",
+    "RouteKind",
+    "RouterSettings",
+    "Service",
+    "ServiceShare",
+    "SocketAddress",
+    "Target",
+    "TargetEntry",
+    "TargetState",
+    "TargetTable",
+    "Ticket",
+    "WaitingLine",
+    "WindowedRetryBudget",
+    "Work",
+    "choose_target",
+    "load_with",
+    "place_limit",
+]
--- /dev/null
+++ b/libs/dispatch/src/berylwalk/dispatch/_configuration.py
@@ -0,0 +1,224 @@
+"""The configuration of routes, services and client accounts, ready for look-up."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Self
+
+
+class RouteKind(StrEnum):
+    """What may be done with a request of a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """The part of a route's requests that a service gets."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """How requests for one host and path prefix are treated.
+
+    Parameters
+    ----------
+    name, hostname, path_prefix : str
+        The prefix begins and ends with a slash.
+    kind : RouteKind
+        What may be repeated.
+    timeout_s : float
+        Longest time that a request may be kept waiting, in seconds.
+    objective_s : float
+        Time within which an answer, or its first event, has its full worth.
+    longest_pause_s : float
+        Longest pause between two events of an answer on time, in seconds.
+    priority : int
+        Rank, 0 is the highest.
+    shares : tuple of ServiceShare
+        Services and their parts.
+    max_attempts : int
+        Targets that one request may be sent to.
+    public : bool
+        Whether no key is needed.
+    resumable : bool
+        Whether a stream may go on at another target.
+    """
+
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    objective_s: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    longest_pause_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        if self.kind is RouteKind.STREAMING:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+    def service_for(self, draw: float) -> str:
+        """Return the service for a number drawn from 0 up to 1."""
+        total = sum(share.weight for share in self.shares)
+        left = draw * total
+        for share in self.shares:
+            left -= share.weight
+            if left < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """A group of equal targets.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    max_connections : int
+        Connections that one target accepts from all routers.
+    engine_slots : int
+        Requests that a model engine batches; 0 for a plain service.
+    kv_capacity : int
+        Tokens that fit in an engine's memory.
+    """
+
+    name: str
+    max_connections: int
+    engine_slots: int = 0
+    kv_capacity: int = 0
+
+    @property
+    def is_engine(self) -> bool:
+        """Whether its targets are model engines."""
+        return self.engine_slots > 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Account:
+    """A client account.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    keys : frozenset of str
+        Keys that its callers send.
+    priority : int or None
+        Rank that goes before the route's.
+    counts_tokens : bool
+        Whether the allowance is counted in tokens.
+    plain_cost : int
+        Tokens of a request that names none.
+    rate_per_s, burst : float
+        The allowance; a rate of 0 means no limit.
+    """
+
+    name: str
+    keys: frozenset[str]
+    priority: int | None = None
+    counts_tokens: bool = False
+    plain_cost: int = 1
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take.
+
+    The defaults hold until a configuration is known.
+    """
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """One version of the configuration, whole.
+
+    Parameters
+    ----------
+    version : int
+        Grows with each change.
+    services_by_name : dict
+        All services.
+    accounts_by_key : dict or None
+        Client accounts by each of their keys; None if no keys are in use.
+    limits : CallerLimits
+        Bounds for callers.
+    routes_by_host : dict
+        Routes of a host by their path prefix.
+    """
+
+    version: int
+    services_by_name: dict[str, Service]
+    accounts_by_key: dict[str, Account] | None
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    routes_by_host: dict[str, dict[str, Route]]
+
+    @classmethod
+    def from_parts(
+        cls,
+        *,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[Service],
+        accounts: Iterable[Account] | None,
+        limits: CallerLimits,
+    ) -> Self:
+        """Index the parts of a configuration for look-up."""
+        routes_by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            of_host = routes_by_host.setdefault(route.hostname.lower(), {})
+            of_host[route.path_prefix] = route
+        accounts_by_key = None
+        if accounts is not None:
+            accounts_by_key = {
+                key: account for account in accounts for key in account.keys
+            }
+        return cls(
+            version=version,
+            services_by_name={service.name: service for service in services},
+            accounts_by_key=accounts_by_key,
+            limits=limits,
+            routes_by_host=routes_by_host,
+        )
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins a path."""
+        by_prefix = self.routes_by_host.get(_hostname(host))
+        if by_prefix is None:
+            return None
+        path = path.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def _hostname(host: str) -> str:
+    name, colon, port = host.rpartition(":")
+    if colon and port.isdigit():
+        host = name
+    return host.lower()
--- /dev/null
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -0,0 +1,116 @@
+"""Gives requests their places at targets."""
+
+from collections.abc import Callable
+from random import random
+
+from berylwalk.dispatch._configuration import Service
+from berylwalk.dispatch._placing import choose_target, place_limit
+from berylwalk.dispatch._targets import Target, TargetTable
+from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
+
+
+class Dispatcher:
+    """Places requests at once or keeps them waiting.
+
+    Parameters
+    ----------
+    targets : TargetTable
+        What is known of the targets.
+    failure_domain : str
+        Where this router runs.
+    service_named : callable
+        Returns a service of the configuration in force, or None.
+    draw : callable
+        Draws from 0 up to 1.
+    """
+
+    def __init__(
+        self,
+        targets: TargetTable,
+        *,
+        failure_domain: str,
+        service_named: Callable[[str], Service | None],
+        draw: Callable[[], float] = random,
+    ) -> None:
+        self._targets = targets
+        self._failure_domain = failure_domain
+        self._service_named = service_named
+        self._draw = draw
+        self._lines_by_service: dict[str, WaitingLine] = {}
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait for a service."""
+        line = self._lines_by_service.get(service)
+        return 0 if line is None else len(line)
+
+    def lengths(self) -> dict[str, int]:
+        """Return how many requests wait, by service."""
+        return {name: len(line) for name, line in self._lines_by_service.items()}
+
+    def submit(self, ticket: Ticket, now: float) -> Target | None:
+        """Return a target, or None if the request has to wait.
+
+        The caller counts the request at the target with `Target.note_sent`
+        before it yields.
+        """
+        line = self._lines_by_service.get(ticket.service)
+        if line is None:
+            line = self._lines_by_service[ticket.service] = WaitingLine()
+        if not line.waits_before(ticket.priority):
+            target = self._choose(ticket, now)
+            if target is not None:
+                return target
+        line.add(ticket)
+        return None
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take a waiting request out; False if it has got its place."""
+        line = self._lines_by_service.get(ticket.service)
+        return line is not None and line.remove(ticket)
+
+    def pump(self, service: str, now: float) -> None:
+        """Give free places of a service to those that wait."""
+        line = self._lines_by_service.get(service)
+        if not line:
+            return
+        for ticket in line:
+            target = self._choose(ticket, now)
+            if target is None:
+                if not ticket.excluded:
+                    return
+                continue
+            line.remove(ticket)
+            ticket.on_place(target)
+
+    def pump_all(self, now: float) -> None:
+        """Give free places of all services to those that wait."""
+        for service in self._lines_by_service:
+            self.pump(service, now)
+
+    def has_free_places(self, service: str, now: float) -> bool:
+        """Return whether any target could take a request now."""
+        limit = self._limit_of(service)
+        return any(
+            target.takes_work(now) and target.total_in_flight < limit(target)
+            for target in self._targets.of_service(service)
+        )
+
+    def _choose(self, ticket: Ticket, now: float) -> Target | None:
+        return choose_target(
+            self._targets.of_service(ticket.service),
+            ticket.work,
+            failure_domain=self._failure_domain,
+            limit=self._limit_of(ticket.service),
+            excluded=ticket.excluded,
+            now=now,
+            draw=self._draw,
+        )
+
+    def _limit_of(self, name: str) -> Callable[[Target], int]:
+        service = self._service_named(name)
+        is_engine = service is not None and service.is_engine
+
+        def limit(target: Target) -> int:
+            return place_limit(target.entry.slots, is_engine=is_engine)
+
+        return limit
--- /dev/null
+++ b/libs/forwarding/src/berylwalk/forwarding/__init__.py
@@ -0,0 +1,36 @@
+"""HTTP/1.1 connections of callers and targets that relay as bytes arrive."""
+
+from berylwalk.forwarding._caller_connection import (
+    CallerConnection,
+    CallerRequest,
+    ConnectionLimits,
+)
+from berylwalk.forwarding._events import Event, EventSplitter
+from berylwalk.forwarding._heads import (
+    Headers,
+    end_to_end,
+    header_value,
+    request_head,
+)
+from berylwalk.forwarding._target_connection import (
+    AnswerEnd,
+    AnswerSink,
+    TargetConnection,
+)
+from berylwalk.forwarding._target_pool import TargetPool
+
+__all__ = [
+    "AnswerEnd",
+    "AnswerSink",
+    "CallerConnection",
+    "CallerRequest",
+    "ConnectionLimits",
+    "Event",
+    "EventSplitter",
+    "Headers",
+    "TargetConnection",
+    "TargetPool",
+    "end_to_end",
+    "header_value",
+    "request_head",
+]
--- /dev/null
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
@@ -0,0 +1,122 @@
+"""Connections to targets that are used again."""
+
+from asyncio import AbstractEventLoop
+from collections.abc import Callable
+from contextlib import suppress
+from socket import IPPROTO_TCP
+from typing import Protocol
+
+from anyio import move_on_after
+
+from berylwalk.forwarding._target_connection import TargetConnection
+
+TCP_USER_TIMEOUT = 18
+"""The socket option's number; Python 3.11 names it only on some systems."""
+UNACKNOWLEDGED_MS = 1500
+"""Time after which bytes that a target doesn't acknowledge end the connection."""
+CONNECT_TIMEOUT_S = 0.3
+"""A hundred round trips between failure domains; a target that takes longer is
+taken for dark, which proves that the request wasn't sent."""
+
+
+class Address(Protocol):
+    """Where a target listens."""
+
+    target_id: str
+    host: str
+    port: int
+
+
+class TargetPool:
+    """Idle connections by target id.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        Opens connections.
+    id_header : bytes
+        Lower-case name of the header with the request's id.
+    on_bytes : callable
+        Called with a target's id whenever bytes of it arrive.
+    on_opened : callable
+        Called for each connection that is opened.
+    """
+
+    def __init__(
+        self,
+        loop: AbstractEventLoop,
+        *,
+        id_header: bytes,
+        on_bytes: Callable[[str], None],
+        on_opened: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._loop = loop
+        self._id_header = id_header
+        self._on_bytes = on_bytes
+        self._on_opened = on_opened
+        self._idle_by_id: dict[str, list[TargetConnection]] = {}
+
+    def take_idle(self, target_id: str) -> TargetConnection | None:
+        """Return an idle connection that may be used again, the latest first."""
+        idle = self._idle_by_id.get(target_id)
+        now = self._loop.time()
+        while idle:
+            connection = idle.pop()
+            if connection.is_fresh(now):
+                return connection
+            connection.close()
+        return None
+
+    async def open(self, address: Address) -> TargetConnection | None:
+        """Open a connection; None if the target can't be reached in time."""
+
+        def build() -> TargetConnection:
+            return TargetConnection(
+                id_header=self._id_header,
+                on_bytes=lambda: self._on_bytes(address.target_id),
+                clock=self._loop.time,
+            )
+
+        with move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                transport, connection = await self._loop.create_connection(
+                    build, address.host, address.port
+                )
+            except OSError:
+                return None
+            self._on_opened()
+            connected = transport.get_extra_info("socket")
+            with suppress(OSError):
+                connected.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+            return connection
+        return None
+
+    def give_back(self, target_id: str, connection: TargetConnection) -> None:
+        """Keep a connection whose answer is complete, if it may be used again."""
+        if connection.reusable and connection.is_open:
+            self._idle_by_id.setdefault(target_id, []).append(connection)
+        else:
+            connection.close()
+
+    def drop(self, target_id: str) -> None:
+        """Close the idle connections to a target."""
+        for connection in self._idle_by_id.pop(target_id, []):
+            connection.close()
+
+    def sweep(self) -> None:
+        """Close idle connections that are too old to be used again."""
+        now = self._loop.time()
+        for target_id, idle in list(self._idle_by_id.items()):
+            fresh = [connection for connection in idle if connection.is_fresh(now)]
+            for connection in idle:
+                if connection not in fresh:
+                    connection.close()
+            if fresh:
+                self._idle_by_id[target_id] = fresh
+            else:
+                del self._idle_by_id[target_id]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for target_id in list(self._idle_by_id):
+            self.drop(target_id)
--- a/libs/standins/src/berylwalk/standins/_revisions.py
+++ b/libs/standins/src/berylwalk/standins/_revisions.py
@@ -228,3 +228,11 @@
     if not range_end:
         return key == start
     return key >= start and (range_end == NO_UPPER_BOUND or key < range_end)
+
+
+def prefix_range(prefix: bytes) -> tuple[bytes, bytes]:
+    """Return the first key with a prefix and the first one after all of them."""
+    trimmed = prefix.rstrip(b"\xff")
+    if not trimmed:
+        return prefix, NO_UPPER_BOUND
+    return prefix, trimmed[:-1] + bytes([trimmed[-1] + 1])
--- a/libs/standins/src/berylwalk/standins/_serving.py
+++ b/libs/standins/src/berylwalk/standins/_serving.py
@@ -40,6 +40,7 @@
     receive: Receive
     send: Send
     headers: dict[str, str] = field(default_factory=dict)
+    drop_answer: bool = False
 
     def __post_init__(self) -> None:
         """Decode the headers."""
@@ -100,7 +101,10 @@
         content_type: str,
         headers: Mapping[str, str] | None = None,
     ) -> None:
-        """Send a whole answer."""
+        """Send a whole answer, or drop the connection where that is asked for."""
+        if self.drop_answer:
+            await self.abort()
+            return
         length = {"content-length": str(len(body))}
         await self.start(status, content_type, {**length, **(headers or {})})
         await self.write(body, more=False)
