Allowances are counted in the window that they are judged by

Now a sliding window over all routers with half of the tolerance for callers; a router that has just started takes the window to be spent; messages of new lives count before they are listed. Waiting is by (account's rank, route's rank), and each rank leaves a part of its account's allowance to the next higher one.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -116,7 +116,7 @@
                 failure_domain=settings.failure_domain,
                 service_named=service_named,
             ),
-            allowances=Allowances(started_at=clock()),
+            allowances=Allowances(settings.allowances, started_at=clock()),
             retries=WindowedRetryBudget(
                 ratio=settings.retry_ratio,
                 slack=settings.retry_slack,
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -96,7 +96,7 @@
         self._facts: CallFacts
         self._route: Route
         self._account: Account | None = None
-        self._priority = 0
+        self._rank = (0, 0)
         self._cost = 0.0
         self._ends_at = 0.0
         self._service = ""
@@ -136,7 +136,9 @@
         self._take(access)
         if self._account is None:
             return True
-        wait_s = context.allowances.take(self._account, self._cost, now)
+        wait_s = context.allowances.take(
+            self._account, self._cost, self._route.priority, now
+        )
         if wait_s > 0:
             self._refuse(429, "allowance-spent", wait_s)
             return False
@@ -146,7 +148,7 @@
         facts, route = self._facts, access.route
         self._route = route
         self._account = access.account
-        self._priority = access.priority
+        self._rank = access.rank
         self._service = route.service_for(random())
         limit_s = route.timeout_s
         if facts.time_limit_s is not None:
@@ -212,7 +214,7 @@
 
         ticket = Ticket(
             service=self._service,
-            priority=self._priority,
+            rank=self._rank,
             work=self._facts.work,
             on_place=on_place,
             excluded=self._excluded,
@@ -414,7 +416,9 @@
             return
         status = self._attempts.final_status(end)
         if status == 503 and self._account is not None:
-            self._context.allowances.give_back(self._account, self._cost)
+            self._context.allowances.give_back(
+                self._account, self._cost, self._context.clock()
+            )
         self._refuse(status, reason, RETRY_AFTER_S if status == 503 else None)
 
     def _deny(self, denied: Denied) -> None:
@@ -432,10 +436,10 @@
         now = context.clock()
         route = getattr(self, "_route", None)
         kind = "unknown" if route is None else route.kind
-        context.metrics.requests.labels(kind, self._priority, status, reason).inc()
+        context.metrics.requests.labels(kind, self._rank[-1], status, reason).inc()
         first_at = self._trace.first_event_at
         if first_at is not None:
-            context.metrics.first_event_s.labels(kind, self._priority).observe(
+            context.metrics.first_event_s.labels(kind, self._rank[-1]).observe(
                 first_at - self._request.arrived_at
             )
         configuration = context.configuration
@@ -446,7 +450,7 @@
             reason=reason,
             route=None if route is None else route.name,
             kind=kind,
-            priority=self._priority,
+            rank=self._rank,
             account=None if self._account is None else self._account.name,
             service=self._service,
             version=0
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -88,8 +88,8 @@
         self.retries_left = self._gauge(
             "retries_left", "Repeated sends allowed now.", "service"
         )
-        self.allowance_left = self._gauge(
-            "allowance_left", "What an account may spend now.", "account"
+        self.allowance_spent = self._gauge(
+            "allowance_spent", "Units spent in the window, all routers.", "account"
         )
         self.peers_heard = self._gauge("routers_heard", "Routers heard, with this one.")
         self.peers_known = self._gauge("routers_known", "Routers known, with this one.")
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -37,8 +37,10 @@
 
     Parameters
     ----------
-    name, life : str
-        Who.
+    name, host, port, life : str, str, int, str
+        Who, and where it takes messages.
+    age_s : float
+        Age of that life, in seconds.
     sequence : int
         Grows with each message of a life.
     loads : dict
@@ -48,7 +50,10 @@
     """
 
     name: str
+    host: str
+    port: int
     life: str
+    age_s: float
     sequence: int
     loads: dict[str, tuple[int, int]]
     spent: dict[str, float]
@@ -86,6 +91,7 @@
         self._context = context
         self._store = store
         self._life = uuid4().hex[:8]
+        self._started_at = context.clock()
         self._sequence = 0
         self._lease_id: int | None = None
         self._transport: DatagramTransport | None = None
@@ -176,7 +182,7 @@
                 continue
             listed.append(Peer(name, entry.host, entry.port, entry.life))
         before = set(self._context.peers.by_name)
-        for peer in self._context.peers.replace(listed):
+        for peer in self._context.peers.replace(listed, self._context.clock()):
             self._context.targets.hear_loads(peer.name, {})
             self._context.allowances.forget(_life_of(peer))
         after = set(self._context.peers.by_name)
@@ -214,7 +220,14 @@
         self._told_at = now
         self._sequence += 1
         message = PeerMessage(
-            context.settings.name, self._life, self._sequence, loads, spent
+            context.settings.name,
+            context.settings.caller_address.host,
+            context.settings.peer_port,
+            self._life,
+            now - self._started_at,
+            self._sequence,
+            loads,
+            spent,
         )
         data = msgpack.encode(message)
         for peer in context.peers.by_name.values():
@@ -228,10 +241,22 @@
             return
         context = self._context
         now = context.clock()
-        if not context.peers.hear(message.name, message.life, message.sequence, now):
+        sender = Peer(
+            message.name,
+            message.host,
+            message.port,
+            message.life,
+            sequence=message.sequence,
+        )
+        if not context.peers.hear(sender, now):
             return
         context.targets.hear_loads(message.name, message.loads)
-        context.allowances.hear(f"{message.name}/{message.life}", message.spent)
+        context.allowances.hear(
+            _life_of(sender),
+            message.spent,
+            is_new=message.age_s < now - self._started_at,
+            now=now,
+        )
         context.dispatcher.pump_all(now)
 
 
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -6,7 +6,7 @@
     DenialReason,
     Denied,
 )
-from berylwalk.dispatch._allowances import Allowances
+from berylwalk.dispatch._allowances import AllowanceRules, Allowances
 from berylwalk.dispatch._configuration import (
     Account,
     CallerLimits,
@@ -33,6 +33,7 @@
 
 __all__ = [
     "Account",
+    "AllowanceRules",
     "Allowances",
     "Allowed",
     "AttemptEnd",
--- a/libs/dispatch/src/berylwalk/dispatch/_access.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_access.py
@@ -43,11 +43,15 @@
     account: Account | None
 
     @property
-    def priority(self) -> int:
-        """Rank of the request; an account's goes before its route's."""
+    def rank(self) -> tuple[int, int]:
+        """Rank of the request, the lowest first.
+
+        An account's rank goes before that of a route, by which the requests
+        of accounts of the same rank are told apart.
+        """
         if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
+            return self.account.priority, self.route.priority
+        return self.route.priority, self.route.priority
 
 
 class ConfigurationState:
--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -1,121 +1,184 @@
 """Allowances of client accounts, shared by all routers."""
 
+from collections import deque
 from dataclasses import dataclass, field
+from typing import Self
 
 from berylwalk.dispatch._configuration import Account
 
-LARGEST_COST_SHARE = 0.9
-"""A request dearer than this share of the burst needs no more than that."""
+STEP_S = 0.1
+"""Resolution of the window, in seconds."""
+TOLERANCE_USED = 0.5
+"""Part of the tolerance that is given to callers. The rest covers what routers
+spend before they hear of each other."""
+RESERVE_SHARE = 0.06
+"""Part of the allowance that each rank leaves to the next higher one: under
+pressure an account's urgent requests go before its others."""
+LOWEST_RANK = 3
 
 
-@dataclass(slots=True)
-class Bucket:
-    """What is left of one account's allowance.
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AllowanceRules:
+    """How an account's spending is judged.
 
     Parameters
     ----------
-    level : float
-        Units that may be spent now; below 0 after a dear request.
-    updated_at : float
-        When the level was computed.
-    spent : float
-        Units that this router has spent since it started.
-    spent_by_peer : dict
-        The same of each peer, by peer, as last heard.
+    window_s : float
+        Length of any span in which it is counted, in seconds.
+    excess, slack : float
+        Tolerance of the judgement: a share of the allowance, and units.
     """
 
-    level: float
-    updated_at: float
+    window_s: float = 8.0
+    excess: float = 0.1
+    slack: float = 0.0
+
+    def limit(self, account: Account) -> float:
+        """Return the units that an account may spend in a window."""
+        allowance = account.rate_per_s * self.window_s + account.burst
+        return allowance + TOLERANCE_USED * (allowance * self.excess + self.slack)
+
+
+@dataclass(slots=True)
+class _Spending:
+    """What one account has spent within the window."""
+
+    steps: deque[list[float]] = field(default_factory=deque)
+    total: float = 0.0
     spent: float = 0.0
     spent_by_peer: dict[str, float] = field(default_factory=dict)
 
+    def add(self, units: float, now: float) -> None:
+        if not self.steps or now - self.steps[-1][0] >= STEP_S:
+            self.steps.append([now, 0.0])
+        self.steps[-1][1] += units
+        self.total += units
+
+    def drop_before(self, time: float) -> None:
+        while self.steps and self.steps[0][0] < time:
+            self.total -= self.steps.popleft()[1]
+
 
 class Allowances:
-    """One bucket for each account, as if all routers drew from the same one.
+    """The spending of each account by all routers, in a sliding window.
 
-    Peers tell each other what they have spent. A peer that is silent may be
-    spending its equal part of the rate, so that part is left to it.
+    Routers tell each other what they have spent. A peer that is silent may be
+    spending its equal part, so that part is left to it. A router that has just
+    started takes the window to be spent: it does not know what was.
 
     Parameters
     ----------
+    rules : AllowanceRules
+        How spending is judged.
     started_at : float
-        Time of the start. Buckets begin empty: before a restart the account
-        may just have spent its burst.
+        Time of the start.
     """
 
-    def __init__(self, *, started_at: float) -> None:
+    def __init__(self, rules: AllowanceRules, *, started_at: float) -> None:
+        self._rules = rules
         self._started_at = started_at
-        self._buckets_by_account: dict[str, Bucket] = {}
+        self._spending_by_account: dict[str, _Spending] = {}
         self._share = 1.0
 
+    @classmethod
+    def unbounded_window(cls) -> Self:
+        """Return allowances with the default rules, as if started long ago."""
+        return cls(AllowanceRules(), started_at=float("-inf"))
+
     def set_share(self, heard: int, known: int) -> None:
         """Tell how many of the known routers, this one included, are heard."""
         self._share = max(1, heard) / max(1, known)
 
-    def take(self, account: Account, cost: float, now: float) -> float:
+    def take(self, account: Account, cost: float, rank: int, now: float) -> float:
         """Spend a cost; returns 0, or the seconds until it can be spent.
 
         Nothing is spent if the result is not 0.
+
+        Parameters
+        ----------
+        account : Account
+            Who pays.
+        cost : float
+            Units of the request.
+        rank : int
+            Rank of the request among those of its account, 0 is the highest.
+        now : float
+            Time in seconds.
         """
         if account.rate_per_s <= 0:
             return 0.0
-        bucket = self._refilled(account, now)
-        needed = min(cost, LARGEST_COST_SHARE * account.burst * self._share)
-        if bucket.level < needed:
-            rate = account.rate_per_s * self._share
-            return (needed - bucket.level) / rate
-        bucket.level -= cost
-        bucket.spent += cost
+        limit = self._rules.limit(account)
+        reserve = RESERVE_SHARE * min(rank, LOWEST_RANK) * limit * self._share
+        spending = self._spending(account.name)
+        left = self._left(limit, spending, now)
+        # A request dearer than the whole allowance must not wait for ever.
+        needed = min(cost, 0.9 * limit * self._share - reserve)
+        if left - reserve < needed:
+            per_s = limit * self._share / self._rules.window_s
+            return (needed + reserve - left) / per_s
+        spending.add(cost, now)
+        spending.spent += cost
         return 0.0
 
-    def give_back(self, account: Account, cost: float) -> None:
+    def give_back(self, account: Account, cost: float, now: float) -> None:
         """Return the cost of a request that has surely not run."""
-        bucket = self._buckets_by_account.get(account.name)
-        if bucket is not None and account.rate_per_s > 0:
-            bucket.level += cost
-            bucket.spent -= cost
+        spending = self._spending_by_account.get(account.name)
+        if spending is not None and account.rate_per_s > 0:
+            spending.add(-cost, now)
+            spending.spent -= cost
 
     def spent_by_account(self) -> dict[str, float]:
-        """Return what this router has spent, for its peers."""
+        """Return what this router has spent since its start, for its peers."""
         return {
-            name: bucket.spent
-            for name, bucket in self._buckets_by_account.items()
-            if bucket.spent
+            name: spending.spent
+            for name, spending in self._spending_by_account.items()
+            if spending.spent
         }
 
-    def levels(self) -> dict[str, float]:
-        """Return what each account could spend when it was last looked at."""
-        return {name: each.level for name, each in self._buckets_by_account.items()}
+    def spent_in_window(self) -> dict[str, float]:
+        """Return what was spent in the window when it was last looked at."""
+        return {
+            name: spending.total for name, spending in self._spending_by_account.items()
+        }
 
-    def hear(self, peer: str, spent_by_account: dict[str, float]) -> None:
-        """Take off what a peer has spent since it was last heard.
+    def hear(
+        self, life: str, spent_by_account: dict[str, float], *, is_new: bool, now: float
+    ) -> None:
+        """Count what a peer has spent since it was last heard.
 
         Parameters
         ----------
-        peer : str
-            Name of one life of a peer: a restarted one counts from 0.
+        life : str
+            One life of a peer.
         spent_by_account : dict
-            Its totals.
+            Its totals since its start.
+        is_new : bool
+            Whether that life began after this router's. What an older one
+            spent before it was first heard is not counted.
+        now : float
+            Time in seconds.
         """
         for name, total in spent_by_account.items():
-            bucket = self._buckets_by_account.get(name)
-            if bucket is None:
-                bucket = Bucket(0.0, self._started_at)
-                self._buckets_by_account[name] = bucket
-            bucket.level -= total - bucket.spent_by_peer.get(peer, 0.0)
-            bucket.spent_by_peer[peer] = total
-
-    def forget(self, peer: str) -> None:
+            spending = self._spending(name)
+            before = spending.spent_by_peer.get(life, 0.0 if is_new else total)
+            if total != before:
+                spending.add(total - before, now)
+            spending.spent_by_peer[life] = total
+
+    def forget(self, life: str) -> None:
         """Forget the totals of a peer's life that has ended."""
-        for bucket in self._buckets_by_account.values():
-            bucket.spent_by_peer.pop(peer, None)
-
-    def _refilled(self, account: Account, now: float) -> Bucket:
-        bucket = self._buckets_by_account.get(account.name)
-        if bucket is None:
-            bucket = Bucket(0.0, self._started_at)
-            self._buckets_by_account[account.name] = bucket
-        earned = account.rate_per_s * self._share * (now - bucket.updated_at)
-        bucket.level = min(bucket.level + earned, account.burst * self._share)
-        bucket.updated_at = now
-        return bucket
+        for spending in self._spending_by_account.values():
+            spending.spent_by_peer.pop(life, None)
+
+    def _left(self, limit: float, spending: _Spending, now: float) -> float:
+        window_s = self._rules.window_s
+        spending.drop_before(now - window_s - STEP_S)
+        unknown_s = max(0.0, window_s - (now - self._started_at))
+        unknown = limit * unknown_s / window_s
+        return (limit - unknown) * self._share - spending.total
+
+    def _spending(self, name: str) -> _Spending:
+        spending = self._spending_by_account.get(name)
+        if spending is None:
+            spending = self._spending_by_account[name] = _Spending()
+        return spending
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -56,7 +56,7 @@
         line = self._lines_by_service.get(ticket.service)
         if line is None:
             line = self._lines_by_service[ticket.service] = WaitingLine()
-        if not line.waits_before(ticket.priority):
+        if not line.waits_before(ticket.rank):
             target = self._choose(ticket, now)
             if target is not None:
                 return target
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_view.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_view.py
@@ -5,6 +5,9 @@
 HEARD_WITHIN_S = 0.7
 """A peer without a message for this long, in seconds, is taken for silent."""
 
+REPLACED_AFTER_S = 0.3
+"""A late message of a life that has ended must not bring it back, in seconds."""
+
 
 @dataclass(slots=True)
 class Peer:
@@ -49,7 +52,7 @@
         self._own_name = own_name
         self.by_name: dict[str, Peer] = {}
 
-    def replace(self, listed: list[Peer]) -> list[Peer]:
+    def replace(self, listed: list[Peer], now: float) -> list[Peer]:
         """Take the list of routers; returns the lives that have ended."""
         listed_by_name = {
             peer.name: peer for peer in listed if peer.name != self._own_name
@@ -57,19 +60,32 @@
         ended = []
         for name, peer in list(self.by_name.items()):
             new = listed_by_name.get(name)
-            if new is None or new.life != peer.life:
+            if new is None and now - peer.heard_at <= HEARD_WITHIN_S:
+                # It has begun to tell before its entry was listed.
+                continue
+            if new is None or (new.life != peer.life and not peer.is_heard(now)):
                 ended.append(peer)
                 del self.by_name[name]
         for name, new in listed_by_name.items():
             self.by_name.setdefault(name, new)
         return ended
 
-    def hear(self, name: str, life: str, sequence: int, now: float) -> bool:
-        """Note a message; False if it is old or of an unknown life."""
-        peer = self.by_name.get(name)
-        if peer is None or peer.life != life or sequence <= peer.sequence:
+    def hear(self, sender: Peer, now: float) -> bool:
+        """Note a message; False if it is an old one.
+
+        A router is known from its first message on, before it is listed. One
+        that says nothing any more may have been replaced by a new life.
+        """
+        peer = self.by_name.get(sender.name)
+        if peer is not None and peer.life != sender.life:
+            if now - peer.heard_at < REPLACED_AFTER_S:
+                return False
+            peer = None
+        if peer is None:
+            peer = self.by_name[sender.name] = sender
+        elif sender.sequence <= peer.sequence:
             return False
-        peer.sequence = sequence
+        peer.sequence = sender.sequence
         peer.heard_at = now
         return True
 
--- a/libs/dispatch/src/berylwalk/dispatch/_router_settings.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_router_settings.py
@@ -1,6 +1,8 @@
 """Settings of one direct router, as its VM tells them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from berylwalk.dispatch._allowances import AllowanceRules
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +37,8 @@
         Time from the request to stop until the process is killed, in seconds.
     key_revocation_s : float
         Time after which a key that was taken away must not work, in seconds.
+    allowances : AllowanceRules
+        How the spending of client accounts is judged.
     retry_ratio, retry_slack, retry_window_s : float
         Bound of repeated sends over all routers: in a window of so many
         seconds, the ratio of the requests and a fixed number besides.
@@ -50,6 +54,7 @@
     shortest_lease_s: float = 1.0
     stop_grace_s: float = 8.0
     key_revocation_s: float = 5.0
+    allowances: AllowanceRules = field(default_factory=AllowanceRules)
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
--- a/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
@@ -17,8 +17,8 @@
     ----------
     service : str
         Where it goes.
-    priority : int
-        Rank, 0 is the highest.
+    rank : tuple of int
+        Lowest first, as `Allowed.rank` gives it.
     work : Work
         Its size.
     on_place : callable
@@ -29,22 +29,22 @@
     """
 
     service: str
-    priority: int
+    rank: tuple[int, int]
     work: Work
     on_place: Callable[[Target], None]
     excluded: set[str] = field(default_factory=set)
     number: int = 0
 
 
-def _rank(ticket: Ticket) -> tuple[int, int]:
-    return ticket.priority, ticket.number
+def _order(ticket: Ticket) -> tuple[tuple[int, int], int]:
+    return ticket.rank, ticket.number
 
 
 class WaitingLine:
-    """Waiting requests of one service, by priority and arrival."""
+    """Waiting requests of one service, by rank and arrival."""
 
     def __init__(self) -> None:
-        self._tickets = SortedKeyList(key=_rank)
+        self._tickets = SortedKeyList(key=_order)
         self._numbers = count(1)
 
     def __len__(self) -> int:
@@ -66,6 +66,6 @@
             return False
         return True
 
-    def waits_before(self, priority: int) -> bool:
+    def waits_before(self, rank: tuple[int, int]) -> bool:
         """Return whether a ticket of the same rank or a higher one waits."""
-        return bool(self._tickets) and self._tickets[0].priority <= priority
+        return bool(self._tickets) and self._tickets[0].rank <= rank
