--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -19,6 +19,7 @@
     Target,
     Ticket,
     load_with,
+    return_time_s,
 )
 from berylwalk.forwarding import (
     CallerConnection,
@@ -51,10 +52,8 @@
 """Time before the end of a caller's limit at which an answer is sent."""
 FULL_PAUSE_S = 0.1
 """Time for which a target that refused work gets none."""
-RETRY_AFTER_S = 0.4
-"""When a refused request should come back: bursts at engines pass in less."""
 RETRY_AFTER_UNREADY_S = 1.0
-"""The same while this router knows no configuration that it may use."""
+"""When a request should come back that came while this router knows no configuration that it may use."""
 
 
 @dataclass(slots=True)
@@ -419,7 +418,10 @@
             self._context.allowances.give_back(
                 self._account, self._cost, self._context.clock()
             )
-        self._refuse(status, reason, RETRY_AFTER_S if status == 503 else None)
+        retry_after_s = None
+        if status == 503:
+            retry_after_s = return_time_s(self._ends_at - self._context.clock())
+        self._refuse(status, reason, retry_after_s)
 
     def _deny(self, denied: Denied) -> None:
         retry_after_s = RETRY_AFTER_UNREADY_S if denied.status == 503 else None
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -21,6 +21,7 @@
 from berylwalk.dispatch._peer_view import Peer, PeerTable
 from berylwalk.dispatch._placing import choose_target, load_with, place_limit
 from berylwalk.dispatch._retries import WindowedRetryBudget
+from berylwalk.dispatch._return_times import return_time_s
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
 from berylwalk.dispatch._targets import (
     Target,
@@ -63,4 +64,5 @@
     "choose_target",
     "load_with",
     "place_limit",
+    "return_time_s",
 ]
