Places beyond a target's slots by how soon one is free

Cause: a constant of 3 lets requests wait for seconds inside slow engines, where they can't be put in order any more.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -22,7 +22,6 @@
     Dispatcher,
     PeerTable,
     RouterSettings,
-    Service,
     SocketAddress,
     TargetTable,
     WindowedRetryBudget,
@@ -94,10 +93,6 @@
         )
         targets = TargetTable()
 
-        def service_named(name: str) -> Service | None:
-            current = configuration.current
-            return None if current is None else current.services_by_name.get(name)
-
         def note_bytes(target_id: str) -> None:
             target = targets.by_id.get(target_id)
             if target is not None:
@@ -114,7 +109,6 @@
             dispatcher=Dispatcher(
                 targets,
                 failure_domain=settings.failure_domain,
-                service_named=service_named,
             ),
             allowances=Allowances(settings.allowances, started_at=clock()),
             retries=WindowedRetryBudget(
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -354,6 +354,8 @@
         end = attempt.end
         if end is AttemptEnd.ANSWERED:
             target.note_success()
+            started_at = sent_at if not attempt.is_stream else attempt.first_event_at
+            target.note_slot_time(now - (started_at or sent_at))
             if not attempt.is_stream:
                 load = load_with(target, self._facts.work)
                 target.note_first_event(self._facts.work, load, now - sent_at)
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from random import random
 
-from berylwalk.dispatch._configuration import Service
 from berylwalk.dispatch._placing import choose_target, place_limit
 from berylwalk.dispatch._targets import Target, TargetTable
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
@@ -18,8 +17,6 @@
         What is known of the targets.
     failure_domain : str
         Where this router runs.
-    service_named : callable
-        Returns a service of the configuration in force, or None.
     draw : callable
         Draws from 0 up to 1.
     """
@@ -29,12 +26,10 @@
         targets: TargetTable,
         *,
         failure_domain: str,
-        service_named: Callable[[str], Service | None],
         draw: Callable[[], float] = random,
     ) -> None:
         self._targets = targets
         self._failure_domain = failure_domain
-        self._service_named = service_named
         self._draw = draw
         self._lines_by_service: dict[str, WaitingLine] = {}
 
@@ -89,9 +84,8 @@
 
     def has_free_places(self, service: str, now: float) -> bool:
         """Return whether any target could take a request now."""
-        limit = self._limit_of(service)
         return any(
-            target.takes_work(now) and target.total_in_flight < limit(target)
+            target.takes_work(now) and target.total_in_flight < place_limit(target)
             for target in self._targets.of_service(service)
         )
 
@@ -100,17 +94,7 @@
             self._targets.of_service(ticket.service),
             ticket.work,
             failure_domain=self._failure_domain,
-            limit=self._limit_of(ticket.service),
             excluded=ticket.excluded,
             now=now,
             draw=self._draw,
         )
-
-    def _limit_of(self, name: str) -> Callable[[Target], int]:
-        service = self._service_named(name)
-        is_engine = service is not None and service.is_engine
-
-        def limit(target: Target) -> int:
-            return place_limit(target.entry.slots, is_engine=is_engine)
-
-        return limit
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -8,6 +8,13 @@
 REQUEST_TOKENS = 800
 """Tokens that a request in flight counts as besides its prompt: the mean delay
 that its output causes the others, from trials on engines with 9 and 11 slots."""
+TURN_WAIT_S = 0.15
+"""Longest wait for a slot inside a target, in seconds: less than half of the
+objectives of interactive requests."""
+MORE_PLACES = 4
+"""Bound of the requests at a target beyond those that it works on."""
+MORE_PLACES_UNKNOWN = 2
+"""The same while nothing is known of a target's speed."""
 TYPICAL_COST_PER_TOKEN = 0.00004
 """Seconds per token of a target that nothing is known of, while no other target
 of its service has been measured."""
@@ -24,13 +31,18 @@
     return tokens + REQUEST_TOKENS * (target.total_in_flight + 1)
 
 
-def place_limit(slots: int, *, is_engine: bool) -> int:
+def place_limit(target: Target) -> int:
     """Return how many requests may be at a target, of all routers.
 
-    A few more than it works on, so that it has no pause between two; what
-    waits in a target can't be put in order any more.
+    As many more than it works on as get their turn within a short time, so
+    that it has no pause between two. What waits in a target can't be put in
+    order any more, and at a slow one it waits for long.
     """
-    return slots + (3 if is_engine else 2)
+    slots = target.entry.slots
+    if target.slot_s is None:
+        return slots + MORE_PLACES_UNKNOWN
+    more = int(TURN_WAIT_S * slots / target.slot_s)
+    return slots + min(more, MORE_PLACES)
 
 
 def choose_target(
@@ -38,7 +50,6 @@
     work: Work,
     *,
     failure_domain: str,
-    limit: Callable[[Target], int],
     excluded: Collection[str],
     now: float,
     draw: Callable[[], float] = random,
@@ -53,8 +64,6 @@
         The request.
     failure_domain : str
         Where this router runs.
-    limit : callable
-        Requests that a target may hold.
     excluded : collection of str
         Ids of the targets that were tried for this request.
     now : float
@@ -68,7 +77,7 @@
     for target in targets:
         if target.entry.target_id in excluded or not target.takes_work(now):
             continue
-        if target.total_in_flight >= limit(target):
+        if target.total_in_flight >= place_limit(target):
             continue
         cost = _expected_s(target, work, typical) * (1 + 0.02 * draw())
         if target.entry.failure_domain != failure_domain:
--- a/libs/dispatch/src/berylwalk/dispatch/_targets.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_targets.py
@@ -96,6 +96,8 @@
         The same of the other routers, as last heard.
     cost_per_token : float or None
         Moving mean of seconds to the first event per unit of load.
+    slot_s : float or None
+        Moving mean of the time that a request keeps its slot, in seconds.
     errors : float
         Moving share of failed answers.
     failures : int
@@ -114,6 +116,7 @@
     peer_in_flight: int = 0
     peer_tokens: int = 0
     cost_per_token: float | None = None
+    slot_s: float | None = None
     errors: float = 0.0
     failures: int = 0
     aside_until: float = float("-inf")
@@ -180,6 +183,13 @@
         else:
             self.cost_per_token += SPEED_WEIGHT * (sample - self.cost_per_token)
 
+    def note_slot_time(self, taken_s: float) -> None:
+        """Learn from the time that an answered request kept its slot."""
+        if self.slot_s is None:
+            self.slot_s = taken_s
+        else:
+            self.slot_s += SPEED_WEIGHT * (taken_s - self.slot_s)
+
     def note_heard(self, now: float) -> None:
         """Note that bytes came."""
         self.heard_at = now
