Tests of the direct router, its decisions, connections and formats

Findings of the tests, mended here: - Removals that a watch told of right after an outage deleted targets whose entries had only lapsed; the watch now notes the outage's end first. A gap under 1 s is no outage: what is removed in it has left (drain). - What an account first spent after an older peer's first message was not counted. - A router that ends by an error closes its sockets.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -137,6 +137,13 @@
         stops : async iterator
             Yields when the process is asked to stop.
         """
+        try:
+            await self._run(stops)
+        finally:
+            self._close()
+            await self._store.close()
+
+    async def _run(self, stops: AsyncIterator[object]) -> None:
         await self._store.start()
         await self._peering.start()
         async with create_task_group() as tasks:
@@ -156,7 +163,13 @@
             await anext(stops)
             await self._stop()
             tasks.cancel_scope.cancel()
-        await self._store.close()
+
+    def _close(self) -> None:
+        """Close all sockets; what was not answered is cut."""
+        for listener in (self._readiness, self._callers, self._metrics):
+            listener.abort()
+        self._peering.close()
+        self._context.pool.close()
 
     async def _stop(self) -> None:
         context = self._context
@@ -175,7 +188,7 @@
                 break
             await sleep(0.05)
         context.log.process("stopped", cut_requests=len(self._exchanges_by_connection))
-        await self._peering.close()
+        await self._peering.leave()
         # What was written to callers and not sent yet.
         await sleep(0.05)
 
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -53,7 +53,7 @@
 FULL_PAUSE_S = 0.1
 """Time for which a target that refused work gets none."""
 RETRY_AFTER_UNREADY_S = 1.0
-"""When a request should come back that came while this router knows no configuration that it may use."""
+"""The same for a request that came while no configuration may be used."""
 
 
 @dataclass(slots=True)
--- a/libs/direct/src/berylwalk/direct/_feeds.py
+++ b/libs/direct/src/berylwalk/direct/_feeds.py
@@ -8,6 +8,7 @@
 from berylwalk.platform import (
     CONFIGURATION_KEY,
     TARGETS_PREFIX,
+    Changes,
     EventKind,
     KeyValue,
     KeyValueClient,
@@ -19,13 +20,16 @@
     target_id_of,
 )
 
-CONFIRM_S = 0.9
+CONFIRM_S = 1.2
 """Time between confirming reads of the configuration: a watch may be silent while
 changes are made, and a change has to be in force within two seconds."""
-LIST_S = 1.5
-"""Time between lists of all targets, for the same reason."""
+LIST_S = 3.0
+"""Time between lists of all targets while the watch goes on."""
 LIST_AFTER_OUTAGE_S = 0.6
 """The same while entries that lapsed in an outage may come back."""
+LAPSE_AFTER_S = 1.0
+"""Time that the store has to be away for entries to lapse. What is removed in a
+shorter gap, such as that of a watch that was cut, has left."""
 RETRY_S = 0.15
 """Time between calls of a store that does not answer."""
 WATCH_S = 8.0
@@ -139,7 +143,7 @@
         self._store = store
         self._revision = 0
         self._wanted = Event()
-        self._failed_since: float | None = None
+        self._away_since: float | None = None
         self._outage_ended_at = float("-inf")
 
     async def run(self) -> None:
@@ -183,9 +187,13 @@
             if isinstance(changes, Unavailable):
                 if changes.reason is UnavailableReason.HISTORY_GONE:
                     self._revision = 0
+                else:
+                    self._note_reached(changes)
                 self._wanted.set()
                 await sleep(RETRY_S)
                 continue
+            # Before the events: removals after an outage may be lapses.
+            self._note_reached(changes)
             for event in changes.events:
                 if event.kind is EventKind.PUT:
                     self._take_one(event.key_value)
@@ -193,25 +201,25 @@
                     self._remove(target_id_of(event.key_value.key), "removed")
             self._revision = max(self._revision, changes.revision)
 
-    def _note_reached(self, listing: Listing | Unavailable) -> None:
+    def _note_reached(self, result: Listing | Changes | Unavailable) -> None:
         now = self._context.clock()
-        if isinstance(listing, Unavailable):
-            if self._failed_since is None:
-                self._failed_since = now
+        if isinstance(result, Unavailable):
+            if self._away_since is None:
+                self._away_since = now
                 self._context.log.process(
-                    "store-lost", purpose="targets", detail=listing.detail
+                    "store-lost", purpose="targets", detail=result.detail
                 )
             return
-        if self._failed_since is None:
+        if self._away_since is None:
             return
+        away_s = now - self._away_since
+        self._away_since = None
         self._context.log.process(
-            "store-regained",
-            purpose="targets",
-            away_ms=round((now - self._failed_since) * 1000),
+            "store-regained", purpose="targets", away_ms=round(away_s * 1000)
         )
-        self._failed_since = None
-        self._outage_ended_at = now
-        self._context.targets.note_outage_ended(now)
+        if away_s >= LAPSE_AFTER_S:
+            self._outage_ended_at = now
+            self._context.targets.note_outage_ended(now)
 
     def _take_all(self, listing: Listing) -> None:
         context = self._context
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -77,6 +77,12 @@
         if self._server is not None:
             self._server.close()
 
+    def abort(self) -> None:
+        """Take no new connection and drop the open ones."""
+        self.close()
+        for connection in list(self.connections):
+            connection.abort()
+
     def say_closing(self) -> None:
         """Tell callers with their next answers to go elsewhere."""
         self.closing = True
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -113,10 +113,13 @@
             local_addr=(settings.caller_address.host, settings.peer_port),
         )
 
-    async def close(self) -> None:
-        """Leave the list of routers and close the socket."""
+    async def leave(self) -> None:
+        """Leave the list of routers."""
         if self._lease_id is not None:
             await self._store.revoke(self._lease_id)
+
+    def close(self) -> None:
+        """Close the socket."""
         if self._transport is not None:
             self._transport.close()
 
--- /dev/null
+++ b/libs/direct/tests/conftest.py
@@ -0,0 +1,88 @@
+"""A direct router on loopback, with the platform and scripted targets."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+from anyio import create_memory_object_stream, create_task_group
+
+from berylwalk.direct import DirectRouter
+from berylwalk.dispatch import AllowanceRules, RouterSettings, SocketAddress
+from berylwalk.standins import serving
+from direct_fleet import HOST, STORE, Fleet, ScriptedTarget
+
+
+@pytest.fixture
+def anyio_backend():
+    """Run on asyncio."""
+    return "asyncio"
+
+
+@pytest.fixture
+def make_settings(free_port):
+    """Return a function that makes settings on free ports."""
+
+    def make(**changes):
+        values = {
+            "name": "edge-1",
+            "failure_domain": "fd-a",
+            "caller_address": SocketAddress(HOST, free_port()),
+            "readiness_address": SocketAddress(HOST, free_port()),
+            "peer_port": free_port(),
+            "metrics_port": free_port(),
+            "store_address": SocketAddress(*STORE),
+            "allowances": AllowanceRules(window_s=0.05),
+        }
+        return RouterSettings(**{**values, **changes})
+
+    return make
+
+
+@pytest.fixture
+def free_port():
+    """Return a function that gives ports of this test's own."""
+    ports = iter(range(21_000, 21_100))
+    return lambda: next(ports)
+
+
+@pytest.fixture
+def running(make_settings, free_port):
+    """Return a context manager that runs a fleet with scripted targets."""
+
+    @asynccontextmanager
+    async def run(*scripts, routes=("idempotent",), prepare=None, **changes):
+        fleet = Fleet(make_settings(**changes))
+        for kind in routes:
+            fleet.route(kind)
+        for number, script in enumerate(scripts):
+            target = ScriptedTarget(f"i-{number}", free_port(), script)
+            fleet.targets.append(target)
+            fleet.put_target(target)
+            await target.start()
+        if prepare is not None:
+            prepare(fleet)
+        fleet.put_configuration()
+        send_stop, stops = create_memory_object_stream(1)
+        fleet.stop = lambda: send_stop.send_nowait(None)
+        fleet.router = DirectRouter.from_settings(fleet.settings)
+        async with (
+            serving(fleet.platform.handle, *STORE, fleet.platform.run),
+            create_task_group() as tasks,
+        ):
+            fleet.done = False
+
+            async def run_router():
+                try:
+                    await fleet.router.run(stops)
+                finally:
+                    fleet.done = True
+
+            tasks.start_soon(run_router)
+            await fleet.until_ready()
+            try:
+                yield fleet
+            finally:
+                tasks.cancel_scope.cancel()
+                for target in fleet.targets:
+                    await target.close()
+
+    return run
--- /dev/null
+++ b/libs/direct/tests/test_direct_platform.py
@@ -0,0 +1,223 @@
+"""What the router does as the platform changes, fails and stops it."""
+
+import pytest
+from anyio import sleep
+
+from direct_fleet import KEY, answers, read_reply
+
+pytestmark = pytest.mark.anyio
+
+
+async def readiness(fleet):
+    """Return the status of the question whether the router is ready."""
+    from asyncio import open_connection
+
+    address = fleet.settings.readiness_address
+    reader, writer = await open_connection(address.host, address.port)
+    writer.write(b"GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n")
+    reply = await read_reply(reader)
+    writer.close()
+    return reply.status
+
+
+class TestConfiguration:
+    """Versions and keys."""
+
+    async def test_new_version_is_in_force(self, running):
+        """Routes come and go, keys are taken away."""
+        async with running(answers("ok")) as fleet:
+            fleet.routes[0]["path-prefix"] = "/new/"
+            fleet.tenants[0]["api-keys"] = ["k9"]
+            fleet.put_configuration()
+            await fleet.until_ready()
+            old = await fleet.call("/idempotent/", X_Api_Key="k9")
+            revoked = await fleet.call("/new/")
+            new = await fleet.call("/new/", X_Api_Key="k9")
+        assert (old.status, revoked.status, new.status) == (404, 401, 200)
+
+    async def test_change_in_discarded_history_is_found(self, running):
+        """A watch that can't go on is no reason to stay behind."""
+        async with running(answers("ok")) as fleet:
+            fleet.routes[0]["path-prefix"] = "/new/"
+            fleet.put_configuration()
+            fleet.platform.store.compact()
+            await fleet.until_ready()
+            assert (await fleet.call("/new/")).status == 200
+
+    async def test_keys_fail_closed(self, running):
+        """Without the store keys are refused in time, public routes go on."""
+
+        def public_too(fleet):
+            fleet.route("idempotent", **{"path-prefix": "/public/", "public": True})
+
+        async with running(
+            answers("ok"), prepare=public_too, key_revocation_s=1.5
+        ) as fleet:
+            fleet.platform.faults.down = True
+            state = fleet.router._context.configuration
+            clock = fleet.router._context.clock
+            await fleet.until(lambda: not state.trusts_keys(clock()))
+            keyed = await fleet.call("/idempotent/")
+            public = await fleet.call("/public/")
+            fleet.platform.faults.down = False
+            await fleet.until(lambda: state.trusts_keys(clock()))
+            again = await fleet.call("/idempotent/")
+        assert keyed.status == 503
+        assert "retry-after" in keyed.headers
+        assert (public.status, again.status) == (200, 200)
+
+    async def test_allowance_is_refused_with_a_time(self, running):
+        """What is over the allowance reaches no target."""
+
+        def scarce(fleet):
+            fleet.tenants[0].update(
+                {"unit": "tokens", "rate-per-s": 1, "burst": 1000, "plain-tokens": 400}
+            )
+
+        async with running(answers("ok"), prepare=scarce) as fleet:
+            await sleep(0.2)
+            statuses = []
+            for _ in range(6):
+                reply = await fleet.call("/idempotent/", Token_Count="300,100")
+                statuses.append(reply.status)
+        assert statuses.count(200) == len(fleet.targets[0].received)
+        assert set(statuses) <= {200, 429}
+
+
+class TestTargets:
+    """Entries of targets."""
+
+    async def test_draining_target_gets_no_new_request(self, running):
+        """The other one gets them all."""
+        async with running(answers("a"), answers("b")) as fleet:
+            fleet.put_target(fleet.targets[0], state="draining")
+            by_id = fleet.router._context.targets.by_id
+            await fleet.until(lambda: by_id["i-0"].entry.state == "draining")
+            before = len(fleet.targets[0].received)
+            for _ in range(5):
+                assert (await fleet.call("/idempotent/")).body == b"b"
+        assert len(fleet.targets[0].received) == before
+
+    async def test_removed_target_is_forgotten(self, running):
+        """Also one that never said that it leaves."""
+        async with running(answers("a"), answers("b")) as fleet:
+            fleet.platform.store.delete(b"servers/i-0")
+            by_id = fleet.router._context.targets.by_id
+            await fleet.until(lambda: "i-0" not in by_id)
+            assert (await fleet.call("/idempotent/")).body == b"b"
+
+    async def test_entry_that_lapsed_in_an_outage_still_serves(self, running):
+        """An outage of the store alone takes no target away."""
+        async with running(answers("a")) as fleet:
+            fleet.platform.faults.down = True
+            feed = fleet.router._target_feed
+            await fleet.until(lambda: feed._away_since is not None)
+            await sleep(1.1)
+            fleet.platform.store.delete(b"servers/i-0")
+            assert (await fleet.call("/idempotent/")).status == 200
+            fleet.platform.faults.down = False
+            await fleet.until(lambda: feed._away_since is None)
+            assert (await fleet.call("/idempotent/")).status == 200
+            fleet.put_target(fleet.targets[0])
+            await sleep(0.7)
+            assert (await fleet.call("/idempotent/")).status == 200
+
+    async def test_removal_in_a_short_gap_is_no_lapse(self, running):
+        """A watch that is cut for a moment must not hide that a target left."""
+        async with running(answers("a"), answers("b")) as fleet:
+            fleet.platform.faults.down = True
+            feed = fleet.router._target_feed
+            await fleet.until(lambda: feed._away_since is not None)
+            fleet.platform.store.delete(b"servers/i-0")
+            fleet.platform.faults.down = False
+            await fleet.until(lambda: feed._away_since is None)
+            by_id = fleet.router._context.targets.by_id
+            await fleet.until(lambda: "i-0" not in by_id)
+
+    async def test_address_that_another_service_uses_now(self, running):
+        """A target that is another one refuses, and the request goes on."""
+
+        async def misdirected(request, writer):
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-9\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+
+        async with running(
+            misdirected, answers("b"), routes=("non_idempotent",)
+        ) as fleet:
+            for _ in range(3):
+                assert (await fleet.call("/non_idempotent/")).body == b"b"
+
+
+class TestStopping:
+    """A graceful end."""
+
+    async def test_request_in_progress_is_answered(self, running):
+        """The router is not ready, answers what it has, and ends."""
+
+        async def slow(request, writer):
+            await sleep(0.5)
+            await answers("whole")(request, writer)
+
+        async with running(slow) as fleet:
+            assert await readiness(fleet) == 200
+            reader, writer = await fleet.connect()
+            writer.write(fleet.encoded("/idempotent/"))
+            await fleet.until(lambda: fleet.targets[0].received)
+            fleet.stop()
+            await fleet.until(lambda: fleet.router._stopping_since is not None)
+            assert await readiness(fleet) == 503
+            reply = await read_reply(reader)
+            late = await fleet.call("/idempotent/")
+            await fleet.until(lambda: fleet.done)
+            writer.close()
+        assert (reply.status, reply.body) == (200, b"whole")
+        assert reply.headers["connection"] == "close"
+        assert late.status == 200
+
+    async def test_router_leaves_the_list(self, running):
+        """Others need not wait for its lease to end."""
+        async with running(answers("ok")) as fleet:
+            key = b"berylwalk/routers/edge-1"
+            store = fleet.platform.store
+            await fleet.until(lambda: store.get(key) is not None)
+            fleet.stop()
+            await fleet.until(lambda: fleet.done)
+            assert store.get(key) is None
+
+
+class TestPeers:
+    """Two routers."""
+
+    async def test_loads_and_spending_are_shared(self, running, make_settings):
+        """Each sees what the other has in flight and has spent."""
+        from anyio import create_memory_object_stream, create_task_group
+
+        from berylwalk.direct import DirectRouter
+
+        def limited(fleet):
+            fleet.tenants[0].update({"rate-per-s": 1000, "burst": 1000})
+
+        async def slow(request, writer):
+            await sleep(0.5)
+            await answers("ok")(request, writer)
+
+        async with running(slow, prepare=limited) as fleet:
+            second = DirectRouter.from_settings(make_settings(name="edge-2"))
+            _, stops = create_memory_object_stream(1)
+            async with create_task_group() as tasks:
+                tasks.start_soon(second.run, stops)
+                peers, clock = second._context.peers, second._context.clock
+                await fleet.until(lambda: peers.heard(clock()) == 2)
+                await fleet.until(lambda: "i-0" in second._context.targets.by_id)
+                _, writer = await fleet.connect()
+                await sleep(0.1)
+                writer.write(fleet.encoded("/idempotent/", X_Api_Key=KEY))
+                target = second._context.targets.by_id["i-0"]
+                await fleet.until(lambda: target.peer_in_flight == 1)
+                spent = second._context.allowances.spent_in_window
+                await fleet.until(lambda: spent().get("t", 0) >= 1)
+                await fleet.until(lambda: target.peer_in_flight == 0)
+                writer.close()
+                tasks.cancel_scope.cancel()
--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Self
 
 from berylwalk.dispatch._configuration import Account
 
@@ -78,13 +77,9 @@
         self._rules = rules
         self._started_at = started_at
         self._spending_by_account: dict[str, _Spending] = {}
+        self._lives: set[str] = set()
         self._share = 1.0
 
-    @classmethod
-    def unbounded_window(cls) -> Self:
-        """Return allowances with the default rules, as if started long ago."""
-        return cls(AllowanceRules(), started_at=float("-inf"))
-
     def set_share(self, heard: int, known: int) -> None:
         """Tell how many of the known routers, this one included, are heard."""
         self._share = max(1, heard) / max(1, known)
@@ -158,15 +153,18 @@
         now : float
             Time in seconds.
         """
+        is_first = life not in self._lives
+        self._lives.add(life)
         for name, total in spent_by_account.items():
             spending = self._spending(name)
-            before = spending.spent_by_peer.get(life, 0.0 if is_new else total)
-            if total != before:
+            if not is_first or is_new:
+                before = spending.spent_by_peer.get(life, 0.0)
                 spending.add(total - before, now)
             spending.spent_by_peer[life] = total
 
     def forget(self, life: str) -> None:
         """Forget the totals of a peer's life that has ended."""
+        self._lives.discard(life)
         for spending in self._spending_by_account.values():
             spending.spent_by_peer.pop(life, None)
 
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -18,7 +18,7 @@
 TYPICAL_COST_PER_TOKEN = 0.00004
 """Seconds per token of a target that nothing is known of, while no other target
 of its service has been measured."""
-REMOTE_FACTOR = 1.15
+REMOTE_FACTOR = 1.3
 """How much dearer a target of another failure domain counts: bytes between
 failure domains are paid for, and an answer takes longer on its way."""
 ERROR_FACTOR = 4.0
--- a/libs/dispatch/src/berylwalk/dispatch/_targets.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_targets.py
@@ -76,11 +76,14 @@
         Names the part of the prompt that other requests share, or empty.
     prefix_tokens : int
         Length of that part.
+    output_tokens : int
+        Tokens that the answer is expected to have, or its most.
     """
 
     prompt_tokens: int = 0
     prefix_key: str = ""
     prefix_tokens: int = 0
+    output_tokens: int = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/libs/dispatch/tests/test_dispatch_allowances.py
@@ -0,0 +1,117 @@
+"""Allowances over all routers."""
+
+import pytest
+
+from berylwalk.dispatch import Account, AllowanceRules, Allowances
+
+RULES = AllowanceRules(window_s=8.0, excess=0.1, slack=1000.0)
+ACCOUNT = Account(name="a", keys=frozenset(), rate_per_s=1000.0, burst=1000.0)
+ALLOWANCE = 1000.0 * 8 + 1000.0
+BOUND = ALLOWANCE * 1.1 + 1000.0
+"""What all routers together must never pass within a window."""
+
+
+def allowances(*, started_at=-100.0):
+    """Return the allowances of one router."""
+    return Allowances(RULES, started_at=started_at)
+
+
+def spend_all(router, now, *, cost=100.0):
+    """Spend until refused; returns the sum."""
+    spent = 0.0
+    while router.take(ACCOUNT, cost, 0, now) == 0:
+        spent += cost
+    return spent
+
+
+class TestWindow:
+    """One router."""
+
+    def test_whole_allowance_and_no_more_than_the_bound(self):
+        """What an account is owed can be spent at once, within the bound."""
+        assert ALLOWANCE <= spend_all(allowances(), 0.0) <= BOUND
+
+    def test_any_window_stays_within_the_bound(self):
+        """Spending is counted in every span of the window's length."""
+        router = allowances()
+        spent_at = [
+            (tick * 0.25, spend_all(router, tick * 0.25)) for tick in range(120)
+        ]
+        for start, _ in spent_at:
+            inside = sum(spent for at, spent in spent_at if start <= at < start + 8.0)
+            assert inside <= BOUND
+
+    def test_refusal_tells_when(self):
+        """The time told is enough for the refused cost."""
+        router = allowances()
+        spend_all(router, 0.0)
+        wait_s = router.take(ACCOUNT, 100.0, 0, 0.0)
+        assert 0 < wait_s <= 8.0
+
+    def test_request_dearer_than_all_is_taken_when_the_window_is_empty(self):
+        """It must not wait for ever."""
+        assert allowances().take(ACCOUNT, 10 * BOUND, 0, 0.0) == 0
+
+    def test_lower_ranks_leave_a_part(self):
+        """An account's urgent requests find something left."""
+        router = allowances()
+        while router.take(ACCOUNT, 100.0, 2, 0.0) == 0:
+            pass
+        assert router.take(ACCOUNT, 100.0, 1, 0.0) == 0
+        assert router.take(ACCOUNT, 100.0, 0, 0.0) == 0
+
+    def test_no_rate_is_no_limit(self):
+        """An account without a rate is never refused."""
+        free = Account(name="f", keys=frozenset())
+        assert allowances().take(free, 1e12, 0, 0.0) == 0
+
+    def test_given_back(self):
+        """What has surely not run is not counted."""
+        router = allowances()
+        spent = spend_all(router, 0.0)
+        router.give_back(ACCOUNT, spent, 0.0)
+        assert spend_all(router, 0.0) == spent
+
+    def test_start_takes_the_window_for_spent(self):
+        """A restarted router does not know what was spent before."""
+        router = allowances(started_at=0.0)
+        assert router.take(ACCOUNT, 100.0, 0, 0.0) > 0
+        assert spend_all(router, 4.0) <= BOUND / 2
+
+
+class TestPeers:
+    """Several routers."""
+
+    def test_what_peers_spent_is_counted_once(self):
+        """Totals of a peer's life are counted by their growth."""
+        first, second = allowances(), allowances()
+        spent = spend_all(first, 0.0)
+        for _ in range(3):
+            second.hear("p/1", first.spent_by_account(), is_new=True, now=0.0)
+        assert second.spent_in_window() == {"a": spent}
+        assert second.take(ACCOUNT, 100.0, 0, 0.0) > 0
+
+    def test_older_life_counts_from_when_it_is_heard(self):
+        """What it spent long ago is no spending of this window."""
+        router = allowances()
+        router.hear("p/1", {"a": 1e9}, is_new=False, now=0.0)
+        assert router.take(ACCOUNT, 100.0, 0, 0.0) == 0
+        router.hear("p/1", {"a": 1e9 + ALLOWANCE}, is_new=False, now=0.1)
+        assert router.take(ACCOUNT, 2000.0, 0, 0.1) > 0
+
+    def test_first_spending_after_the_first_message_counts(self):
+        """An account that an older life had not named has spent all of it since."""
+        router = allowances()
+        router.hear("p/1", {}, is_new=False, now=0.0)
+        router.hear("p/1", {"a": ALLOWANCE}, is_new=False, now=0.1)
+        assert router.spent_in_window() == {"a": ALLOWANCE}
+
+    @pytest.mark.parametrize("routers", [2, 4, 31])
+    def test_routers_that_do_not_hear_each_other_stay_within_the_bound(self, routers):
+        """Each keeps to its equal part."""
+        total = 0.0
+        for _ in range(routers):
+            router = allowances()
+            router.set_share(1, routers)
+            total += spend_all(router, 0.0, cost=10.0)
+        assert 0.9 * ALLOWANCE <= total <= BOUND
--- /dev/null
+++ b/libs/dispatch/tests/test_dispatch_targets.py
@@ -0,0 +1,253 @@
+"""Beliefs about targets, and what they decide."""
+
+import pytest
+
+from berylwalk.dispatch import (
+    Dispatcher,
+    TargetEntry,
+    TargetState,
+    TargetTable,
+    Ticket,
+    Work,
+    choose_target,
+    place_limit,
+)
+
+NOW = 100.0
+
+
+def entry(target_id, **changes):
+    """Return an entry of a ready target."""
+    values = {
+        "target_id": target_id,
+        "service": "s",
+        "host": "127.0.0.1",
+        "port": 1,
+        "failure_domain": "fd-a",
+        "slots": 4,
+        "state": TargetState.READY,
+    }
+    return TargetEntry(**{**values, **changes})
+
+
+def table(*entries):
+    """Return a table with targets."""
+    targets = TargetTable()
+    targets.replace(entries, NOW)
+    return targets
+
+
+def choose(targets, *, work=None, excluded=(), now=NOW):
+    """Return the id of the chosen target."""
+    chosen = choose_target(
+        targets.of_service("s"),
+        work or Work(),
+        failure_domain="fd-a",
+        excluded=excluded,
+        now=now,
+        draw=lambda: 0.0,
+    )
+    return None if chosen is None else chosen.entry.target_id
+
+
+class TestList:
+    """Entries that come, change and go."""
+
+    def test_draining_target_gets_nothing(self):
+        """It is still listed, and takes no new work."""
+        targets = table(entry("a", state=TargetState.DRAINING))
+        assert choose(targets) is None
+
+    def test_missing_target_is_gone_at_once(self):
+        """Without an outage a removed entry means that the target leaves."""
+        targets = table(entry("a"), entry("b"))
+        assert targets.replace([entry("b")], NOW) == ["a"]
+        assert choose(targets) == "b"
+
+    def test_entries_that_lapsed_in_an_outage_are_used_for_a_bounded_time(self):
+        """They are back within the grace, or gone."""
+        targets = table(entry("a"))
+        targets.note_outage_ended(NOW)
+        assert targets.replace([], NOW + 0.1) == []
+        assert choose(targets, now=NOW + 0.1) == "a"
+        assert targets.replace([], NOW + 2.1) == ["a"]
+
+    def test_lapsed_entry_that_is_back_stays(self):
+        """A target that is alive registers itself again."""
+        targets = table(entry("a"))
+        targets.note_outage_ended(NOW)
+        targets.replace([], NOW + 0.1)
+        targets.replace([entry("a")], NOW + 1.0)
+        assert targets.replace([entry("a")], NOW + 3.0) == []
+
+
+class TestHealth:
+    """Targets that fail, observed from their answers."""
+
+    def test_unreachable_target_is_set_aside_for_longer_each_time(self):
+        """It is soon tried again at first, and less often later."""
+        targets = table(entry("a"))
+        target = targets.by_id["a"]
+        pauses = []
+        for _ in range(6):
+            target.note_unreachable(NOW)
+            pauses.append(target.aside_until - NOW)
+        assert pauses == sorted(pauses)
+        assert pauses[0] < 0.5
+        assert pauses[-1] <= 3.0
+
+    def test_erroneous_target_gets_trial_requests_only(self):
+        """One that fails many answers though it is there is tried seldom."""
+        targets = table(entry("a"))
+        target = targets.by_id["a"]
+        for _ in range(10):
+            target.note_error()
+        target.tried_at = NOW
+        assert choose(targets, now=NOW + 0.1) is None
+        assert choose(targets, now=NOW + 0.6) == "a"
+
+    def test_answers_restore_trust(self):
+        """A target that answers properly again gets its part."""
+        targets = table(entry("a"))
+        target = targets.by_id["a"]
+        for _ in range(10):
+            target.note_error()
+        for _ in range(20):
+            target.note_success()
+        target.tried_at = NOW
+        assert choose(targets, now=NOW + 0.1) == "a"
+
+    def test_silence_is_told_from_reading_a_long_prompt(self):
+        """A target with a long prompt and no other request sends nothing."""
+        targets = table(entry("a"), entry("b"))
+        short, long = targets.by_id["a"], targets.by_id["b"]
+        short.note_sent(Work(100), NOW)
+        long.note_sent(Work(50_000), NOW)
+        assert short.is_silent(NOW + 1.0)
+        assert not long.is_silent(NOW + 1.0)
+
+    def test_idle_target_is_not_silent(self):
+        """Nothing is owed without a request."""
+        targets = table(entry("a"))
+        target = targets.by_id["a"]
+        target.note_sent(Work(), NOW)
+        target.note_left(Work(), had_first_event=False)
+        assert not target.is_silent(NOW + 1000.0)
+        assert target.waiting_tokens == 0
+
+
+class TestChoice:
+    """Which target gets a request."""
+
+    def test_measured_speed_counts(self):
+        """A target half as fast gets the request only at half the load."""
+        targets = table(entry("fast"), entry("slow"))
+        targets.by_id["fast"].cost_per_token = 0.00002
+        targets.by_id["slow"].cost_per_token = 0.00006
+        assert choose(targets, work=Work(1000)) == "fast"
+        for _ in range(3):
+            targets.by_id["fast"].note_sent(Work(20_000), NOW)
+        assert choose(targets, work=Work(1000)) == "slow"
+
+    def test_load_of_peers_counts(self):
+        """What other routers have there is part of the load."""
+        targets = table(entry("a"), entry("b"))
+        targets.hear_loads("peer", {"a": (3, 30_000)})
+        assert choose(targets) == "b"
+        targets.hear_loads("peer", {"b": (3, 30_000)})
+        assert choose(targets) == "a"
+
+    def test_loads_of_a_peer_hold_for_a_target_listed_later(self):
+        """The message may come before the entry."""
+        targets = table(entry("b"))
+        targets.hear_loads("peer", {"a": (3, 30_000)})
+        targets.update(entry("a"))
+        assert targets.by_id["a"].peer_in_flight == 3
+        targets.hear_loads("peer", {})
+        assert targets.by_id["a"].peer_in_flight == 0
+
+    def test_full_and_excluded_targets_are_passed_over(self):
+        """None is chosen rather than a target that has no place."""
+        targets = table(entry("a"), entry("b"))
+        for _ in range(place_limit(targets.by_id["a"])):
+            targets.by_id["a"].note_sent(Work(), NOW)
+        assert choose(targets) == "b"
+        assert choose(targets, excluded={"b"}) is None
+
+    @pytest.mark.parametrize(("slot_s", "more"), [(0.05, 4), (0.6, 1), (5.0, 0)])
+    def test_slow_targets_get_fewer_places(self, slot_s, more):
+        """What waits inside a slow target waits long."""
+        target = table(entry("a")).by_id["a"]
+        target.note_slot_time(slot_s)
+        assert place_limit(target) == 4 + more
+
+
+class TestWaiting:
+    """Requests that find no place."""
+
+    def dispatcher(self, targets):
+        """Return a dispatcher."""
+        return Dispatcher(targets, failure_domain="fd-a", draw=lambda: 0.0)
+
+    def ticket(self, rank, granted, name):
+        """Return a ticket that notes its name when it gets a place."""
+
+        def on_place(target):
+            target.note_sent(Work(), NOW)
+            granted.append(name)
+
+        return Ticket(service="s", rank=rank, work=Work(), on_place=on_place)
+
+    def test_places_go_by_rank_then_arrival(self):
+        """The most urgent goes first, among equals the oldest."""
+        targets = table(entry("a", slots=1))
+        target = targets.by_id["a"]
+        target.slot_s = 10.0
+        target.note_sent(Work(), NOW)
+        dispatcher = self.dispatcher(targets)
+        granted = []
+        for rank, name in [((1, 2), "late"), ((1, 0), "first"), ((1, 0), "second")]:
+            assert dispatcher.submit(self.ticket(rank, granted, name), NOW) is None
+        for _ in range(3):
+            target.note_left(Work(), had_first_event=False)
+            dispatcher.pump("s", NOW)
+        assert granted == ["first", "second", "late"]
+
+    def test_newcomer_does_not_overtake_its_equals(self):
+        """A place that is free goes to those that wait."""
+        targets = table(entry("a", slots=1))
+        target = targets.by_id["a"]
+        target.slot_s = 10.0
+        target.note_sent(Work(), NOW)
+        dispatcher = self.dispatcher(targets)
+        granted = []
+        dispatcher.submit(self.ticket((1, 0), granted, "waits"), NOW)
+        target.note_left(Work(), had_first_event=False)
+        assert dispatcher.submit(self.ticket((1, 0), granted, "new"), NOW) is None
+        dispatcher.pump("s", NOW)
+        assert granted == ["waits"]
+
+    def test_withdrawn_ticket_gets_nothing(self):
+        """A caller that left takes no place."""
+        targets = table(entry("a", state=TargetState.DRAINING))
+        dispatcher = self.dispatcher(targets)
+        granted = []
+        ticket = self.ticket((0, 0), granted, "left")
+        dispatcher.submit(ticket, NOW)
+        assert dispatcher.withdraw(ticket)
+        targets.update(entry("a"))
+        dispatcher.pump("s", NOW)
+        assert granted == []
+        assert not dispatcher.withdraw(ticket)
+
+    def test_ticket_with_exclusions_holds_nobody_up(self):
+        """One that can't use the free target lets the next one through."""
+        targets = table(entry("a"))
+        dispatcher = self.dispatcher(targets)
+        granted = []
+        picky = self.ticket((0, 0), granted, "picky")
+        picky.excluded.add("a")
+        dispatcher.submit(picky, NOW)
+        dispatcher.submit(self.ticket((1, 0), granted, "other"), NOW)
+        dispatcher.pump("s", NOW)
+        assert granted == ["other"]
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -315,6 +315,11 @@
         # A caller that reads nothing must not hold the connection for ever.
         self._call_later(CLOSE_FLUSH_S, transport.abort)
 
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close_if_overdue(self, now: float) -> None:
         """Close the connection if the caller is idle or slow for too long."""
         limits = self._limits()
--- /dev/null
+++ b/tests/platform/test_platform_formats.py
@@ -0,0 +1,235 @@
+"""The platform's formats, decoded once."""
+
+from json import dumps
+
+import pytest
+from msgspec import ValidationError
+
+from berylwalk.dispatch import RouteKind, TargetState, Work
+from berylwalk.platform import (
+    BadHeaders,
+    KeyValue,
+    decode_configuration,
+    decode_target,
+    decode_vm_settings,
+    for_target,
+    read_call,
+    refusal_headers,
+    resuming_after,
+    says_not_run,
+)
+
+SETTINGS = {
+    "node-name": "edge-1",
+    "ip": "127.0.0.1",
+    "zone": "fd-a",
+    "listen": {"front": "127.0.0.1:8221", "readiness": "127.0.0.1:8224"},
+    "port-range": [7600, 7615],
+    "bounds": {"grace-s": 8, "revoke-ms": 5000, "quota-window-s": 6, "new": True},
+    "platform": {"address": "127.0.0.2:8225", "ttl-min-ms": 1000},
+    "unknown": {"field": 1},
+}
+ROUTE = {
+    "name": "r-1",
+    "hostname": "h.example",
+    "path-prefix": "/p/",
+    "route-kind": "streaming",
+    "timeout-ms": 12000,
+    "goal-ms": 400,
+    "priority": 1,
+    "service": "s1",
+    "max-attempts": 2,
+    "resumable": True,
+    "gap-target-ms": 300,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "s1", "max-conns": 230, "engine": {"slots": 9, "kv-capacity": 500}}
+    ],
+    "limits": {"max-header-bytes": 16384, "idle-timeout-ms": 15000},
+    "tenants": [
+        {
+            "name": "t1",
+            "api-keys": ["k1", "k2"],
+            "priority": 1,
+            "unit": "tokens",
+            "plain-tokens": 200,
+            "rate-per-s": 100,
+            "burst": 50,
+        }
+    ],
+}
+CALL = [
+    (b"Host", b"h.example"),
+    (b"Attempt-Id", b"a1"),
+    (b"Deadline-Ms", b"1500"),
+    (b"Token-Count", b"1460,80"),
+    (b"Prompt-Prefix", b"5c1e:800,91bd:410,e440:250"),
+    (b"X-Api-Key", b"k1"),
+]
+
+
+def encoded(value):
+    """Return JSON as bytes."""
+    return dumps(value).encode()
+
+
+class TestSettings:
+    """The settings file of a VM."""
+
+    def test_fields_that_the_router_uses(self):
+        """Unknown fields are ignored."""
+        settings = decode_vm_settings(encoded(SETTINGS))
+        assert (settings.name, settings.failure_domain) == ("edge-1", "fd-a")
+        assert settings.caller_address.port == 8221
+        assert settings.store_address.host == "127.0.0.2"
+        assert (settings.peer_port, settings.metrics_port) == (7600, 7601)
+        assert settings.key_revocation_s == 5.0
+        assert settings.allowances.window_s == 6.0
+
+    def test_missing_field_is_named(self):
+        """The error tells the place."""
+        broken = {key: value for key, value in SETTINGS.items() if key != "platform"}
+        with pytest.raises(ValidationError, match="platform"):
+            decode_vm_settings(encoded(broken))
+
+
+class TestConfiguration:
+    """The operators' configuration."""
+
+    def test_whole_configuration(self):
+        """Times are in seconds, keys and routes are indexed."""
+        configuration = decode_configuration(encoded(CONFIGURATION))
+        route = configuration.route_for("h.example", "/p/x")
+        account = configuration.accounts_by_key["k2"]
+        assert (route.kind, route.timeout_s, route.objective_s) == (
+            RouteKind.STREAMING,
+            12.0,
+            0.4,
+        )
+        assert (route.longest_pause_s, route.repeatable) == (0.3, True)
+        assert (account.name, account.counts_tokens, account.plain_cost) == (
+            "t1",
+            True,
+            200,
+        )
+        assert configuration.services_by_name["s1"].engine_slots == 9
+        assert configuration.limits.idle_timeout_s == 15.0
+
+    def test_split_route_and_no_keys(self):
+        """A split names several services; without accounts no key is needed."""
+        split = [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]
+        route = {**ROUTE, "split": split}
+        del route["service"]
+        plain = {**CONFIGURATION, "routes": [route]}
+        del plain["tenants"]
+        configuration = decode_configuration(encoded(plain))
+        shares = configuration.route_for("h.example", "/p/").shares
+        assert [(share.service, share.weight) for share in shares] == [
+            ("s1", 90),
+            ("s2", 10),
+        ]
+        assert configuration.accounts_by_key is None
+
+    @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+    def test_kinds(self, kind):
+        """Only idempotent requests are repeated."""
+        routes = [{**ROUTE, "route-kind": kind}]
+        configuration = decode_configuration(
+            encoded({**CONFIGURATION, "routes": routes})
+        )
+        route = configuration.route_for("h.example", "/p/")
+        assert route.repeatable is (kind == "idempotent")
+
+
+class TestTargets:
+    """Entries of targets."""
+
+    @pytest.mark.parametrize("state", ["ready", "draining", "other"])
+    def test_entry(self, state):
+        """Any state but ready takes no work."""
+        value = {
+            "service": "s1",
+            "address": "127.0.0.9:80",
+            "zone": "fd-b",
+            "slots": 9,
+            "state": state,
+            "models": [],
+        }
+        entry = decode_target(KeyValue(b"servers/i-1", encoded(value), 1))
+        assert (entry.target_id, entry.host, entry.port) == ("i-1", "127.0.0.9", 80)
+        assert (entry.state is TargetState.READY) is (state == "ready")
+
+
+class TestHeaders:
+    """Headers with a meaning."""
+
+    def test_facts_of_a_call(self):
+        """Sizes, the shared part of the prompt, key and time limit."""
+        facts = read_call(CALL)
+        assert (facts.request_id, facts.key, facts.time_limit_s) == (b"a1", "k1", 1.5)
+        assert facts.tokens == 1540
+        assert facts.work == Work(1460, "91bd", 410, 80)
+
+    @pytest.mark.parametrize(
+        "header",
+        [
+            (b"Attempt-Id", b"a2"),
+            (b"Token-Count", b"x,1"),
+            (b"Deadline-Ms", b"nan"),
+            (b"Deadline-Ms", b"-1"),
+        ],
+    )
+    def test_senseless_headers(self, header):
+        """They are refused rather than guessed at."""
+        assert isinstance(read_call([*CALL, header]), BadHeaders)
+
+    def test_two_keys_are_none(self):
+        """It is not for the router to choose one."""
+        assert read_call([*CALL, (b"x-api-key", b"k2")]).key is None
+
+    def test_callers_cannot_set_what_the_system_sets(self):
+        """Forged headers don't reach a target; the key stays here."""
+        forged = [
+            (name, b"forged")
+            for name in (
+                b"Tenant",
+                b"Hold",
+                b"Pin-Ms",
+                b"Kv-Backup",
+                b"KV-FROM",
+                b"Kv-Fetch",
+                b"Expect-Instance",
+            )
+        ]
+        sent = for_target([*CALL, *forged], target_id="i-1", account="t1", left_s=0.25)
+        values = {name.lower(): value for name, value in sent}
+        assert b"forged" not in values.values()
+        assert b"x-api-key" not in values
+        assert (values[b"tenant"], values[b"expect-instance"]) == (b"t1", b"i-1")
+        assert values[b"deadline-ms"] == b"250"
+        assert values[b"attempt-id"] == b"a1"
+
+    def test_resuming_replaces_the_callers_own_event(self):
+        """A stream goes on after the last event that was passed on."""
+        resumed = resuming_after([(b"last-event-id", b"3")], 12)
+        assert resumed == [(b"Last-Event-Id", b"12")]
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "not_run"),
+        [
+            (503, [(b"Not-Executed", b"1")], True),
+            (421, [], True),
+            (503, [], False),
+            (500, [], False),
+        ],
+    )
+    def test_only_a_statement_counts_as_not_run(self, status, headers, not_run):
+        """Any other answer may follow a run."""
+        assert says_not_run(status, headers) is not_run
+
+    def test_refusal_tells_when_to_return(self):
+        """Seconds with fractions."""
+        assert (b"Retry-After", b"0.250") in refusal_headers(b"a1", 0.25)
