Requests are explained from logs; long answers go to targets that are fast enough

berylwalk explain, beliefs and check-deployment; a request that found no place logs why each target was passed over, an attempt its longest pause.

Cause of cut long answers: at the slowest engines an answer of 3,000 tokens needs longer than its route allows. Targets learn the time of an output token.

--- a/libs/cli/src/berylwalk/cli/_parser.py
+++ b/libs/cli/src/berylwalk/cli/_parser.py
@@ -18,7 +18,9 @@
 )
 from berylwalk.cli._checking import FileRole, check_settings, print_reference
 from berylwalk.cli._daemons import run_agent_command, run_router_command
+from berylwalk.cli._deployment import check_deployment
 from berylwalk.cli._exit_codes import EXIT_CODES_HELP, ExitCode
+from berylwalk.cli._explaining import explain, print_beliefs
 from berylwalk.cli._options import change_id, change_options, client_options
 from berylwalk.cli._reading import export_settings, get_settings, print_tree
 from berylwalk.cli._status import print_status
@@ -45,6 +47,7 @@
     _add_checks(commands)
     _add_status(commands)
     _add_settings(commands)
+    _add_platform(commands)
     return parser
 
 
@@ -85,6 +88,24 @@
     )
 
 
+def _add_platform(commands: _SubParsersAction) -> None:
+    text = "check settings files of VMs and deploy files of the platform"
+    check = _add(commands, "check-deployment", text, check_deployment)
+    check.add_argument("files", type=Path, nargs="+", metavar="FILE")
+
+    text = "tell what became of a request, from log files of routers"
+    explaining = _add(commands, "explain", text, explain)
+    explaining.add_argument("request_id", metavar="ID", help="the request's id")
+    explaining.add_argument("files", type=Path, nargs="+", metavar="LOG")
+
+    text = "show what a direct router believes, from its metrics"
+    beliefs = _add(commands, "beliefs", text, print_beliefs)
+    beliefs.add_argument("url", metavar="URL", help="address of its metrics")
+    beliefs.add_argument(
+        "--timeout-s", type=float, default=2.0, help="bound of the call, in seconds"
+    )
+
+
 def _add_status(commands: _SubParsersAction) -> None:
     text = "show targets, tiers and nodes as one router sees them"
     status = _add(commands, "status", text, print_status, parents=[client_options()])
--- /dev/null
+++ b/libs/cli/tests/test_cli_explaining.py
@@ -0,0 +1,170 @@
+"""Finding the cause of a failed request from logs alone."""
+
+import pytest
+from msgspec.json import encode
+
+from berylwalk.cli import main
+
+REFUSED = [
+    {
+        "time": 99.0,
+        "node": "edge-1",
+        "event": "target-listed",
+        "target": "i-1",
+        "state": "draining",
+    },
+    {
+        "time": 100.1,
+        "node": "edge-1",
+        "event": "request-not-placed",
+        "request_id": "a1",
+        "waiting": 0,
+        "obstacles": {"i-1": "draining", "i-2": "errors"},
+    },
+    {
+        "time": 100.1,
+        "node": "edge-1",
+        "event": "request-ended",
+        "request_id": "a1",
+        "status": 503,
+        "reason": "no-place",
+        "attempts": [],
+    },
+]
+LOST = [
+    {
+        "time": 100.0,
+        "node": "edge-1",
+        "event": "request-placed",
+        "request_id": "a2",
+        "target": "i-1",
+    },
+    {
+        "time": 100.4,
+        "node": "edge-1",
+        "event": "target-gone",
+        "target": "i-1",
+        "detail": "removed",
+    },
+    {
+        "time": 100.5,
+        "node": "edge-1",
+        "event": "request-ended",
+        "request_id": "a2",
+        "status": 502,
+        "reason": "attempt-broken",
+        "attempts": [
+            {"target": "i-1", "end": "broken", "detail": "closed: ConnectionResetError"}
+        ],
+    },
+]
+LATE = [
+    {
+        "time": 100.0,
+        "node": "edge-2",
+        "event": "request-placed",
+        "request_id": "a3",
+        "target": "i-3",
+        "load": 61000,
+        "peer_in_flight": 9,
+    },
+    {
+        "time": 102.0,
+        "node": "edge-2",
+        "event": "request-ended",
+        "request_id": "a3",
+        "status": 200,
+        "reason": "answered",
+        "waited_ms": 90.0,
+        "attempts": [
+            {
+                "target": "i-3",
+                "end": "answered",
+                "first_event_ms": 1200.0,
+                "longest_pause_ms": 35.0,
+            }
+        ],
+    },
+]
+
+
+@pytest.fixture
+def logs(tmp_path):
+    """Return log files of two routers, with other programs' lines between."""
+    files = []
+    for node in ("edge-1", "edge-2"):
+        lines = [line for line in REFUSED + LOST + LATE if line["node"] == node]
+        text = "starting up\n" + "".join(
+            f"  1.2 {node} {encode(line).decode()}\n" for line in lines
+        )
+        file = tmp_path / f"{node}.log"
+        file.write_text(text + '{"cut": "li')
+        files.append(str(file))
+    return files
+
+
+class TestExplain:
+    """The way from an id to a cause."""
+
+    @pytest.mark.parametrize(
+        ("request_id", "expected"),
+        [
+            ("a1", ["cause: no-place", "'i-1': 'draining'", "'i-2': 'errors'"]),
+            ("a2", ["cause: attempt-broken", "target-gone", "ConnectionResetError"]),
+            ("a3", ["first_event_ms=1200.0", "load=61000", "peer_in_flight=9"]),
+        ],
+    )
+    def test_cause_of_three_kinds(self, logs, capsys, request_id, expected):
+        """Refused with targets there, lost with its target, late."""
+        assert main(["explain", request_id, *logs]) == 0
+        shown = capsys.readouterr().out
+        for text in expected:
+            assert text in shown
+
+    def test_beliefs_at_that_time_are_shown(self, logs, capsys):
+        """What the router came to believe shortly before is part of the story."""
+        main(["explain", "a1", *logs])
+        assert "target-listed" in capsys.readouterr().out
+
+    def test_unknown_id(self, logs, capsys):
+        """Nothing found is a failure that says what it may mean."""
+        assert main(["explain", "nobody", *logs]) == 1
+        assert "was killed before it could tell" in capsys.readouterr().err
+
+    def test_missing_file(self, logs, capsys):
+        """A file that can't be read is named."""
+        assert main(["explain", "a1", "nowhere.log"]) == 3
+        assert "nowhere.log" in capsys.readouterr().err
+
+
+class TestCheckDeployment:
+    """Files of the deployment."""
+
+    def test_deploy_file_of_the_repository(self, capsys):
+        """What is deployed is valid."""
+        assert main(["check-deployment", "deploy/system.toml"]) == 0
+
+    @pytest.mark.parametrize(
+        ("name", "text", "expected"),
+        [
+            ("a.json", "{}", "node-name"),
+            ("a.json", "{", "truncated"),
+            ("a.toml", "x = ", "a.toml"),
+            ("a.toml", "build = 'b'\n[roles.r]\nrun = 'x'\nonn = 'edge'", "'onn'"),
+            ("a.toml", "build = 'b'\n[roles.r]\nrun = 'x'", "no 'on'"),
+        ],
+    )
+    def test_mistakes_are_told_with_their_place(
+        self, tmp_path, capsys, name, text, expected
+    ):
+        """All of them, and the exit code says so."""
+        file = tmp_path / name
+        file.write_text(text)
+        assert main(["check-deployment", str(file)]) == 3
+        assert expected in capsys.readouterr().err
+
+    def test_router_that_does_not_answer(self, capsys):
+        """Its metrics can't be read."""
+        url = "http://127.77.9.9:9/metrics"
+        assert main(["beliefs", url, "--timeout-s", "1"]) == 5
+        assert url in capsys.readouterr().err
--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -62,6 +62,8 @@
         self.done = Signal()
         self.end: AttemptEnd | None = None
         self.detail = ""
+        self.events = 0
+        self.longest_pause_s = 0.0
         self.first_event_at: float | None = None
         self.last_event_at: float | None = None
 
@@ -103,10 +105,14 @@
             return
         if not events:
             return
-        self.last_event_at = self._clock()
+        now = self._clock()
+        if self.last_event_at is not None:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
+        self.last_event_at = now
         if self.first_event_at is None:
             self.first_event_at = self.last_event_at
             self._on_first_event()
+        self.events += len(events)
         self._relay.pass_on(self.status, self.headers, events)
 
     def on_end(self, end: AnswerEnd, detail: str) -> None:
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -215,8 +215,10 @@
             service=self._service,
             rank=self._rank,
             work=self._facts.work,
+            ends_at=self._ends_at,
             on_place=on_place,
             excluded=self._excluded,
+            arrived_at=self._request.arrived_at,
         )
         started_at = context.clock()
         target = context.dispatcher.submit(ticket, started_at)
@@ -235,6 +237,7 @@
         if granted:
             return granted[0]
         context.dispatcher.withdraw(ticket)
+        self._log_not_placed(ticket)
         return None
 
     def _note_waited(self, waited_s: float) -> None:
@@ -356,6 +359,9 @@
             target.note_success()
             started_at = sent_at if not attempt.is_stream else attempt.first_event_at
             target.note_slot_time(now - (started_at or sent_at))
+            if attempt.is_stream and started_at is not None:
+                tokens = self._tokens_per_event() * (attempt.events - 1)
+                target.note_output(tokens, attempt.last_event_at - started_at)
             if not attempt.is_stream:
                 load = load_with(target, self._facts.work)
                 target.note_first_event(self._facts.work, load, now - sent_at)
@@ -385,11 +391,18 @@
                 "first_event_ms": None
                 if attempt.first_event_at is None
                 else _ms(attempt.first_event_at - sent_at),
+                "longest_pause_ms": _ms(attempt.longest_pause_s),
+                "events": attempt.events,
                 "took_ms": _ms(now - sent_at),
             }
         )
         self._release(target, had_first_event=attempt.first_event_at is not None)
 
+    def _tokens_per_event(self) -> int:
+        current = self._context.configuration.current
+        service = current.services_by_name.get(self._service)
+        return 1 if service is None else service.tokens_per_event
+
     # Answers.
 
     def _complete(self, attempt: Attempt) -> None:
@@ -469,6 +482,20 @@
             attempts=self._trace.attempts,
         )
 
+    def _log_not_placed(self, ticket: Ticket) -> None:
+        context = self._context
+        obstacles = context.dispatcher.obstacles(ticket, context.clock())
+        context.log.request(
+            "request-not-placed",
+            self._facts.request_id,
+            service=self._service,
+            rank=self._rank,
+            waiting=context.dispatcher.waiting(self._service),
+            targets=len(context.targets.of_service(self._service)),
+            obstacles=obstacles,
+            routers_heard=context.peers.heard(context.clock()),
+        )
+
     def _log_placed(self, target: Target, load: float) -> None:
         self._context.log.request(
             "request-placed",
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -12,10 +12,10 @@
 from berylwalk.platform import KeyValueClient, Listing, Lost, Unavailable
 
 MEMBERS_PREFIX = b"berylwalk/routers/"
-LEASE_S = 4.0
+LEASE_S = 6.0
 """Time after which a router that is gone is no longer counted."""
-RENEW_S = 1.3
-LIST_S = 2.0
+RENEW_S = 2.0
+LIST_S = 4.0
 RETRY_S = 0.3
 TELL_S = 0.05
 """Time between two messages: half of a typical time to a first event."""
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -24,6 +24,7 @@
 from berylwalk.dispatch._return_times import return_time_s
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
 from berylwalk.dispatch._targets import (
+    Obstacle,
     Target,
     TargetEntry,
     TargetState,
@@ -45,6 +46,7 @@
     "DenialReason",
     "Denied",
     "Dispatcher",
+    "Obstacle",
     "Peer",
     "PeerTable",
     "Route",
--- a/libs/dispatch/src/berylwalk/dispatch/_configuration.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_configuration.py
@@ -95,12 +95,15 @@
         Requests that a model engine batches; 0 for a plain service.
     kv_capacity : int
         Tokens that fit in an engine's memory.
+    tokens_per_event : int
+        Output tokens in one event of an engine's stream.
     """
 
     name: str
     max_connections: int
     engine_slots: int = 0
     kv_capacity: int = 0
+    tokens_per_event: int = 1
 
     @property
     def is_engine(self) -> bool:
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from random import random
 
-from berylwalk.dispatch._placing import choose_target, place_limit
-from berylwalk.dispatch._targets import Target, TargetTable
+from berylwalk.dispatch._placing import choose_target, obstacle_for
+from berylwalk.dispatch._targets import Obstacle, Target, TargetTable
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
 
 
@@ -82,12 +82,13 @@
         for service in self._lines_by_service:
             self.pump(service, now)
 
-    def has_free_places(self, service: str, now: float) -> bool:
-        """Return whether any target could take a request now."""
-        return any(
-            target.takes_work(now) and target.total_in_flight < place_limit(target)
-            for target in self._targets.of_service(service)
-        )
+    def obstacles(self, ticket: Ticket, now: float) -> dict[str, Obstacle]:
+        """Return why each target of a service can't be chosen, by target id."""
+        found = {
+            target.entry.target_id: obstacle_for(target, ticket.excluded, now)
+            for target in self._targets.of_service(ticket.service)
+        }
+        return {name: obstacle for name, obstacle in found.items() if obstacle}
 
     def _choose(self, ticket: Ticket, now: float) -> Target | None:
         return choose_target(
@@ -96,5 +97,6 @@
             failure_domain=self._failure_domain,
             excluded=ticket.excluded,
             now=now,
+            left_s=ticket.ends_at - now,
             draw=self._draw,
         )
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection, Sequence
 from random import random
 
-from berylwalk.dispatch._targets import Target, Work
+from berylwalk.dispatch._targets import Obstacle, Target, Work
 
 REQUEST_TOKENS = 800
 """Tokens that a request in flight counts as besides its prompt: the mean delay
@@ -21,6 +21,10 @@
 REMOTE_FACTOR = 1.3
 """How much dearer a target of another failure domain counts: bytes between
 failure domains are paid for, and an answer takes longer on its way."""
+TOO_SLOW_FACTOR = 20.0
+"""How much dearer a target counts at which the answer can't be whole in time."""
+OUTPUT_MARGIN = 0.85
+"""Part of the time left within which the answer should be whole."""
 ERROR_FACTOR = 4.0
 """How much dearer a target counts that fails every answer."""
 
@@ -45,6 +49,18 @@
     return slots + min(more, MORE_PLACES)
 
 
+def obstacle_for(
+    target: Target, excluded: Collection[str], now: float
+) -> Obstacle | None:
+    """Return why a target can't be chosen, or None."""
+    if target.entry.target_id in excluded:
+        return Obstacle.EXCLUDED
+    obstacle = target.obstacle(now)
+    if obstacle is None and target.total_in_flight >= place_limit(target):
+        return Obstacle.FULL
+    return obstacle
+
+
 def choose_target(
     targets: Sequence[Target],
     work: Work,
@@ -52,6 +68,7 @@
     failure_domain: str,
     excluded: Collection[str],
     now: float,
+    left_s: float = float("inf"),
     draw: Callable[[], float] = random,
 ) -> Target | None:
     """Return the target with the least expected time, or None if all are full.
@@ -68,6 +85,8 @@
         Ids of the targets that were tried for this request.
     now : float
         Time in seconds.
+    left_s : float
+        Time within which the answer has to be whole, in seconds.
     draw : callable
         Draws from 0 up to 1, to tell equal targets apart.
     """
@@ -75,11 +94,11 @@
     best = None
     best_cost = float("inf")
     for target in targets:
-        if target.entry.target_id in excluded or not target.takes_work(now):
-            continue
-        if target.total_in_flight >= place_limit(target):
+        if obstacle_for(target, excluded, now) is not None:
             continue
         cost = _expected_s(target, work, typical) * (1 + 0.02 * draw())
+        if _output_s(target, work) > left_s * OUTPUT_MARGIN:
+            cost *= TOO_SLOW_FACTOR
         if target.entry.failure_domain != failure_domain:
             cost *= REMOTE_FACTOR
         if cost < best_cost:
@@ -94,6 +113,10 @@
     return speed * load_with(target, work) * (1 + ERROR_FACTOR * target.errors)
 
 
+def _output_s(target: Target, work: Work) -> float:
+    return (target.output_token_s or 0.0) * work.output_tokens
+
+
 def _typical_cost(targets: Sequence[Target]) -> float:
     known = [
         target.cost_per_token for target in targets if target.cost_per_token is not None
--- a/libs/dispatch/src/berylwalk/dispatch/_targets.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_targets.py
@@ -16,6 +16,8 @@
 """Time between trial requests at an erroneous target, in seconds."""
 SPEED_WEIGHT = 0.12
 """Weight of one first event in the moving speed."""
+LEAST_OUTPUT_TOKENS = 30
+"""Output tokens from which an answer tells something of a target's speed."""
 SILENT_AFTER_S = 0.6
 """A target that owes events and sent no byte for this long is taken for dark."""
 SILENCE_FACTOR = 2.0
@@ -33,6 +35,20 @@
     DRAINING = "draining"
 
 
+class Obstacle(StrEnum):
+    """Why a target gets no request."""
+
+    DRAINING = "draining"
+    ASIDE = "aside"
+    """Its connection failed, or it refused work, a short time ago."""
+
+    SILENT = "silent"
+    ERRORS = "errors"
+    FULL = "full"
+    EXCLUDED = "excluded"
+    """It was tried for this request."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetEntry:
     """One target as the list of targets has it.
@@ -101,6 +117,8 @@
         Moving mean of seconds to the first event per unit of load.
     slot_s : float or None
         Moving mean of the time that a request keeps its slot, in seconds.
+    output_token_s : float or None
+        Moving mean of the time that an output token takes, in seconds.
     errors : float
         Moving share of failed answers.
     failures : int
@@ -120,6 +138,7 @@
     peer_tokens: int = 0
     cost_per_token: float | None = None
     slot_s: float | None = None
+    output_token_s: float | None = None
     errors: float = 0.0
     failures: int = 0
     aside_until: float = float("-inf")
@@ -151,13 +170,20 @@
 
     def takes_work(self, now: float) -> bool:
         """Return whether a request may be sent, its number in flight aside."""
+        return self.obstacle(now) is None
+
+    def obstacle(self, now: float) -> Obstacle | None:
+        """Return why no request may be sent, its number in flight aside."""
         if self.entry.state is not TargetState.READY:
-            return False
-        if now < self.aside_until or self.is_silent(now):
-            return False
-        if self.errors > ERRONEOUS_SHARE:
-            return now - self.tried_at >= TRIAL_GAP_S
-        return True
+            return Obstacle.DRAINING
+        if now < self.aside_until:
+            return Obstacle.ASIDE
+        if self.is_silent(now):
+            return Obstacle.SILENT
+        is_erroneous = self.errors > ERRONEOUS_SHARE
+        if is_erroneous and now - self.tried_at < TRIAL_GAP_S:
+            return Obstacle.ERRORS
+        return None
 
     def note_sent(self, work: Work, now: float) -> None:
         """Count a request that is sent."""
@@ -186,6 +212,16 @@
         else:
             self.cost_per_token += SPEED_WEIGHT * (sample - self.cost_per_token)
 
+    def note_output(self, tokens: int, taken_s: float) -> None:
+        """Learn from the time between the first and the last of output tokens."""
+        if tokens < LEAST_OUTPUT_TOKENS:
+            return
+        sample = taken_s / tokens
+        if self.output_token_s is None:
+            self.output_token_s = sample
+        else:
+            self.output_token_s += SPEED_WEIGHT * (sample - self.output_token_s)
+
     def note_slot_time(self, taken_s: float) -> None:
         """Learn from the time that an answered request kept its slot."""
         if self.slot_s is None:
--- a/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
@@ -8,6 +8,14 @@
 
 from berylwalk.dispatch._targets import Target, Work
 
+SIZE_WEIGHT = 0.1
+"""Time that a request falls behind its equals for each second that it will keep a
+slot: small ones go first while many wait, and no large one waits for ever."""
+LONGEST_SLOT_S = 3.0
+TYPICAL_PROMPT_TOKEN_S = 0.00002
+TYPICAL_OUTPUT_TOKEN_S = 0.0035
+"""Typical times of the engines that this was made for; used for comparison only."""
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Ticket:
@@ -21,27 +29,40 @@
         Lowest first, as `Allowed.rank` gives it.
     work : Work
         Its size.
+    ends_at : float
+        When its answer has to be whole.
     on_place : callable
         Called with the target once there is one; not before `submit` returns
         unless it returns the target.
     excluded : set of str
         Targets that it must not go to.
+    arrived_at : float
+        When it arrived.
     """
 
     service: str
     rank: tuple[int, int]
     work: Work
     on_place: Callable[[Target], None]
+    ends_at: float = float("inf")
     excluded: set[str] = field(default_factory=set)
+    arrived_at: float = 0.0
     number: int = 0
 
 
-def _order(ticket: Ticket) -> tuple[tuple[int, int], int]:
-    return ticket.rank, ticket.number
+def _order(ticket: Ticket) -> tuple[tuple[int, int], float, int]:
+    behind_s = SIZE_WEIGHT * min(_slot_s(ticket.work), LONGEST_SLOT_S)
+    return ticket.rank, ticket.arrived_at + behind_s, ticket.number
+
+
+def _slot_s(work: Work) -> float:
+    """Return for about how long a request keeps a slot; only compared."""
+    prompt_s = work.prompt_tokens * TYPICAL_PROMPT_TOKEN_S
+    return prompt_s + work.output_tokens * TYPICAL_OUTPUT_TOKEN_S
 
 
 class WaitingLine:
-    """Waiting requests of one service, by rank and arrival."""
+    """Waiting requests of one service, by rank, arrival and size."""
 
     def __init__(self) -> None:
         self._tickets = SortedKeyList(key=_order)
--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -90,9 +90,20 @@
         """Whether the connection stands, as far as is known."""
         return self._transport is not None and not self._transport.is_closing()
 
-    def is_fresh(self, now: float) -> bool:
-        """Return whether the target surely still keeps the idle connection."""
-        is_recent = now - self._idle_since <= self._idle_limit_s
+    def is_fresh(self, now: float, *, idle_limit_s: float | None = None) -> bool:
+        """Return whether the idle connection may be used again.
+
+        Parameters
+        ----------
+        now : float
+            Time of the loop.
+        idle_limit_s : float or None
+            Idle time up to which it may; by default that for which the target
+            surely keeps it.
+        """
+        if idle_limit_s is None:
+            idle_limit_s = self._idle_limit_s
+        is_recent = now - self._idle_since <= idle_limit_s
         return self.is_open and self.reusable and is_recent
 
     def send(self, data: bytes, request_id: bytes, sink: AnswerSink) -> None:
