--- a/libs/cli/src/berylwalk/cli/_explaining.py
+++ b/libs/cli/src/berylwalk/cli/_explaining.py
@@ -125,14 +125,15 @@
     """Yield the request's lines with what its routers and targets did meanwhile."""
     started_at = own[0].time
     nodes = {line.node for line in own}
-    targets = {line.fields["target"] for line in own if "target" in line.fields}
+    targets = {target for line in own for target in _targets_of(line)}
     for line in lines:
-        is_own = line in own
+        is_own = line.request_id == own[0].request_id
+        is_near = started_at - CONTEXT_S <= line.time <= own[-1].time
         is_context = (
             line.request_id is None
             and line.node in nodes
-            and started_at - CONTEXT_S <= line.time <= own[-1].time
-            and line.fields.get("target", next(iter(targets), None)) in targets | {None}
+            and is_near
+            and _targets_of(line) <= targets
         )
         if is_own or is_context:
             mark = "*" if is_own else " "
@@ -144,6 +145,13 @@
             yield from _ending(line)
 
 
+def _targets_of(line: Line) -> set[str]:
+    named = set(line.fields.get("obstacles", ()))
+    if "target" in line.fields:
+        named.add(line.fields["target"])
+    return named
+
+
 def _shown(line: Line) -> str:
     return " ".join(
         f"{name}={value}"
