Routers that start serve at once what is surely left of an allowance

Cause, found in an incident (all requests of all accounts refused with 429 for two seconds after every restart): a new router took the window to be wholly spent, and ranks kept a part of the whole allowance for each other though little of it was known to be left. Now it may spend a part of the unused tolerance at once, the reserve is a part of what is known, and a peer that is older than the window tells a newcomer what was spent.

--- a/libs/direct/src/berylwalk/direct/_gauges.py
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -22,7 +22,7 @@
         metrics.target_errors.labels(target_id).set(target.errors)
         heard_s = min(now - target.heard_at, LONGEST_AGE_S)
         metrics.target_heard_age_s.labels(target_id).set(heard_s)
-    for name, spent in context.allowances.spent_in_window().items():
+    for name, spent in context.allowances.spent_in_window(now).items():
         metrics.allowance_spent.labels(name).set(spent)
     metrics.peers_heard.set(context.peers.heard(now))
     metrics.peers_known.set(context.peers.known())
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -24,6 +24,11 @@
 taken for silent."""
 
 
+NEWCOMER_TOLD_S = 0.6
+"""Time for which a router that has just started is told what it missed: several
+messages, of which some may be lost."""
+
+
 class MemberEntry(Struct):
     """How a router registers itself."""
 
@@ -47,6 +52,9 @@
         Requests in flight and waiting prompt tokens by target id.
     spent : dict
         Units spent since the start, by client account.
+    recent : dict or None
+        Units that all routers spent in the window, for those that have just
+        started; None if nobody needs it or this router does not know.
     """
 
     name: str
@@ -57,6 +65,7 @@
     sequence: int
     loads: dict[str, tuple[int, int]]
     spent: dict[str, float]
+    recent: dict[str, float] | None = None
 
 
 class PeerSocket(DatagramProtocol):
@@ -97,6 +106,7 @@
         self._transport: DatagramTransport | None = None
         self._told: tuple[object, object] | None = None
         self._told_at = float("-inf")
+        self._newcomers_until = float("-inf")
         self._decoder = msgpack.Decoder(PeerMessage)
 
     async def start(self) -> None:
@@ -216,7 +226,7 @@
         loads = context.targets.own_loads()
         spent = context.allowances.spent_by_account()
         now = context.clock()
-        is_unchanged = self._told == (loads, spent)
+        is_unchanged = self._told == (loads, spent) and now >= self._newcomers_until
         if is_unchanged and now - self._told_at < TELL_UNCHANGED_S:
             return
         self._told = (loads, spent)
@@ -231,11 +241,19 @@
             self._sequence,
             loads,
             spent,
+            self._recent(now),
         )
         data = msgpack.encode(message)
         for peer in context.peers.by_name.values():
             self._transport.sendto(data, (peer.host, peer.port))
 
+    def _recent(self, now: float) -> dict[str, float] | None:
+        """Return the spending of the window if some peer needs to know."""
+        allowances = self._context.allowances
+        if allowances.knows_part(now) or now >= self._newcomers_until:
+            return None
+        return allowances.spent_in_window(now)
+
     def _hear(self, data: bytes) -> None:
         try:
             message = self._decoder.decode(data)
@@ -254,6 +272,10 @@
         if not context.peers.hear(sender, now):
             return
         context.targets.hear_loads(message.name, message.loads)
+        if message.age_s < context.settings.allowances.window_s:
+            self._newcomers_until = now + NEWCOMER_TOLD_S
+        if message.recent is not None:
+            context.allowances.learn(message.recent, now)
         context.allowances.hear(
             _life_of(sender),
             message.spent,
--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -10,6 +10,9 @@
 TOLERANCE_USED = 0.5
 """Part of the tolerance that is given to callers. The rest covers what routers
 spend before they hear of each other."""
+START_SHARE = 0.35
+"""Part of the unused tolerance that may be spent at once after a start. Twice that
+and what routers spend before they hear of each other stay within the tolerance."""
 RESERVE_SHARE = 0.06
 """Part of the allowance that each rank leaves to the next higher one: under
 pressure an account's urgent requests go before its others."""
@@ -35,7 +38,15 @@
     def limit(self, account: Account) -> float:
         """Return the units that an account may spend in a window."""
         allowance = account.rate_per_s * self.window_s + account.burst
-        return allowance + TOLERANCE_USED * (allowance * self.excess + self.slack)
+        return allowance + TOLERANCE_USED * self._tolerance(allowance)
+
+    def start_units(self, account: Account) -> float:
+        """Return what may be spent at once by routers that know of nothing."""
+        allowance = account.rate_per_s * self.window_s + account.burst
+        return START_SHARE * (1 - TOLERANCE_USED) * self._tolerance(allowance)
+
+    def _tolerance(self, allowance: float) -> float:
+        return allowance * self.excess + self.slack
 
 
 @dataclass(slots=True)
@@ -63,7 +74,8 @@
 
     Routers tell each other what they have spent. A peer that is silent may be
     spending its equal part, so that part is left to it. A router that has just
-    started takes the window to be spent: it does not know what was.
+    started takes the window to be spent, until a peer that is older than the
+    window tells what was.
 
     Parameters
     ----------
@@ -78,6 +90,7 @@
         self._started_at = started_at
         self._spending_by_account: dict[str, _Spending] = {}
         self._lives: set[str] = set()
+        self._told: dict[str, float] | None = None
         self._share = 1.0
 
     def set_share(self, heard: int, known: int) -> None:
@@ -103,9 +116,10 @@
         if account.rate_per_s <= 0:
             return 0.0
         limit = self._rules.limit(account)
-        reserve = RESERVE_SHARE * min(rank, LOWEST_RANK) * limit * self._share
         spending = self._spending(account.name)
-        left = self._left(limit, spending, now)
+        known = limit - self._unknown(account, limit, now)
+        left = known * self._share - self._counted(spending, now)
+        reserve = RESERVE_SHARE * min(rank, LOWEST_RANK) * known * self._share
         # A request dearer than the whole allowance must not wait for ever.
         needed = min(cost, 0.9 * limit * self._share - reserve)
         if left - reserve < needed:
@@ -130,10 +144,11 @@
             if spending.spent
         }
 
-    def spent_in_window(self) -> dict[str, float]:
-        """Return what was spent in the window when it was last looked at."""
+    def spent_in_window(self, now: float) -> dict[str, float]:
+        """Return what all routers have spent in the window, as far as is known."""
         return {
-            name: spending.total for name, spending in self._spending_by_account.items()
+            name: self._counted(spending, now)
+            for name, spending in self._spending_by_account.items()
         }
 
     def hear(
@@ -168,12 +183,35 @@
         for spending in self._spending_by_account.values():
             spending.spent_by_peer.pop(life, None)
 
-    def _left(self, limit: float, spending: _Spending, now: float) -> float:
-        window_s = self._rules.window_s
-        spending.drop_before(now - window_s - STEP_S)
-        unknown_s = max(0.0, window_s - (now - self._started_at))
-        unknown = limit * unknown_s / window_s
-        return (limit - unknown) * self._share - spending.total
+    def learn(self, recent: dict[str, float], now: float) -> None:
+        """Take from an older peer what was spent in the window before the start.
+
+        Parameters
+        ----------
+        recent : dict
+            Units by account, of all routers; others have spent nothing.
+        now : float
+            Time in seconds.
+        """
+        if self._told is None and self.knows_part(now):
+            self._told = recent
+
+    def knows_part(self, now: float) -> bool:
+        """Return whether the start is within the window."""
+        return now - self._started_at < self._rules.window_s
+
+    def _counted(self, spending: _Spending, now: float) -> float:
+        spending.drop_before(now - self._rules.window_s - STEP_S)
+        return spending.total
+
+    def _unknown(self, account: Account, limit: float, now: float) -> float:
+        """Return what was spent in the window before the start, or at most."""
+        unknown_s = max(0.0, self._rules.window_s - (now - self._started_at))
+        if self._told is None:
+            units = limit - self._rules.start_units(account)
+        else:
+            units = min(limit, self._told.get(account.name, 0.0))
+        return units * unknown_s / self._rules.window_s
 
     def _spending(self, name: str) -> _Spending:
         spending = self._spending_by_account.get(name)
