--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -129,6 +129,11 @@
         else:
             self._finish(*self._judge_whole_answer())
 
+    def note_whole_answer(self) -> None:
+        """Count an answer that is no stream as its own first event."""
+        self.first_event_at = self._clock()
+        self._on_first_event()
+
     def give_up(self, end: AttemptEnd, detail: str) -> None:
         """End it without waiting for the target."""
         self._finish(end, detail)
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -14,11 +14,12 @@
     AttemptEnd,
     Attempts,
     Denied,
+    ExpectedStart,
     Route,
     RouteKind,
     Target,
     Ticket,
-    load_with,
+    expected_start,
     return_time_s,
 )
 from berylwalk.forwarding import (
@@ -253,12 +254,17 @@
     async def _send(self, target: Target) -> Attempt:
         context = self._context
         sent_at = context.clock()
-        load = load_with(target, self._facts.work)
-        self._log_placed(target, load)
+        start = expected_start(target, self._facts.work)
+        self._log_placed(target, start)
 
         def on_first_event() -> None:
             taken_s = context.clock() - sent_at
-            target.note_first_event(self._facts.work, load, taken_s)
+            target.note_first_event(
+                self._facts.work,
+                expected_s=start.reference_s,
+                waited_s=start.slot_wait_s,
+                taken_s=taken_s,
+            )
 
         attempt = Attempt(
             self._relay,
@@ -363,9 +369,7 @@
                 tokens = self._tokens_per_event() * (attempt.events - 1)
                 target.note_output(tokens, attempt.last_event_at - started_at)
             if not attempt.is_stream:
-                load = load_with(target, self._facts.work)
-                target.note_first_event(self._facts.work, load, now - sent_at)
-                attempt.first_event_at = now
+                attempt.note_whole_answer()
         elif end in (AttemptEnd.NOT_SENT, AttemptEnd.SILENT):
             if attempt.detail != "timeout":
                 target.note_unreachable(now)
@@ -496,17 +500,16 @@
             routers_heard=context.peers.heard(context.clock()),
         )
 
-    def _log_placed(self, target: Target, load: float) -> None:
+    def _log_placed(self, target: Target, start: ExpectedStart) -> None:
         self._context.log.request(
             "request-placed",
             self._facts.request_id,
             target=target.entry.target_id,
-            load=round(load),
+            expected_ms=_ms((target.slowness or 1.0) * start.reference_s),
+            slot_wait_ms=_ms(start.slot_wait_s),
             in_flight=target.in_flight,
             peer_in_flight=target.peer_in_flight,
-            cost_us=None
-            if target.cost_per_token is None
-            else round(target.cost_per_token * 1e6, 1),
+            slowness=None if target.slowness is None else round(target.slowness, 2),
             error_share=round(target.errors, 3),
         )
 
--- a/libs/direct/src/berylwalk/direct/_gauges.py
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -18,7 +18,7 @@
     for target_id, target in context.targets.by_id.items():
         metrics.in_flight.labels(target_id).set(target.in_flight)
         metrics.peer_in_flight.labels(target_id).set(target.peer_in_flight)
-        metrics.target_cost.labels(target_id).set(target.cost_per_token or 0.0)
+        metrics.target_slowness.labels(target_id).set(target.slowness or 0.0)
         metrics.target_errors.labels(target_id).set(target.errors)
         heard_s = min(now - target.heard_at, LONGEST_AGE_S)
         metrics.target_heard_age_s.labels(target_id).set(heard_s)
--- /dev/null
+++ b/libs/direct/tests/test_direct_decision_log.py
@@ -0,0 +1,117 @@
+"""Logs that are bounded and never block."""
+
+from msgspec.json import decode
+
+from berylwalk.direct._decision_log import (
+    BURST_LINES,
+    LINES_PER_S,
+    OWN_SHARE,
+    DecisionLog,
+)
+
+
+class Pipe:
+    """A descriptor whose reader may be slow or gone."""
+
+    def __init__(self):
+        self.data = b""
+        self.room = 10**9
+        self.gone = False
+
+    def write(self, data):
+        if self.gone:
+            raise BrokenPipeError
+        if not self.room:
+            raise BlockingIOError
+        taken = data[: self.room]
+        self.data += taken
+        self.room -= len(taken)
+        return len(taken)
+
+    def lines(self):
+        return [decode(line) for line in self.data.splitlines()]
+
+
+def log_to(pipe, now):
+    """Return a log with a clock that a test moves."""
+    return DecisionLog(
+        "edge-1", write=pipe.write, clock=lambda: now[0], wall_clock=lambda: 5.0
+    )
+
+
+class TestLines:
+    """What a line holds."""
+
+    def test_fields(self):
+        """Time, node, event, id and what decided."""
+        pipe = Pipe()
+        log_to(pipe, [0.0]).request("request-ended", b"a1", status=503, version=7)
+        assert pipe.lines() == [
+            {
+                "time": 5.0,
+                "node": "edge-1",
+                "event": "request-ended",
+                "request_id": "a1",
+                "status": 503,
+                "version": 7,
+            }
+        ]
+
+
+class TestBounds:
+    """Load and slow readers."""
+
+    def test_lines_about_requests_are_dropped_first(self):
+        """What changes the process's beliefs is still told, and the number dropped."""
+        pipe = Pipe()
+        log = log_to(pipe, [0.0])
+        for _ in range(int(BURST_LINES)):
+            log.request("request-ended", b"a1")
+        log.process("store-lost")
+        lines = pipe.lines()
+        assert log.dropped == BURST_LINES * OWN_SHARE
+        assert lines[-1]["event"] == "store-lost"
+        assert lines[-1]["lines_dropped"] == log.dropped
+
+    def test_rate_is_bounded(self):
+        """A second more allows so many lines more."""
+        pipe = Pipe()
+        now = [0.0]
+        log = log_to(pipe, now)
+        for _ in range(3000):
+            log.process("x")
+        before = len(pipe.lines())
+        now[0] = 1.0
+        for _ in range(3000):
+            log.process("x")
+        assert before == BURST_LINES
+        assert len(pipe.lines()) - before == LINES_PER_S
+
+    def test_slow_reader_loses_no_part_of_a_line(self):
+        """What was not taken is written later, in order."""
+        pipe = Pipe()
+        pipe.room = 10
+        log = log_to(pipe, [0.0])
+        log.process("first")
+        log.process("second")
+        pipe.room = 10**9
+        log.flush()
+        assert [line["event"] for line in pipe.lines()] == ["first", "second"]
+
+    def test_reader_that_takes_nothing_costs_bounded_memory(self):
+        """Lines are dropped and counted."""
+        pipe = Pipe()
+        pipe.room = 0
+        now = [0.0]
+        log = log_to(pipe, now)
+        for number in range(5000):
+            now[0] = float(number)
+            log.process("x", detail="y" * 200)
+        assert log.dropped > 0
+        assert len(log._pending) < 300 * 1024
+
+    def test_reader_that_is_gone_stops_nothing(self):
+        """A closed pipe raises no error."""
+        pipe = Pipe()
+        pipe.gone = True
+        log_to(pipe, [0.0]).process("x")
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -223,3 +223,29 @@
                 await fleet.until(lambda: target.peer_in_flight == 0)
                 writer.close()
                 tasks.cancel_scope.cancel()
+
+
+class TestMetrics:
+    """What the metrics address serves."""
+
+    async def test_counters_and_beliefs(self, running):
+        """Ends by kind, rank, status and reason; beliefs by target."""
+        from asyncio import open_connection
+
+        async with running(answers("ok")) as fleet:
+            await fleet.call("/idempotent/")
+            await fleet.call("/nowhere/")
+            host = fleet.settings.caller_address.host
+            reader, writer = await open_connection(host, fleet.settings.metrics_port)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n")
+            text = (await read_reply(reader)).body.decode()
+            writer.close()
+        ended = "berylwalk_requests_total{"
+        assert (
+            ended + 'kind="idempotent",priority="0",reason="answered",status="200"} 1.0'
+            in text
+        )
+        assert 'reason="no-route",status="404"} 1.0' in text
+        assert 'berylwalk_target_in_flight{target="i-0"} 0.0' in text
+        assert "berylwalk_configuration_version 1.0" in text
+        assert "request_id" not in text
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -216,8 +216,8 @@
             fleet.targets[1].script = streams(1, 20)
             # The target that breaks off looks faster, so it is asked first.
             by_id = fleet.router._context.targets.by_id
-            by_id["i-0"].cost_per_token = 1e-9
-            by_id["i-1"].cost_per_token = 1e-3
+            by_id["i-0"].slowness = 0.01
+            by_id["i-1"].slowness = 9.0
             reply = await fleet.call("/streaming/")
             assert len(fleet.targets[0].received) == 1
         assert reply.whole
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -19,7 +19,12 @@
 from berylwalk.dispatch._dispatcher import Dispatcher
 from berylwalk.dispatch._outcomes import AttemptEnd, Attempts
 from berylwalk.dispatch._peer_view import Peer, PeerTable
-from berylwalk.dispatch._placing import choose_target, load_with, place_limit
+from berylwalk.dispatch._placing import (
+    ExpectedStart,
+    choose_target,
+    expected_start,
+    place_limit,
+)
 from berylwalk.dispatch._retries import WindowedRetryBudget
 from berylwalk.dispatch._return_times import return_time_s
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
@@ -46,6 +51,7 @@
     "DenialReason",
     "Denied",
     "Dispatcher",
+    "ExpectedStart",
     "Obstacle",
     "Peer",
     "PeerTable",
@@ -64,7 +70,7 @@
     "WindowedRetryBudget",
     "Work",
     "choose_target",
-    "load_with",
+    "expected_start",
     "place_limit",
     "return_time_s",
 ]
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -1,13 +1,21 @@
 """Which target gets a request."""
 
 from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
 from random import random
 
-from berylwalk.dispatch._targets import Obstacle, Target, Work
-
-REQUEST_TOKENS = 800
-"""Tokens that a request in flight counts as besides its prompt: the mean delay
-that its output causes the others, from trials on engines with 9 and 11 slots."""
+from berylwalk.dispatch._targets import (
+    TOKEN_S,
+    Obstacle,
+    Target,
+    Work,
+    reading_time_s,
+)
+
+FIRST_S = 0.010
+"""Time of the reference engine to a first event without a prompt, in seconds."""
+REQUEST_S = 0.001
+"""The same for each request that it works on besides."""
 TURN_WAIT_S = 0.15
 """Longest wait for a slot inside a target, in seconds: less than half of the
 objectives of interactive requests."""
@@ -15,9 +23,6 @@
 """Bound of the requests at a target beyond those that it works on."""
 MORE_PLACES_UNKNOWN = 2
 """The same while nothing is known of a target's speed."""
-TYPICAL_COST_PER_TOKEN = 0.00004
-"""Seconds per token of a target that nothing is known of, while no other target
-of its service has been measured."""
 REMOTE_FACTOR = 1.3
 """How much dearer a target of another failure domain counts: bytes between
 failure domains are paid for, and an answer takes longer on its way."""
@@ -29,10 +34,40 @@
 """How much dearer a target counts that fails every answer."""
 
 
-def load_with(target: Target, work: Work) -> float:
-    """Return the load of a target, in tokens, with a request added."""
-    tokens = target.waiting_tokens + target.peer_tokens + work.prompt_tokens
-    return tokens + REQUEST_TOKENS * (target.total_in_flight + 1)
+@dataclass(frozen=True, slots=True)
+class ExpectedStart:
+    """When a request should bring its first event at a target.
+
+    Parameters
+    ----------
+    reference_s : float
+        Time of the reference engine with the same load, in seconds.
+    slot_wait_s : float
+        Wait for a slot of this target, in seconds.
+    """
+
+    reference_s: float
+    slot_wait_s: float
+
+
+def expected_start(target: Target, work: Work) -> ExpectedStart:
+    """Return when a request that is added should bring its first event.
+
+    Prompts are read one after the other; requests that only write answers hold
+    each other up little, until no slot is free.
+    """
+    ahead_tokens = target.waiting_tokens + target.peer_tokens
+    reference_s = (
+        FIRST_S
+        + REQUEST_S * target.total_in_flight
+        + TOKEN_S * ahead_tokens
+        + reading_time_s(work.prompt_tokens)
+    )
+    over = target.total_in_flight + 1 - target.entry.slots
+    slot_wait_s = 0.0
+    if over > 0 and target.slot_s is not None:
+        slot_wait_s = over * target.slot_s / target.entry.slots
+    return ExpectedStart(reference_s, slot_wait_s)
 
 
 def place_limit(target: Target) -> int:
@@ -90,7 +125,7 @@
     draw : callable
         Draws from 0 up to 1, to tell equal targets apart.
     """
-    typical = _typical_cost(targets)
+    typical = _typical_slowness(targets)
     best = None
     best_cost = float("inf")
     for target in targets:
@@ -107,20 +142,16 @@
 
 
 def _expected_s(target: Target, work: Work, typical: float) -> float:
-    speed = target.cost_per_token
-    if speed is None:
-        speed = typical
-    return speed * load_with(target, work) * (1 + ERROR_FACTOR * target.errors)
+    start = expected_start(target, work)
+    slowness = typical if target.slowness is None else target.slowness
+    expected_s = slowness * start.reference_s + start.slot_wait_s
+    return expected_s * (1 + ERROR_FACTOR * target.errors)
 
 
 def _output_s(target: Target, work: Work) -> float:
     return (target.output_token_s or 0.0) * work.output_tokens
 
 
-def _typical_cost(targets: Sequence[Target]) -> float:
-    known = [
-        target.cost_per_token for target in targets if target.cost_per_token is not None
-    ]
-    if not known:
-        return TYPICAL_COST_PER_TOKEN
-    return sum(known) / len(known)
+def _typical_slowness(targets: Sequence[Target]) -> float:
+    known = [target.slowness for target in targets if target.slowness is not None]
+    return sum(known) / len(known) if known else 1.0
--- a/libs/dispatch/src/berylwalk/dispatch/_targets.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_targets.py
@@ -18,12 +18,18 @@
 """Weight of one first event in the moving speed."""
 LEAST_OUTPUT_TOKENS = 30
 """Output tokens from which an answer tells something of a target's speed."""
+LEAST_OWN_SHARE = 0.2
+"""Least part of the time to a first event that is not put down to waiting."""
 SILENT_AFTER_S = 0.6
 """A target that owes events and sent no byte for this long is taken for dark."""
 SILENCE_FACTOR = 2.0
 """Margin over the expected time of reading prompts, in which nothing is sent."""
-SLOW_COST_PER_TOKEN = 0.0001
-"""Seconds per token of a slow engine, for one that nothing is known of."""
+UNKNOWN_SLOWNESS = 3.0
+"""Taken for a target that nothing is known of, when its silence is judged."""
+TOKEN_S = 0.0000165
+"""Time of the reference engine for a prompt token, in seconds."""
+PAIR_S = 1.6e-10
+"""The same for each pair of tokens of one prompt."""
 ABSENT_TARGETS_KEPT_S = 2.0
 """Time after an outage of the store within which lapsed entries come back."""
 
@@ -113,8 +119,9 @@
         brought a first event.
     peer_in_flight, peer_tokens : int
         The same of the other routers, as last heard.
-    cost_per_token : float or None
-        Moving mean of seconds to the first event per unit of load.
+    slowness : float or None
+        Moving mean of the time to a first event, as a multiple of that of the
+        reference engine.
     slot_s : float or None
         Moving mean of the time that a request keeps its slot, in seconds.
     output_token_s : float or None
@@ -136,7 +143,7 @@
     waiting_tokens: int = 0
     peer_in_flight: int = 0
     peer_tokens: int = 0
-    cost_per_token: float | None = None
+    slowness: float | None = None
     slot_s: float | None = None
     output_token_s: float | None = None
     errors: float = 0.0
@@ -164,9 +171,10 @@
 
         One that reads long prompts and has no other request sends nothing.
         """
-        cost = self.cost_per_token or SLOW_COST_PER_TOKEN
+        slowness = self.slowness or UNKNOWN_SLOWNESS
         tokens = self.waiting_tokens + self.peer_tokens
-        return SILENT_AFTER_S + SILENCE_FACTOR * cost * tokens
+        reading_s = slowness * reading_time_s(tokens)
+        return SILENT_AFTER_S + SILENCE_FACTOR * reading_s
 
     def takes_work(self, now: float) -> bool:
         """Return whether a request may be sent, its number in flight aside."""
@@ -193,24 +201,28 @@
         if self.owes_since is None:
             self.owes_since = now
 
-    def note_first_event(self, work: Work, load: float, taken_s: float) -> None:
+    def note_first_event(
+        self, work: Work, *, expected_s: float, waited_s: float, taken_s: float
+    ) -> None:
         """Learn from the time to a first event.
 
         Parameters
         ----------
         work : Work
             The request.
-        load : float
-            Load when it was sent, as `load_with` gives it.
+        expected_s : float
+            Time of the reference engine with the load at the sending.
+        waited_s : float
+            Expected wait for a slot of it, in seconds.
         taken_s : float
             Time from the sending to the first event, in seconds.
         """
         self.waiting_tokens -= work.prompt_tokens
-        sample = taken_s / max(load, 1.0)
-        if self.cost_per_token is None:
-            self.cost_per_token = sample
+        sample = max(taken_s - waited_s, taken_s * LEAST_OWN_SHARE) / expected_s
+        if self.slowness is None:
+            self.slowness = sample
         else:
-            self.cost_per_token += SPEED_WEIGHT * (sample - self.cost_per_token)
+            self.slowness += SPEED_WEIGHT * (sample - self.slowness)
 
     def note_output(self, tokens: int, taken_s: float) -> None:
         """Learn from the time between the first and the last of output tokens."""
@@ -263,6 +275,11 @@
         self.aside_until = max(self.aside_until, now + pause_s)
 
 
+def reading_time_s(tokens: int) -> float:
+    """Return the time of the reference engine for reading a prompt, in seconds."""
+    return TOKEN_S * tokens + PAIR_S * tokens * tokens
+
+
 class TargetTable:
     """All targets by id, kept in step with the list of targets.
 
--- a/libs/dispatch/tests/test_dispatch_targets.py
+++ b/libs/dispatch/tests/test_dispatch_targets.py
@@ -142,8 +142,8 @@
     def test_measured_speed_counts(self):
         """A target half as fast gets the request only at half the load."""
         targets = table(entry("fast"), entry("slow"))
-        targets.by_id["fast"].cost_per_token = 0.00002
-        targets.by_id["slow"].cost_per_token = 0.00006
+        targets.by_id["fast"].slowness = 0.5
+        targets.by_id["slow"].slowness = 1.5
         assert choose(targets, work=Work(1000)) == "fast"
         for _ in range(3):
             targets.by_id["fast"].note_sent(Work(20_000), NOW)
