A restart does not lose what accounts spent just before it

Cause: the newcomer let the sum age evenly, though most of it was spent just before. Ruled out: the two routers cut off from the store (they keep a sixth each and stop trusting keys after 4.5 s) and lost messages (totals make up for them).

Now newcomers are told by bins of half a second. For a restart of all routers at once an account that spends over 0.6 of its allowance is noted in the store by one router; accounts without a note are taken to have spent 0.6. Tests failed first: test_newcomer_keeps_the_window_of_a_sudden_spending.

--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -8,8 +8,8 @@
 from msgspec import DecodeError, Struct, ValidationError, json, msgpack
 
 from berylwalk.direct._context import RouterContext
-from berylwalk.dispatch import Peer
-from berylwalk.platform import KeyValueClient, Listing, Lost, Unavailable
+from berylwalk.dispatch import Knowledge, Peer
+from berylwalk.platform import KeyValue, KeyValueClient, Listing, Lost, Unavailable
 
 MEMBERS_PREFIX = b"berylwalk/routers/"
 LEASE_S = 6.0
@@ -24,6 +24,14 @@
 taken for silent."""
 
 
+NOTE_KEY = b"berylwalk/spending"
+NOTE_LEASE_S = 14.0
+"""Time for which a note is kept: longer than the window that allowances are judged
+by and than a restart takes."""
+NOTE_GAP_S = 0.5
+"""Least time between two notes; only accounts that spend much cause any."""
+NOTE_GROWTH = 0.05
+"""Growth of the noted spending, as a share, that makes a new note worth a call."""
 NEWCOMER_TOLD_S = 0.6
 """Time for which a router that has just started is told what it missed: several
 messages, of which some may be lost."""
@@ -53,8 +61,9 @@
     spent : dict
         Units spent since the start, by client account.
     recent : dict or None
-        Units that all routers spent in the window, for those that have just
-        started; None if nobody needs it or this router does not know.
+        Units that all routers spent in the window, by account and bin of time, for
+        those that have just started; None if nobody needs it or this router does
+        not know.
     """
 
     name: str
@@ -65,7 +74,7 @@
     sequence: int
     loads: dict[str, tuple[int, int]]
     spent: dict[str, float]
-    recent: dict[str, float] | None = None
+    recent: dict[str, list[float]] | None = None
 
 
 class PeerSocket(DatagramProtocol):
@@ -138,6 +147,7 @@
         async with create_task_group() as tasks:
             tasks.start_soon(self._register)
             tasks.start_soon(self._list)
+            tasks.start_soon(self._keep_note)
             tasks.start_soon(self._tell)
 
     async def _register(self) -> None:
@@ -203,6 +213,50 @@
             self._context.log.process("members", routers=sorted(after))
         self._context.retries.set_routers(self._context.peers.known())
 
+    async def _keep_note(self) -> None:
+        """Read the note of an earlier life once, then write it as needed."""
+        while isinstance(note := await self._store.get(NOTE_KEY), Unavailable):
+            await sleep(RETRY_S)
+        self._learn_from(note)
+        noted = 0.0
+        while True:
+            await sleep(NOTE_GAP_S)
+            spent = self._context.allowances.spent_much(self._context.clock())
+            total = sum(map(sum, spent.values()))
+            if self._notes() and total > noted * (1 + NOTE_GROWTH):
+                await self._write_note(spent)
+            noted = total
+
+    def _learn_from(self, note: KeyValue | None) -> None:
+        spent: dict[str, list[float]] = {}
+        if note is not None:
+            try:
+                spent = json.decode(note.value, type=dict[str, list[float]])
+            except (DecodeError, ValidationError) as error:
+                self._context.log.process("spending-invalid", detail=repr(error))
+                return
+        context = self._context
+        context.allowances.learn(spent, Knowledge.NOTE, context.clock())
+        context.log.process("spending-learned", accounts=sorted(spent))
+
+    def _notes(self) -> bool:
+        """Return whether it is for this router to write: the first that is heard."""
+        context = self._context
+        now = context.clock()
+        heard = [
+            peer.name for peer in context.peers.by_name.values() if peer.is_heard(now)
+        ]
+        return context.settings.name <= min(heard, default=context.settings.name)
+
+    async def _write_note(self, spent: dict[str, list[float]]) -> None:
+        lease = await self._store.grant_lease(NOTE_LEASE_S)
+        if isinstance(lease, Unavailable):
+            return
+        value = json.encode(
+            {name: [round(units) for units in bins] for name, bins in spent.items()}
+        )
+        await self._store.put(NOTE_KEY, value, lease_id=lease.lease_id)
+
     async def _tell(self) -> None:
         while True:
             await sleep(TELL_S)
@@ -247,12 +301,12 @@
         for peer in context.peers.by_name.values():
             self._transport.sendto(data, (peer.host, peer.port))
 
-    def _recent(self, now: float) -> dict[str, float] | None:
+    def _recent(self, now: float) -> dict[str, list[float]] | None:
         """Return the spending of the window if some peer needs to know."""
         allowances = self._context.allowances
         if allowances.knows_part(now) or now >= self._newcomers_until:
             return None
-        return allowances.spent_in_window(now)
+        return allowances.spent_by_bin(now)
 
     def _hear(self, data: bytes) -> None:
         try:
@@ -275,7 +329,7 @@
         if message.age_s < context.settings.allowances.window_s:
             self._newcomers_until = now + NEWCOMER_TOLD_S
         if message.recent is not None:
-            context.allowances.learn(message.recent, now)
+            context.allowances.learn(message.recent, Knowledge.ALL, now)
         context.allowances.hear(
             _life_of(sender),
             message.spent,
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -1,8 +1,11 @@
 """What the router does as the platform changes, fails and stops it."""
 
+from json import dumps
+
 import pytest
 from anyio import sleep
 
+from berylwalk.dispatch import AllowanceRules
 from direct_fleet import KEY, answers, read_reply
 
 pytestmark = pytest.mark.anyio
@@ -176,6 +179,22 @@
         assert reply.headers["connection"] == "close"
         assert late.status == 200
 
+    async def test_note_of_much_spending_outlives_all_routers(self, running):
+        """A router that starts counts what an earlier life had spent."""
+
+        def noted(fleet):
+            fleet.tenants[0].update({"rate-per-s": 100, "burst": 100})
+            bins = dumps({"t": [5000.0]}).encode()
+            fleet.platform.store.put(b"berylwalk/spending", bins)
+
+        rules = AllowanceRules(window_s=8.0)
+        async with running(answers("ok"), prepare=noted, allowances=rules) as fleet:
+            spent = fleet.router._context.allowances.spent_in_window
+            clock = fleet.router._context.clock
+            await fleet.until(lambda: spent(clock()).get("t", 0) >= 900)
+            reply = await fleet.call("/idempotent/")
+        assert reply.status == 429
+
     async def test_router_leaves_the_list(self, running):
         """Others need not wait for its lease to end."""
         async with running(answers("ok")) as fleet:
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -6,7 +6,7 @@
     DenialReason,
     Denied,
 )
-from berylwalk.dispatch._allowances import AllowanceRules, Allowances
+from berylwalk.dispatch._allowances import AllowanceRules, Allowances, Knowledge
 from berylwalk.dispatch._configuration import (
     Account,
     CallerLimits,
@@ -52,6 +52,7 @@
     "Denied",
     "Dispatcher",
     "ExpectedStart",
+    "Knowledge",
     "Obstacle",
     "Peer",
     "PeerTable",
--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from berylwalk.dispatch._configuration import Account
 
@@ -13,6 +14,11 @@
 START_SHARE = 0.35
 """Part of the unused tolerance that may be spent at once after a start. Twice that
 and what routers spend before they hear of each other stay within the tolerance."""
+BIN_S = 0.5
+"""Resolution in which routers tell what was spent in the window, in seconds."""
+NOTED_SHARE = 0.6
+"""Part of an account's allowance from which its spending is noted where a restart
+of all routers does not lose it. An account's usual spending is below."""
 RESERVE_SHARE = 0.06
 """Part of the allowance that each rank leaves to the next higher one: under
 pressure an account's urgent requests go before its others."""
@@ -49,14 +55,28 @@
         return allowance * self.excess + self.slack
 
 
+class Knowledge(IntEnum):
+    """What a router knows of the window before its start."""
+
+    NOTHING = 0
+    NOTE = 1
+    """What was noted of accounts that spent much; others spent less."""
+
+    ALL = 2
+
+
 @dataclass(slots=True)
 class _Spending:
-    """What one account has spent within the window."""
+    """What one account has spent within the window.
+
+    ``before`` holds what is known from before the start.
+    """
 
     steps: deque[list[float]] = field(default_factory=deque)
     total: float = 0.0
     spent: float = 0.0
     spent_by_peer: dict[str, float] = field(default_factory=dict)
+    before: list[tuple[float, float]] = field(default_factory=list)
 
     def add(self, units: float, now: float) -> None:
         if not self.steps or now - self.steps[-1][0] >= STEP_S:
@@ -75,7 +95,7 @@
     Routers tell each other what they have spent. A peer that is silent may be
     spending its equal part, so that part is left to it. A router that has just
     started takes the window to be spent, until a peer that is older than the
-    window tells what was.
+    window tells what was, or a note of it is found.
 
     Parameters
     ----------
@@ -90,7 +110,8 @@
         self._started_at = started_at
         self._spending_by_account: dict[str, _Spending] = {}
         self._lives: set[str] = set()
-        self._told: dict[str, float] | None = None
+        self._knowledge = Knowledge.NOTHING
+        self._accounts_by_name: dict[str, Account] = {}
         self._share = 1.0
 
     def set_share(self, heard: int, known: int) -> None:
@@ -116,6 +137,7 @@
         if account.rate_per_s <= 0:
             return 0.0
         limit = self._rules.limit(account)
+        self._accounts_by_name[account.name] = account
         spending = self._spending(account.name)
         known = limit - self._unknown(account, limit, now)
         left = known * self._share - self._counted(spending, now)
@@ -183,34 +205,85 @@
         for spending in self._spending_by_account.values():
             spending.spent_by_peer.pop(life, None)
 
-    def learn(self, recent: dict[str, float], now: float) -> None:
-        """Take from an older peer what was spent in the window before the start.
+    def spent_by_bin(self, now: float) -> dict[str, list[float]]:
+        """Return the spending of the window for routers that have just started.
+
+        Returns
+        -------
+        dict
+            By account, the units of each `BIN_S`, the latest first.
+        """
+        return {
+            name: self._binned(spending, now)
+            for name, spending in self._spending_by_account.items()
+            if self._counted(spending, now) > 0
+        }
+
+    def spent_much(self, now: float) -> dict[str, list[float]]:
+        """Return the same of accounts that have spent much of their allowance."""
+        binned = self.spent_by_bin(now)
+        return {
+            name: binned[name]
+            for name, account in self._accounts_by_name.items()
+            if name in binned
+            and sum(binned[name]) > NOTED_SHARE * self._rules.limit(account)
+        }
+
+    def learn(
+        self, bins: dict[str, list[float]], knowledge: Knowledge, now: float
+    ) -> None:
+        """Take what was spent in the window before the start.
 
         Parameters
         ----------
-        recent : dict
-            Units by account, of all routers; others have spent nothing.
+        bins : dict
+            As from `spent_by_bin` or `spent_much`; taken to be of this moment.
+        knowledge : Knowledge
+            Whether accounts that are left out have spent nothing.
         now : float
             Time in seconds.
         """
-        if self._told is None and self.knows_part(now):
-            self._told = recent
+        if knowledge <= self._knowledge or not self.knows_part(now):
+            return
+        self._knowledge = knowledge
+        for spending in self._spending_by_account.values():
+            spending.before = []
+        for name, units_by_bin in bins.items():
+            times = [now - BIN_S * number for number in range(len(units_by_bin))]
+            self._spending(name).before = [
+                (min(time, self._started_at), units)
+                for time, units in zip(times, units_by_bin, strict=True)
+                if units > 0
+            ]
 
     def knows_part(self, now: float) -> bool:
         """Return whether the start is within the window."""
         return now - self._started_at < self._rules.window_s
 
+    def _binned(self, spending: _Spending, now: float) -> list[float]:
+        bins = [0.0] * (int(self._rules.window_s / BIN_S) + 1)
+        for time, units in [*spending.before, *spending.steps]:
+            number = int((now - time) / BIN_S)
+            if 0 <= number < len(bins):
+                bins[number] += units
+        return [max(0.0, units) for units in bins]
+
     def _counted(self, spending: _Spending, now: float) -> float:
-        spending.drop_before(now - self._rules.window_s - STEP_S)
-        return spending.total
+        since = now - self._rules.window_s - STEP_S
+        spending.drop_before(since)
+        if spending.before:
+            spending.before = [each for each in spending.before if each[0] >= since]
+        return spending.total + sum(units for _, units in spending.before)
 
     def _unknown(self, account: Account, limit: float, now: float) -> float:
-        """Return what was spent in the window before the start, or at most."""
+        """Return what may have been spent before the start without being known."""
         unknown_s = max(0.0, self._rules.window_s - (now - self._started_at))
-        if self._told is None:
-            units = limit - self._rules.start_units(account)
-        else:
-            units = min(limit, self._told.get(account.name, 0.0))
+        if self._knowledge is Knowledge.ALL or not unknown_s:
+            return 0.0
+        units = limit - self._rules.start_units(account)
+        if self._knowledge is Knowledge.NOTE:
+            is_noted = bool(self._spending(account.name).before)
+            units = 0.0 if is_noted else NOTED_SHARE * limit
         return units * unknown_s / self._rules.window_s
 
     def _spending(self, name: str) -> _Spending:
--- a/libs/dispatch/tests/test_dispatch_allowances.py
+++ b/libs/dispatch/tests/test_dispatch_allowances.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from berylwalk.dispatch import Account, AllowanceRules, Allowances
+from berylwalk.dispatch import Account, AllowanceRules, Allowances, Knowledge
 
 RULES = AllowanceRules(window_s=8.0, excess=0.1, slack=1000.0)
 ACCOUNT = Account(name="a", keys=frozenset(), rate_per_s=1000.0, burst=1000.0)
@@ -90,11 +90,34 @@
     def test_newcomer_is_told_what_was_spent(self):
         """With an older peer's word it serves as if it had not restarted."""
         router = allowances(started_at=0.0)
-        router.learn({"other": 5.0}, 0.05)
+        router.learn({}, Knowledge.ALL, 0.05)
         assert spend_all(router, 0.05) >= 0.95 * ALLOWANCE
-        spent = allowances(started_at=0.0)
-        spent.learn({"a": BOUND}, 0.05)
-        assert spend_all(spent, 0.05) < 0.05 * ALLOWANCE
+
+    @pytest.mark.parametrize("knowledge", [Knowledge.ALL, Knowledge.NOTE])
+    def test_newcomer_keeps_the_window_of_a_sudden_spending(self, knowledge):
+        """What was spent just before the start counts for the whole window."""
+        older = allowances()
+        spent = spend_all(older, 0.0)
+        router = allowances(started_at=0.2)
+        router.learn(older.spent_much(0.3), knowledge, 0.3)
+        for now in (1.0, 3.0, 5.0, 7.5):
+            spent += spend_all(router, now)
+        assert spent <= BOUND
+        assert spend_all(router, 8.5) >= 0.9 * ALLOWANCE
+
+    def test_accounts_that_are_not_noted_go_on_after_a_start(self):
+        """They spent less than what is noted, so a part is surely left."""
+        router = allowances(started_at=0.0)
+        router.learn({}, Knowledge.NOTE, 0.05)
+        assert spend_all(router, 0.05) >= 0.35 * ALLOWANCE
+
+    def test_only_much_is_noted(self):
+        """Usual spending causes no note."""
+        router = allowances()
+        router.take(ACCOUNT, 0.5 * ALLOWANCE, 0, 0.0)
+        assert router.spent_much(0.1) == {}
+        router.take(ACCOUNT, 0.2 * ALLOWANCE, 0, 0.0)
+        assert sum(router.spent_much(0.1)["a"]) == pytest.approx(0.7 * ALLOWANCE)
 
 
 class TestPeers:
