--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -19,6 +19,11 @@
 RETRY_S = 0.3
 TELL_S = 0.05
 """Time between two messages: half of a typical time to a first event."""
+PEERS_AT_FULL_RATE = 5
+"""Peers up to which messages go at the full rate."""
+LONGEST_TELL_S = 0.3
+"""Bound of the time between messages; two may be lost before a peer is taken for
+silent."""
 TELL_UNCHANGED_S = 0.25
 """The same while nothing has changed; a third of the time after which a peer is
 taken for silent."""
@@ -259,7 +264,7 @@
 
     async def _tell(self) -> None:
         while True:
-            await sleep(TELL_S)
+            await sleep(tell_interval_s(len(self._context.peers.by_name)))
             self._share_with_silent_peers()
             self._send_if_due()
 
@@ -339,5 +344,14 @@
         context.dispatcher.pump_all(now)
 
 
+def tell_interval_s(peers: int) -> float:
+    """Return the time between two messages, which grows with the fleet.
+
+    Each router tells every other, so that the messages that one router receives
+    would otherwise grow with their number, and the sum with its square.
+    """
+    return min(TELL_S * max(1.0, peers / PEERS_AT_FULL_RATE), LONGEST_TELL_S)
+
+
 def _life_of(peer: Peer) -> str:
     return f"{peer.name}/{peer.life}"
