Direct router: one module for each job

Admission, sending, the log of a request, the note of spending, peer messages, target entries, beliefs and the table stand in modules of their own; no behaviour is meant to change but for two faults that reading found: a request whose sending was no longer allowed set its target aside, and a request with senseless headers was not logged.

--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -0,0 +1,127 @@
+"""Whether a request is taken, and what is known of it from then on."""
+
+from dataclasses import dataclass
+from random import random
+
+from berylwalk.direct._context import RouterContext
+from berylwalk.dispatch import Account, Allowed, Denied, Route
+from berylwalk.forwarding import CallerRequest
+from berylwalk.platform import BadHeaders, CallFacts, read_call
+
+TIMEOUT_MARGIN_S = 0.03
+"""Time before the end of a caller's limit at which an answer is sent."""
+RETRY_AFTER_UNREADY_S = 1.0
+"""When a request should come back that came while no configuration may be used."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Admitted:
+    """A request that is taken.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        As the caller sent it.
+    facts : CallFacts
+        What its headers tell.
+    route : Route
+        How it is treated.
+    account : Account or None
+        Who pays; None where no key is needed.
+    rank : tuple of int
+        Rank among all requests, lowest first.
+    service : str
+        Where it goes.
+    cost : float
+        Units of the account's allowance.
+    ends_at : float
+        When it has to be answered.
+    """
+
+    request: CallerRequest
+    facts: CallFacts
+    route: Route
+    account: Account | None
+    rank: tuple[int, int]
+    service: str
+    cost: float
+    ends_at: float
+
+    @property
+    def request_id(self) -> bytes:
+        """Identifies this attempt of the caller."""
+        return self.facts.request_id
+
+    @property
+    def account_name(self) -> str | None:
+        """Name of the account."""
+        return None if self.account is None else self.account.name
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that is not taken.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+    reason : str
+        Why, for logs.
+    retry_after_s : float or None
+        When it may come back, in seconds.
+    request_id : bytes
+        Empty if the request has none.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float | None
+    request_id: bytes
+
+
+def admit(context: RouterContext, request: CallerRequest) -> Admitted | Refusal:
+    """Decide whether to take a request; its cost is spent if it is taken."""
+    facts = read_call(request.headers)
+    if isinstance(facts, BadHeaders):
+        return Refusal(400, f"bad-headers: {facts.detail}", None, b"")
+    now = context.clock()
+    path = request.target.decode("latin-1")
+    access = context.configuration.check(facts.host, path, facts.key, now)
+    if isinstance(access, Denied):
+        retry_after_s = RETRY_AFTER_UNREADY_S if access.status == 503 else None
+        return Refusal(access.status, access.reason, retry_after_s, facts.request_id)
+    admitted = _admitted(request, facts, access)
+    if admitted.account is None:
+        return admitted
+    wait_s = context.allowances.take(
+        admitted.account, admitted.cost, admitted.route.priority, now
+    )
+    if wait_s > 0:
+        return Refusal(429, "allowance-spent", wait_s, facts.request_id)
+    return admitted
+
+
+def _admitted(request: CallerRequest, facts: CallFacts, access: Allowed) -> Admitted:
+    route = access.route
+    limit_s = route.timeout_s
+    if facts.time_limit_s is not None:
+        limit_s = min(limit_s, facts.time_limit_s - TIMEOUT_MARGIN_S)
+    return Admitted(
+        request=request,
+        facts=facts,
+        route=route,
+        account=access.account,
+        rank=access.rank,
+        service=route.service_for(random()),
+        cost=_cost(access.account, facts),
+        ends_at=request.arrived_at + limit_s,
+    )
+
+
+def _cost(account: Account | None, facts: CallFacts) -> float:
+    if account is None:
+        return 0.0
+    if not account.counts_tokens:
+        return 1.0
+    return float(facts.tokens or account.plain_cost)
--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -38,6 +38,8 @@
         Set at the end.
     end : AttemptEnd or None
         How it ended.
+    by_target : bool
+        Whether it was given up since the target seems not to be there.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.done = Signal()
         self.end: AttemptEnd | None = None
         self.detail = ""
+        self.by_target = False
         self.events = 0
         self.longest_pause_s = 0.0
         self.first_event_at: float | None = None
@@ -134,8 +137,19 @@
         self.first_event_at = self._clock()
         self._on_first_event()
 
-    def give_up(self, end: AttemptEnd, detail: str) -> None:
-        """End it without waiting for the target."""
+    def give_up(self, end: AttemptEnd, detail: str, *, by_target: bool = False) -> None:
+        """End it without waiting for the target.
+
+        Parameters
+        ----------
+        end : AttemptEnd
+            How it ends.
+        detail : str
+            Why, for logs.
+        by_target : bool
+            Whether the target seems not to be there.
+        """
+        self.by_target = by_target
         self._finish(end, detail)
 
     def _judge_whole_answer(self) -> tuple[AttemptEnd, str]:
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -15,6 +15,7 @@
 from berylwalk.direct._listeners import Listener
 from berylwalk.direct._metrics import RouterMetrics
 from berylwalk.direct._peering import Peering
+from berylwalk.direct._spending_note import SpendingNote
 from berylwalk.dispatch import (
     Allowances,
     CallerLimits,
@@ -62,6 +63,7 @@
         self._context = context
         self._store = store
         self._peering = Peering(context, store)
+        self._spending_note = SpendingNote(context, store)
         self._configuration_feed = ConfigurationFeed(context, store)
         self._target_feed = TargetFeed(context, store)
         self._exchanges_by_connection: dict[CallerConnection, Exchange] = {}
@@ -152,6 +154,7 @@
                 self._configuration_feed.run,
                 self._target_feed.run,
                 self._peering.run,
+                self._spending_note.run,
                 self._sweep,
             ):
                 tasks.start_soon(run)
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -0,0 +1,153 @@
+"""What is told of one request in logs and metrics."""
+
+from dataclasses import dataclass, field
+
+from berylwalk.direct._admission import Admitted, Refusal
+from berylwalk.direct._attempt import Attempt
+from berylwalk.direct._context import RouterContext
+from berylwalk.dispatch import ExpectedStart, Target, Ticket
+
+UNKNOWN_KIND = "unknown"
+"""Kind of a request that no route was found for."""
+LONGEST_AGE_S = 1e6
+LOWEST_RANK = -1
+"""Rank, in metrics, of a request that was not taken."""
+
+
+@dataclass(slots=True)
+class ExchangeLog:
+    """Collects what happens to a request and tells it.
+
+    Parameters
+    ----------
+    context : RouterContext
+        Where it is told.
+    arrived_at : float
+        When the request arrived.
+    """
+
+    context: RouterContext
+    arrived_at: float
+    attempts: list[dict[str, object]] = field(default_factory=list)
+    waited_s: float = 0.0
+    first_event_at: float | None = None
+
+    def note_waited(self, admitted: Admitted, waited_s: float) -> None:
+        """Note that it waited for a place."""
+        self.waited_s += waited_s
+        self.context.metrics.waited_s.labels(admitted.service).observe(waited_s)
+
+    def tell_not_placed(self, admitted: Admitted, ticket: Ticket) -> None:
+        """Tell why it found no place."""
+        context = self.context
+        now = context.clock()
+        context.log.request(
+            "request-not-placed",
+            admitted.request_id,
+            service=admitted.service,
+            rank=admitted.rank,
+            waiting=context.dispatcher.waiting(admitted.service),
+            targets=len(context.targets.of_service(admitted.service)),
+            obstacles=context.dispatcher.obstacles(ticket, now),
+            routers_heard=context.peers.heard(now),
+        )
+
+    def tell_placed(
+        self, admitted: Admitted, target: Target, start: ExpectedStart
+    ) -> None:
+        """Tell where it goes, and what decided that."""
+        self.context.log.request(
+            "request-placed",
+            admitted.request_id,
+            target=target.entry.target_id,
+            expected_ms=_ms((target.slowness or 1.0) * start.reference_s),
+            slot_wait_ms=_ms(start.slot_wait_s),
+            in_flight=target.in_flight,
+            peer_in_flight=target.peer_in_flight,
+            slowness=None if target.slowness is None else round(target.slowness, 2),
+            error_share=round(target.errors, 3),
+        )
+
+    def note_attempt(self, target: Target, attempt: Attempt, sent_at: float) -> None:
+        """Note how an attempt ended."""
+        if self.first_event_at is None:
+            self.first_event_at = attempt.first_event_at
+        first_event_ms = None
+        if attempt.first_event_at is not None:
+            first_event_ms = _ms(attempt.first_event_at - sent_at)
+        self.attempts.append(
+            {
+                "target": target.entry.target_id,
+                "end": attempt.end or "caller-left",
+                "detail": attempt.detail,
+                "sent_ms": _ms(sent_at - self.arrived_at),
+                "first_event_ms": first_event_ms,
+                "longest_pause_ms": _ms(attempt.longest_pause_s),
+                "events": attempt.events,
+                "took_ms": _ms(self.context.clock() - sent_at),
+            }
+        )
+
+    def tell_repeated(
+        self, admitted: Admitted, target: Target, attempt: Attempt, last_event_id: int
+    ) -> None:
+        """Tell that another target is tried."""
+        self.context.log.request(
+            "request-repeated",
+            admitted.request_id,
+            after=attempt.end,
+            detail=attempt.detail,
+            target=target.entry.target_id,
+            last_event_id=last_event_id,
+        )
+
+    def tell_refused(self, refusal: Refusal) -> None:
+        """Tell that it was not taken."""
+        reason = refusal.reason.partition(":")[0]
+        self.context.metrics.requests.labels(
+            UNKNOWN_KIND, LOWEST_RANK, refusal.status, reason
+        ).inc()
+        self._tell_ended(
+            refusal.request_id, status=refusal.status, reason=refusal.reason
+        )
+
+    def tell_ended(self, admitted: Admitted, status: int, reason: str) -> None:
+        """Tell how it ended; status 0 if the caller got no whole answer."""
+        metrics = self.context.metrics
+        kind, rank = admitted.route.kind, admitted.rank[-1]
+        metrics.requests.labels(kind, rank, status, reason).inc()
+        first_event_ms = None
+        if self.first_event_at is not None:
+            first_event_s = self.first_event_at - self.arrived_at
+            first_event_ms = _ms(first_event_s)
+            metrics.first_event_s.labels(kind, rank).observe(first_event_s)
+        self._tell_ended(
+            admitted.request_id,
+            status=status,
+            reason=reason,
+            route=admitted.route.name,
+            kind=kind,
+            rank=admitted.rank,
+            account=admitted.account_name,
+            service=admitted.service,
+            waited_ms=_ms(self.waited_s),
+            first_event_ms=first_event_ms,
+            attempts=self.attempts,
+        )
+
+    def _tell_ended(self, request_id: bytes, **fields: object) -> None:
+        context = self.context
+        now = context.clock()
+        state = context.configuration
+        context.log.request(
+            "request-ended",
+            request_id,
+            **fields,
+            version=0 if state.current is None else state.current.version,
+            version_age_ms=_ms(min(state.age_s(now), LONGEST_AGE_S)),
+            total_ms=_ms(now - self.arrived_at),
+        )
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -1,15 +1,15 @@
 """Membership of routers and what they tell each other."""
 
-from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
-from collections.abc import Callable
+from asyncio import DatagramTransport, get_running_loop
 from uuid import uuid4
 
 from anyio import create_task_group, sleep
-from msgspec import DecodeError, Struct, ValidationError, json, msgpack
+from msgspec import DecodeError, ValidationError, json, msgpack
 
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._peer_messages import MemberEntry, PeerMessage, PeerSocket
 from berylwalk.dispatch import Knowledge, Peer
-from berylwalk.platform import KeyValue, KeyValueClient, Listing, Lost, Unavailable
+from berylwalk.platform import KeyValueClient, Listing, Lost, Unavailable
 
 MEMBERS_PREFIX = b"berylwalk/routers/"
 LEASE_S = 6.0
@@ -29,76 +29,11 @@
 taken for silent."""
 
 
-NOTE_KEY = b"berylwalk/spending"
-NOTE_LEASE_S = 14.0
-"""Time for which a note is kept: longer than the window that allowances are judged
-by and than a restart takes."""
-NOTE_GAP_S = 0.5
-"""Least time between two notes; only accounts that spend much cause any."""
-NOTE_GROWTH = 0.05
-"""Growth of the noted spending, as a share, that makes a new note worth a call."""
 NEWCOMER_TOLD_S = 0.6
 """Time for which a router that has just started is told what it missed: several
 messages, of which some may be lost."""
 
 
-class MemberEntry(Struct):
-    """How a router registers itself."""
-
-    host: str
-    port: int
-    life: str
-
-
-class PeerMessage(Struct, array_like=True):
-    """What a router tells its peers.
-
-    Parameters
-    ----------
-    name, host, port, life : str, str, int, str
-        Who, and where it takes messages.
-    age_s : float
-        Age of that life, in seconds.
-    sequence : int
-        Grows with each message of a life.
-    loads : dict
-        Requests in flight and waiting prompt tokens by target id.
-    spent : dict
-        Units spent since the start, by client account.
-    recent : dict or None
-        Units that all routers spent in the window, by account and bin of time, for
-        those that have just started; None if nobody needs it or this router does
-        not know.
-    """
-
-    name: str
-    host: str
-    port: int
-    life: str
-    age_s: float
-    sequence: int
-    loads: dict[str, tuple[int, int]]
-    spent: dict[str, float]
-    recent: dict[str, list[float]] | None = None
-
-
-class PeerSocket(DatagramProtocol):
-    """Passes datagrams on.
-
-    Parameters
-    ----------
-    on_datagram : callable
-        Called with each datagram.
-    """
-
-    def __init__(self, on_datagram: Callable[[bytes], None]) -> None:
-        self._on_datagram = on_datagram
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Pass a datagram on."""
-        self._on_datagram(data)
-
-
 class Peering:
     """Registers this router and exchanges messages with the others.
 
@@ -152,7 +87,6 @@
         async with create_task_group() as tasks:
             tasks.start_soon(self._register)
             tasks.start_soon(self._list)
-            tasks.start_soon(self._keep_note)
             tasks.start_soon(self._tell)
 
     async def _register(self) -> None:
@@ -218,50 +152,6 @@
             self._context.log.process("members", routers=sorted(after))
         self._context.retries.set_routers(self._context.peers.known())
 
-    async def _keep_note(self) -> None:
-        """Read the note of an earlier life once, then write it as needed."""
-        while isinstance(note := await self._store.get(NOTE_KEY), Unavailable):
-            await sleep(RETRY_S)
-        self._learn_from(note)
-        noted = 0.0
-        while True:
-            await sleep(NOTE_GAP_S)
-            spent = self._context.allowances.spent_much(self._context.clock())
-            total = sum(map(sum, spent.values()))
-            if self._notes() and total > noted * (1 + NOTE_GROWTH):
-                await self._write_note(spent)
-            noted = total
-
-    def _learn_from(self, note: KeyValue | None) -> None:
-        spent: dict[str, list[float]] = {}
-        if note is not None:
-            try:
-                spent = json.decode(note.value, type=dict[str, list[float]])
-            except (DecodeError, ValidationError) as error:
-                self._context.log.process("spending-invalid", detail=repr(error))
-                return
-        context = self._context
-        context.allowances.learn(spent, Knowledge.NOTE, context.clock())
-        context.log.process("spending-learned", accounts=sorted(spent))
-
-    def _notes(self) -> bool:
-        """Return whether it is for this router to write: the first that is heard."""
-        context = self._context
-        now = context.clock()
-        heard = [
-            peer.name for peer in context.peers.by_name.values() if peer.is_heard(now)
-        ]
-        return context.settings.name <= min(heard, default=context.settings.name)
-
-    async def _write_note(self, spent: dict[str, list[float]]) -> None:
-        lease = await self._store.grant_lease(NOTE_LEASE_S)
-        if isinstance(lease, Unavailable):
-            return
-        value = json.encode(
-            {name: [round(units) for units in bins] for name, bins in spent.items()}
-        )
-        await self._store.put(NOTE_KEY, value, lease_id=lease.lease_id)
-
     async def _tell(self) -> None:
         while True:
             await sleep(tell_interval_s(len(self._context.peers.by_name)))
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -0,0 +1,220 @@
+"""Sends a request to one target and learns from what comes back."""
+
+from anyio import move_on_after
+
+from berylwalk.direct._admission import Admitted
+from berylwalk.direct._attempt import Attempt
+from berylwalk.direct._context import RouterContext
+from berylwalk.direct._exchange_log import ExchangeLog
+from berylwalk.direct._relay import Relay
+from berylwalk.dispatch import (
+    AttemptEnd,
+    Attempts,
+    RouteKind,
+    Target,
+    expected_start,
+)
+from berylwalk.forwarding import TargetConnection, end_to_end, request_head
+from berylwalk.platform import for_target, resuming_after
+
+CHECK_S = 0.25
+"""Time between two looks at an attempt that brings nothing."""
+LONGEST_PAUSE_FACTOR = 2.0
+"""Pauses of a stream, as a multiple of the longest one on time, after which a
+target that is silent to all is taken for dark."""
+FULL_PAUSE_S = 0.1
+"""Time for which a target that refused work gets none."""
+
+WHOLE_ENDS = (AttemptEnd.ANSWERED, AttemptEnd.REFUSED, AttemptEnd.FAILED)
+"""Ends after which the connection to the target may be used again."""
+
+
+class Sending:
+    """Makes the attempts of one request.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's state.
+    admitted : Admitted
+        The request.
+    relay : Relay
+        The caller's side.
+    attempts : Attempts
+        What has become of it so far; each end is counted there.
+    log : ExchangeLog
+        Tells of it.
+    """
+
+    def __init__(
+        self,
+        context: RouterContext,
+        admitted: Admitted,
+        *,
+        relay: Relay,
+        attempts: Attempts,
+        log: ExchangeLog,
+    ) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._relay = relay
+        self._attempts = attempts
+        self._log = log
+
+    async def send(self, target: Target) -> Attempt:
+        """Send it to a target at which it is counted, until the attempt ends."""
+        context = self._context
+        sent_at = context.clock()
+        attempt = self._attempt(target, sent_at)
+        connection = None
+        try:
+            connection = context.pool.take_idle(target.entry.target_id)
+            if connection is None:
+                connection = await context.pool.open(target.entry)
+            if connection is None:
+                attempt.give_up(AttemptEnd.NOT_SENT, "no connection", by_target=True)
+            elif not self._may_still_send(target):
+                attempt.give_up(AttemptEnd.NOT_SENT, "no longer allowed")
+            else:
+                await self._transfer(target, connection, attempt)
+        finally:
+            if connection is not None:
+                self._end_connection(target, connection, attempt)
+            self._note_end(target, attempt, sent_at)
+        return attempt
+
+    def _attempt(self, target: Target, sent_at: float) -> Attempt:
+        work = self._admitted.facts.work
+        start = expected_start(target, work)
+        self._log.tell_placed(self._admitted, target, start)
+
+        def on_first_event() -> None:
+            target.note_first_event(
+                work,
+                expected_s=start.reference_s,
+                waited_s=start.slot_wait_s,
+                taken_s=self._context.clock() - sent_at,
+            )
+
+        return Attempt(
+            self._relay,
+            request_id=self._admitted.request_id,
+            expects_stream=self._admitted.route.kind is RouteKind.STREAMING,
+            clock=self._context.clock,
+            on_first_event=on_first_event,
+        )
+
+    def _may_still_send(self, target: Target) -> bool:
+        """Return whether the wait has not made the request's sending wrong."""
+        configuration = self._context.configuration
+        is_keyed = self._admitted.account is not None
+        if is_keyed and not configuration.trusts_keys(self._context.clock()):
+            return False
+        return target.entry.target_id in self._context.targets.by_id
+
+    async def _transfer(
+        self, target: Target, connection: TargetConnection, attempt: Attempt
+    ) -> None:
+        clock, ends_at = self._context.clock, self._admitted.ends_at
+
+        def on_writable(writable: bool) -> None:
+            if writable:
+                connection.resume()
+            else:
+                connection.pause()
+
+        self._relay.when_writable(on_writable)
+        connection.send(self._encoded(target), self._admitted.request_id, attempt)
+        while attempt.end is None:
+            now = clock()
+            if now >= ends_at:
+                attempt.give_up(AttemptEnd.SILENT, "timeout")
+            elif self._seems_dark(target, attempt, now):
+                attempt.give_up(AttemptEnd.SILENT, "target is silent", by_target=True)
+            else:
+                with move_on_after(min(CHECK_S, ends_at - now)):
+                    await attempt.done.wait()
+
+    def _encoded(self, target: Target) -> bytes:
+        request = self._admitted.request
+        headers = end_to_end(request.headers)
+        if self._relay.last_event_id > self._admitted.facts.last_event_id:
+            headers = resuming_after(headers, self._relay.last_event_id)
+        headers = for_target(
+            headers,
+            target_id=target.entry.target_id,
+            account=self._admitted.account_name,
+            left_s=self._admitted.ends_at - self._context.clock(),
+        )
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        return request_head(request.method, request.target, headers) + request.body
+
+    def _seems_dark(self, target: Target, attempt: Attempt, now: float) -> bool:
+        """Return whether to go on elsewhere; only where that is allowed."""
+        route = self._admitted.route
+        if not route.repeatable or not target.is_silent(now):
+            return False
+        if not self._attempts.may_repeat(route, AttemptEnd.SILENT):
+            return False
+        if attempt.last_event_at is None:
+            return True
+        longest_s = LONGEST_PAUSE_FACTOR * max(route.longest_pause_s, CHECK_S)
+        return now - attempt.last_event_at > longest_s
+
+    def _end_connection(
+        self, target: Target, connection: TargetConnection, attempt: Attempt
+    ) -> None:
+        self._relay.when_writable(None)
+        if attempt.end in WHOLE_ENDS:
+            self._context.pool.give_back(target.entry.target_id, connection)
+        else:
+            # By this the target stops working on the request.
+            connection.close()
+
+    def _note_end(self, target: Target, attempt: Attempt, sent_at: float) -> None:
+        context, admitted = self._context, self._admitted
+        self._learn(target, attempt, sent_at)
+        if attempt.end is not None:
+            self._attempts.note(attempt.end)
+            context.metrics.attempts.labels(admitted.service, attempt.end).inc()
+        self._log.note_attempt(target, attempt, sent_at)
+        target.note_left(
+            admitted.facts.work, had_first_event=attempt.first_event_at is not None
+        )
+        context.dispatcher.pump(admitted.service, context.clock())
+
+    def _learn(self, target: Target, attempt: Attempt, sent_at: float) -> None:
+        now = self._context.clock()
+        if attempt.by_target:
+            target.note_unreachable(now)
+        match attempt.end:
+            case AttemptEnd.ANSWERED:
+                target.note_success()
+                self._learn_speed(target, attempt, sent_at)
+            case AttemptEnd.BROKEN:
+                target.note_error()
+                if attempt.status == 0:
+                    target.note_unreachable(now)
+            case AttemptEnd.FAILED:
+                target.note_error()
+            case AttemptEnd.REFUSED:
+                target.note_full(now, FULL_PAUSE_S)
+
+    def _learn_speed(self, target: Target, attempt: Attempt, sent_at: float) -> None:
+        now = self._context.clock()
+        if not attempt.is_stream:
+            attempt.note_whole_answer()
+            target.note_slot_time(now - sent_at)
+            return
+        started_at = attempt.first_event_at
+        if started_at is None:
+            return
+        target.note_slot_time(now - started_at)
+        tokens = self._tokens_per_event() * (attempt.events - 1)
+        target.note_output(tokens, attempt.last_event_at - started_at)
+
+    def _tokens_per_event(self) -> int:
+        current = self._context.configuration.current
+        service = current.services_by_name.get(self._admitted.service)
+        return 1 if service is None else service.tokens_per_event
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -28,14 +28,14 @@
 from berylwalk.dispatch._retries import WindowedRetryBudget
 from berylwalk.dispatch._return_times import return_time_s
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
-from berylwalk.dispatch._targets import (
+from berylwalk.dispatch._target import Target
+from berylwalk.dispatch._target_entries import (
     Obstacle,
-    Target,
     TargetEntry,
     TargetState,
-    TargetTable,
     Work,
 )
+from berylwalk.dispatch._target_table import TargetTable
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
 
 __all__ = [
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -4,7 +4,9 @@
 from random import random
 
 from berylwalk.dispatch._placing import choose_target, obstacle_for
-from berylwalk.dispatch._targets import Obstacle, Target, TargetTable
+from berylwalk.dispatch._target import Target
+from berylwalk.dispatch._target_entries import Obstacle
+from berylwalk.dispatch._target_table import TargetTable
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
 
 
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -4,13 +4,8 @@
 from dataclasses import dataclass
 from random import random
 
-from berylwalk.dispatch._targets import (
-    TOKEN_S,
-    Obstacle,
-    Target,
-    Work,
-    reading_time_s,
-)
+from berylwalk.dispatch._target import TOKEN_S, Target, reading_time_s
+from berylwalk.dispatch._target_entries import Obstacle, Work
 
 FIRST_S = 0.010
 """Time of the reference engine to a first event without a prompt, in seconds."""
--- a/libs/dispatch/src/berylwalk/dispatch/_targets.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -1,8 +1,13 @@
-"""What a router believes of each target."""
+"""What a router believes of one target."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import StrEnum
+from dataclasses import dataclass
+
+from berylwalk.dispatch._target_entries import (
+    Obstacle,
+    TargetEntry,
+    TargetState,
+    Work,
+)
 
 FIRST_ASIDE_S = 0.4
 """First time that a failing target is set aside, in seconds; doubled each time."""
@@ -30,82 +35,6 @@
 """Time of the reference engine for a prompt token, in seconds."""
 PAIR_S = 1.6e-10
 """The same for each pair of tokens of one prompt."""
-ABSENT_TARGETS_KEPT_S = 2.0
-"""Time after an outage of the store within which lapsed entries come back."""
-
-
-class TargetState(StrEnum):
-    """What a target says of itself."""
-
-    READY = "ready"
-    DRAINING = "draining"
-
-
-class Obstacle(StrEnum):
-    """Why a target gets no request."""
-
-    DRAINING = "draining"
-    ASIDE = "aside"
-    """Its connection failed, or it refused work, a short time ago."""
-
-    SILENT = "silent"
-    ERRORS = "errors"
-    FULL = "full"
-    EXCLUDED = "excluded"
-    """It was tried for this request."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TargetEntry:
-    """One target as the list of targets has it.
-
-    Parameters
-    ----------
-    target_id : str
-        Identifies one life of the target.
-    service : str
-        Service that it belongs to.
-    host : str
-        IP address.
-    port : int
-        TCP port.
-    failure_domain : str
-        Where it runs.
-    slots : int
-        Requests that it works on at the same time.
-    state : TargetState
-        Whether it takes new work.
-    """
-
-    target_id: str
-    service: str
-    host: str
-    port: int
-    failure_domain: str
-    slots: int
-    state: TargetState
-
-
-@dataclass(frozen=True, slots=True)
-class Work:
-    """Size of one request.
-
-    Parameters
-    ----------
-    prompt_tokens : int
-        Tokens to be read before the first event; 0 for a plain call.
-    prefix_key : str
-        Names the part of the prompt that other requests share, or empty.
-    prefix_tokens : int
-        Length of that part.
-    output_tokens : int
-        Tokens that the answer is expected to have, or its most.
-    """
-
-    prompt_tokens: int = 0
-    prefix_key: str = ""
-    prefix_tokens: int = 0
-    output_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -153,7 +82,6 @@
     heard_at: float = float("-inf")
     owes_since: float | None = None
     missing_since: float | None = None
-    prefixes: dict[str, float] = field(default_factory=dict)
 
     @property
     def total_in_flight(self) -> int:
@@ -278,114 +206,3 @@
 def reading_time_s(tokens: int) -> float:
     """Return the time of the reference engine for reading a prompt, in seconds."""
     return TOKEN_S * tokens + PAIR_S * tokens * tokens
-
-
-class TargetTable:
-    """All targets by id, kept in step with the list of targets.
-
-    Parameters
-    ----------
-    absence_grace_s : float
-        Time for which a target is kept that is missing after an outage of the
-        store, during which entries may have lapsed, in seconds.
-    """
-
-    def __init__(self, *, absence_grace_s: float = ABSENT_TARGETS_KEPT_S) -> None:
-        self.by_id: dict[str, Target] = {}
-        self.absence_grace_s = absence_grace_s
-        self._lapsed_until = float("-inf")
-        self._by_service: dict[str, list[Target]] = {}
-        self._peer_loads_by_name: dict[str, dict[str, tuple[int, int]]] = {}
-
-    def of_service(self, service: str) -> list[Target]:
-        """Return the targets of a service."""
-        return self._by_service.get(service, [])
-
-    def note_outage_ended(self, now: float) -> None:
-        """Tell that entries may have lapsed while the store was away."""
-        self._lapsed_until = now + self.absence_grace_s
-
-    def replace(self, entries: Iterable[TargetEntry], now: float) -> list[str]:
-        """Take a whole list of targets; returns the ids that are gone.
-
-        A missing target is gone at once, but for a time after an outage of the
-        store: there entries may have lapsed of targets that are alive, and
-        those reappear within a bound.
-        """
-        entries_by_id = {entry.target_id: entry for entry in entries}
-        gone = []
-        for target_id, target in list(self.by_id.items()):
-            if target_id in entries_by_id:
-                target.missing_since = None
-                continue
-            if target.missing_since is None:
-                target.missing_since = now
-            if now >= self._lapsed_until:
-                gone.append(target_id)
-                del self.by_id[target_id]
-        for entry in entries_by_id.values():
-            self._put(entry)
-        self._index()
-        return gone
-
-    def update(self, entry: TargetEntry) -> None:
-        """Take one changed entry."""
-        self._put(entry)
-        self.by_id[entry.target_id].missing_since = None
-        self._index()
-
-    def remove(self, target_id: str, now: float) -> bool:
-        """Take a removed entry; returns whether the target is gone for good."""
-        target = self.by_id.get(target_id)
-        if target is None:
-            return False
-        target.missing_since = now
-        if now < self._lapsed_until:
-            return False
-        del self.by_id[target_id]
-        self._index()
-        return True
-
-    def hear_loads(self, peer: str, loads_by_id: dict[str, tuple[int, int]]) -> None:
-        """Take the requests in flight and waiting tokens of a peer, whole."""
-        former = self._peer_loads_by_name.get(peer, {})
-        for target_id, (count, tokens) in former.items():
-            self._shift(target_id, -count, -tokens)
-        for target_id, (count, tokens) in loads_by_id.items():
-            self._shift(target_id, count, tokens)
-        if loads_by_id:
-            self._peer_loads_by_name[peer] = loads_by_id
-        else:
-            self._peer_loads_by_name.pop(peer, None)
-
-    def own_loads(self) -> dict[str, tuple[int, int]]:
-        """Return the own requests in flight and waiting tokens by target id."""
-        return {
-            target_id: (target.in_flight, target.waiting_tokens)
-            for target_id, target in self.by_id.items()
-            if target.in_flight
-        }
-
-    def _shift(self, target_id: str, count: int, tokens: int) -> None:
-        target = self.by_id.get(target_id)
-        if target is not None:
-            target.peer_in_flight += count
-            target.peer_tokens += tokens
-
-    def _put(self, entry: TargetEntry) -> None:
-        target = self.by_id.get(entry.target_id)
-        if target is not None:
-            target.entry = entry
-            return
-        target = Target(entry)
-        for loads_by_id in self._peer_loads_by_name.values():
-            count, tokens = loads_by_id.get(entry.target_id, (0, 0))
-            target.peer_in_flight += count
-            target.peer_tokens += tokens
-        self.by_id[entry.target_id] = target
-
-    def _index(self) -> None:
-        self._by_service = {}
-        for target in self.by_id.values():
-            of_service = self._by_service.setdefault(target.entry.service, [])
-            of_service.append(target)
--- /dev/null
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -0,0 +1,78 @@
+"""Targets as they are listed, and the size of work for them."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class TargetState(StrEnum):
+    """What a target says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class Obstacle(StrEnum):
+    """Why a target gets no request."""
+
+    DRAINING = "draining"
+    ASIDE = "aside"
+    """Its connection failed, or it refused work, a short time ago."""
+
+    SILENT = "silent"
+    ERRORS = "errors"
+    FULL = "full"
+    EXCLUDED = "excluded"
+    """It was tried for this request."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetEntry:
+    """One target as the list of targets has it.
+
+    Parameters
+    ----------
+    target_id : str
+        Identifies one life of the target.
+    service : str
+        Service that it belongs to.
+    host : str
+        IP address.
+    port : int
+        TCP port.
+    failure_domain : str
+        Where it runs.
+    slots : int
+        Requests that it works on at the same time.
+    state : TargetState
+        Whether it takes new work.
+    """
+
+    target_id: str
+    service: str
+    host: str
+    port: int
+    failure_domain: str
+    slots: int
+    state: TargetState
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Size of one request.
+
+    Parameters
+    ----------
+    prompt_tokens : int
+        Tokens to be read before the first event; 0 for a plain call.
+    prefix_key : str
+        Names the part of the prompt that other requests share, or empty.
+    prefix_tokens : int
+        Length of that part.
+    output_tokens : int
+        Tokens that the answer is expected to have, or its most.
+    """
+
+    prompt_tokens: int = 0
+    prefix_key: str = ""
+    prefix_tokens: int = 0
+    output_tokens: int = 0
--- a/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
@@ -6,7 +6,8 @@
 
 from sortedcontainers import SortedKeyList
 
-from berylwalk.dispatch._targets import Target, Work
+from berylwalk.dispatch._target import Target
+from berylwalk.dispatch._target_entries import Work
 
 SIZE_WEIGHT = 0.1
 """Time that a request falls behind its equals for each second that it will keep a
