--- a/Makefile
+++ b/Makefile
@@ -25,10 +25,10 @@
 	$(PYTHON) -m ruff format .
 
 test: setup lint
-	$(PYTHON) -m pytest
+	$(PYTHON) -P -m pytest
 
 fuzz: setup
-	BERYLWALK_FUZZ=long $(PYTHON) -m pytest tests/fuzz
+	BERYLWALK_FUZZ=long $(PYTHON) -P -m pytest tests/fuzz
 
 prove-oracle: setup
 	$(PYTHON) tests/fuzz/prove_oracle.py
--- a/libs/agent/tests/test_agent_daemon.py
+++ b/libs/agent/tests/test_agent_daemon.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from anyio import connect_tcp, create_task_group, fail_after, sleep
+from anyio import Event, connect_tcp, create_task_group, fail_after, sleep
 
 from berylwalk.agent import AgentDaemon
 from berylwalk.model import RefusalReason, RequestId
@@ -330,9 +330,12 @@
         tree = SettingsTree.from_sections({"tier high": {"rank": 0, "headroom": 0.5}})
         document = SettingsDocument(7, tree)
         served = []
+        was_unreachable = Event()
 
         async def reply(query):
-            await sleep(0.1)
+            # The version arrives only after the agent was seen without it: a
+            # reply after a fixed time may come before the first question.
+            await was_unreachable.wait()
             served.append(query)
             return encode_sync(SettingsReply(7, document.encode()))
 
@@ -348,6 +351,7 @@
                     ),
                     version=7,
                 )
+                was_unreachable.set()
                 await router.ask(
                     Hello(),
                     lambda answer, datagram: (
