--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -67,14 +67,16 @@
             headers = refusal_headers(admitted.request_id, admitted.retry_after_s)
             self._connection.respond(admitted.status, headers, b"")
             return
-        course = Course(self._context, self._connection, admitted, self._log)
+        lifecycle = RequestLifecycle(
+            self._context, self._connection, admitted, self._log
+        )
         with self._scope:
-            await course.run()
-        if self._scope.cancelled_caught and not course.is_settled:
+            await lifecycle.run()
+        if self._scope.cancelled_caught and not lifecycle.is_settled:
             self._log.tell_ended(admitted, NO_ANSWER, "caller-left")
 
 
-class Course:
+class RequestLifecycle:
     """What becomes of a request that was taken.
 
     Parameters
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -64,15 +64,9 @@
     ----------
     prompt_tokens : int
         Tokens to be read before the first event; 0 for a plain call.
-    prefix_key : str
-        Names the part of the prompt that other requests share, or empty.
-    prefix_tokens : int
-        Length of that part.
     output_tokens : int
         Tokens that the answer is expected to have, or its most.
     """
 
     prompt_tokens: int = 0
-    prefix_key: str = ""
-    prefix_tokens: int = 0
     output_tokens: int = 0
