The note of large spending is renewed while it lasts

Found by reading: growth was measured from the last look and not from the last note, so that slow growth was never noted, and a note ended with its lease of 14 s though the account went on spending. The tests of the decision fail with the former rule.

--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -27,8 +27,6 @@
 TELL_UNCHANGED_S = 0.25
 """The same while nothing has changed; a third of the time after which a peer is
 taken for silent."""
-
-
 NEWCOMER_TOLD_S = 0.6
 """Time for which a router that has just started is told what it missed: several
 messages, of which some may be lost."""
--- a/libs/direct/src/berylwalk/direct/_spending_note.py
+++ b/libs/direct/src/berylwalk/direct/_spending_note.py
@@ -5,7 +5,7 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.dispatch import Knowledge
-from berylwalk.platform import KeyValue, KeyValueClient, Unavailable
+from berylwalk.platform import KeyValue, KeyValueClient, Swapped, Unavailable
 
 NOTE_KEY = b"berylwalk/spending"
 NOTE_LEASE_S = 14.0
@@ -41,14 +41,15 @@
         while isinstance(note := await self._store.get(NOTE_KEY), Unavailable):
             await sleep(RETRY_S)
         self._learn_from(note)
-        noted = 0.0
+        noted, noted_at = 0.0, float("-inf")
         while True:
             await sleep(NOTE_GAP_S)
-            spent = self._context.allowances.spent_much(self._context.clock())
+            now = self._context.clock()
+            spent = self._context.allowances.spent_much(now)
             total = sum(map(sum, spent.values()))
-            if self._is_writer() and total > noted * (1 + NOTE_GROWTH):
-                await self._write(spent)
-            noted = total
+            is_due = note_is_due(total, noted, now - noted_at)
+            if is_due and self._is_writer() and await self._write(spent):
+                noted, noted_at = total, now
 
     def _learn_from(self, note: KeyValue | None) -> None:
         spent: dict[str, list[float]] = {}
@@ -71,11 +72,31 @@
         ]
         return context.settings.name <= min(heard, default=context.settings.name)
 
-    async def _write(self, spent: dict[str, list[float]]) -> None:
+    async def _write(self, spent: dict[str, list[float]]) -> bool:
+        """Write the note; returns whether it is surely there."""
         lease = await self._store.grant_lease(NOTE_LEASE_S)
         if isinstance(lease, Unavailable):
-            return
+            return False
         value = json.encode(
             {name: [round(units) for units in bins] for name, bins in spent.items()}
         )
-        await self._store.put(NOTE_KEY, value, lease_id=lease.lease_id)
+        written = await self._store.put(NOTE_KEY, value, lease_id=lease.lease_id)
+        return isinstance(written, Swapped)
+
+
+def note_is_due(total: float, noted: float, age_s: float) -> bool:
+    """Return whether a new note is worth a call of the store.
+
+    Parameters
+    ----------
+    total : float
+        What accounts that spend much have spent in the window.
+    noted : float
+        The same as last noted.
+    age_s : float
+        Age of that note, in seconds. It ends with its lease, and an account may
+        spend much for longer.
+    """
+    if total <= 0:
+        return False
+    return total > noted * (1 + NOTE_GROWTH) or age_s > NOTE_LEASE_S / 3
