--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -6,7 +6,7 @@
 from anyio import sleep
 
 from berylwalk.direct._peering import tell_interval_s
-from berylwalk.dispatch import AllowanceRules
+from berylwalk.dispatch import AllowanceRules, Knowledge
 from berylwalk.dispatch._peer_view import HEARD_WITHIN_S
 from direct_fleet import KEY, answers, read_reply
 
@@ -197,6 +197,24 @@
             reply = await fleet.call("/idempotent/")
         assert reply.status == 429
 
+    async def test_large_spending_is_noted(self, running):
+        """The note is there while the account is far above its usual."""
+
+        def limited(fleet):
+            fleet.tenants[0].update(
+                {"unit": "tokens", "rate-per-s": 100, "burst": 100, "plain-tokens": 1}
+            )
+
+        rules = AllowanceRules(window_s=8.0)
+        async with running(answers("ok"), prepare=limited, allowances=rules) as fleet:
+            store = fleet.platform.store
+            allowances = fleet.router._context.allowances
+            # As if it had started long ago and knew the whole window.
+            allowances.learn({}, Knowledge.ALL, fleet.router._context.clock())
+            reply = await fleet.call("/idempotent/", Token_Count="700,0")
+            await fleet.until(lambda: store.get(b"berylwalk/spending") is not None)
+        assert reply.status == 200
+
     async def test_router_leaves_the_list(self, running):
         """Others need not wait for its lease to end."""
         async with running(answers("ok")) as fleet:
