What was spent after the last note counts for the restart of all routers

All routers were killed together 5 s into the window, the account was noted. Cause: a note is up to half a second and a twentieth of the spending old; what the account spent after it was free again. A noted account is now taken to have spent all the rest just before the start. Ruled out: the account was noted and read by all four routers (spending-learned), and no router was cut off.

--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -69,7 +69,8 @@
 class _Spending:
     """What one account has spent within the window.
 
-    ``before`` holds what is known from before the start.
+    ``before`` holds what is known from before the start, ``noted`` its sum when it
+    was learned.
     """
 
     steps: deque[list[float]] = field(default_factory=deque)
@@ -77,6 +78,7 @@
     spent: float = 0.0
     spent_by_peer: dict[str, float] = field(default_factory=dict)
     before: list[tuple[float, float]] = field(default_factory=list)
+    noted: float = 0.0
 
     def add(self, units: float, now: float) -> None:
         if not self.steps or now - self.steps[-1][0] >= STEP_S:
@@ -248,7 +250,9 @@
         self._knowledge = knowledge
         for spending in self._spending_by_account.values():
             spending.before = []
+            spending.noted = 0.0
         for name, units_by_bin in bins.items():
+            self._spending(name).noted = sum(units_by_bin)
             times = [now - BIN_S * number for number in range(len(units_by_bin))]
             self._spending(name).before = [
                 (min(time, self._started_at), units)
@@ -282,8 +286,11 @@
             return 0.0
         units = limit - self._rules.start_units(account)
         if self._knowledge is Knowledge.NOTE:
-            is_noted = bool(self._spending(account.name).before)
-            units = 0.0 if is_noted else NOTED_SHARE * limit
+            noted = self._spending(account.name).noted
+            if noted:
+                # All the rest may have been spent after the note was written.
+                return max(0.0, limit - noted)
+            units = NOTED_SHARE * limit
         return units * unknown_s / self._rules.window_s
 
     def _spending(self, name: str) -> _Spending:
--- a/libs/dispatch/tests/test_dispatch_allowances.py
+++ b/libs/dispatch/tests/test_dispatch_allowances.py
@@ -105,6 +105,21 @@
         assert spent <= BOUND
         assert spend_all(router, 8.5) >= 0.9 * ALLOWANCE
 
+    def test_what_was_spent_after_the_last_note_counts(self):
+        """A noted account may have spent all the rest just before the restart."""
+        older = allowances()
+        spent = 0.0
+        while spent < 0.7 * ALLOWANCE:
+            older.take(ACCOUNT, 100.0, 0, 0.0)
+            spent += 100.0
+        note = older.spent_much(0.1)
+        spent += spend_all(older, 0.4)
+        router = allowances(started_at=1.0)
+        router.learn(note, Knowledge.NOTE, 1.1)
+        for now in (1.2, 3.0, 5.0, 7.9):
+            spent += spend_all(router, now)
+        assert spent <= BOUND
+
     def test_accounts_that_are_not_noted_go_on_after_a_start(self):
         """They spent less than what is noted, so a part is surely left."""
         router = allowances(started_at=0.0)
