The note of large spending is written each half second while it lasts

Cause: in a full window the sum stays while what makes it up changes, so a note was up to 4.7 s old; what left the window after it had been spent again, and a restart did not know. The note is now written each half second while an account spends much, and its oldest 1.5 s are taken to be spent at the start.

--- a/libs/direct/src/berylwalk/direct/_spending_note.py
+++ b/libs/direct/src/berylwalk/direct/_spending_note.py
@@ -5,16 +5,15 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.dispatch import Knowledge
-from berylwalk.platform import KeyValue, KeyValueClient, Swapped, Unavailable
+from berylwalk.platform import KeyValue, KeyValueClient, Unavailable
 
 NOTE_KEY = b"berylwalk/spending"
 NOTE_LEASE_S = 14.0
 """Time for which a note is kept: longer than the window that allowances are judged
 by and than a restart takes."""
 NOTE_GAP_S = 0.5
-"""Least time between two notes; only accounts that spend much cause any."""
-NOTE_GROWTH = 0.05
-"""Growth of the noted spending, as a share, that makes a new note worth a call."""
+"""Time between two notes while some account spends much. Its sum may stay while
+what makes it up changes, so that no note serves for longer."""
 RETRY_S = 0.3
 
 
@@ -41,15 +40,11 @@
         while isinstance(note := await self._store.get(NOTE_KEY), Unavailable):
             await sleep(RETRY_S)
         self._learn_from(note)
-        noted, noted_at = 0.0, float("-inf")
         while True:
             await sleep(NOTE_GAP_S)
-            now = self._context.clock()
-            spent = self._context.allowances.spent_much(now)
-            total = sum(map(sum, spent.values()))
-            is_due = note_is_due(total, noted, now - noted_at)
-            if is_due and self._is_writer() and await self._write(spent):
-                noted, noted_at = total, now
+            spent = self._context.allowances.spent_much(self._context.clock())
+            if spent and self._is_writer():
+                await self._write(spent)
 
     def _learn_from(self, note: KeyValue | None) -> None:
         spent: dict[str, list[float]] = {}
@@ -72,31 +67,11 @@
         ]
         return context.settings.name <= min(heard, default=context.settings.name)
 
-    async def _write(self, spent: dict[str, list[float]]) -> bool:
-        """Write the note; returns whether it is surely there."""
+    async def _write(self, spent: dict[str, list[float]]) -> None:
         lease = await self._store.grant_lease(NOTE_LEASE_S)
         if isinstance(lease, Unavailable):
-            return False
+            return
         value = json.encode(
             {name: [round(units) for units in bins] for name, bins in spent.items()}
         )
-        written = await self._store.put(NOTE_KEY, value, lease_id=lease.lease_id)
-        return isinstance(written, Swapped)
-
-
-def note_is_due(total: float, noted: float, age_s: float) -> bool:
-    """Return whether a new note is worth a call of the store.
-
-    Parameters
-    ----------
-    total : float
-        What accounts that spend much have spent in the window.
-    noted : float
-        The same as last noted.
-    age_s : float
-        Age of that note, in seconds. It ends with its lease, and an account may
-        spend much for longer.
-    """
-    if total <= 0:
-        return False
-    return total > noted * (1 + NOTE_GROWTH) or age_s > NOTE_LEASE_S / 3
+        await self._store.put(NOTE_KEY, value, lease_id=lease.lease_id)
--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -16,6 +16,9 @@
 and what routers spend before they hear of each other stay within the tolerance."""
 BIN_S = 0.5
 """Resolution in which routers tell what was spent in the window, in seconds."""
+NOTE_AGE_S = 1.5
+"""Longest time from a note to the end of the routers that spent after it, while the
+store answers."""
 NOTED_SHARE = 0.6
 """Part of an account's allowance from which its spending is noted where a restart
 of all routers does not lose it. An account's usual spending is below."""
@@ -254,6 +257,11 @@
         for name, units_by_bin in bins.items():
             self._spending(name).noted = sum(units_by_bin)
             times = [now - BIN_S * number for number in range(len(units_by_bin))]
+            if knowledge is Knowledge.NOTE:
+                # The oldest part may have left the window after the note was
+                # written, and been spent again.
+                oldest = now - self._rules.window_s + NOTE_AGE_S
+                times = [now if time < oldest else time for time in times]
             self._spending(name).before = [
                 (min(time, self._started_at), units)
                 for time, units in zip(times, units_by_bin, strict=True)
--- a/libs/dispatch/tests/test_dispatch_allowances.py
+++ b/libs/dispatch/tests/test_dispatch_allowances.py
@@ -120,6 +120,18 @@
             spent += spend_all(router, now)
         assert spent <= BOUND
 
+    def test_what_took_the_place_of_older_spending_counts(self):
+        """After the note the oldest part may have left the window and been spent."""
+        older = allowances()
+        spend_all(older, 0.0)
+        note = older.spent_much(7.5)
+        spent = spend_all(older, 8.2)
+        router = allowances(started_at=8.7)
+        router.learn(note, Knowledge.NOTE, 8.8)
+        for now in (8.9, 10.0, 12.0, 14.0, 16.1):
+            spent += spend_all(router, now)
+        assert spent <= BOUND
+
     def test_accounts_that_are_not_noted_go_on_after_a_start(self):
         """They spent less than what is noted, so a part is surely left."""
         router = allowances(started_at=0.0)
