Only a router that asks is told what was spent before its start

Cause: after any start, for a whole window, every router sent the binned spending of all accounts (some 2.4 KB) to every peer each 0.3 s: in a fleet of 31 that is 320 KB/s in and out of links that carry 625. Datagrams were lost, peers counted as silent and their requests at targets as none, and targets got 25 to 40 requests where 13 are allowed. Now the newcomer names one peer in its messages, and that one answers.

Targets still refuse work: not the whole cause.

--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -29,10 +29,11 @@
         Requests in flight and waiting prompt tokens by target id.
     spent : dict
         Units spent since the start, by client account.
+    asks : str or None
+        Name of the peer that shall tell what was spent before the sender's start.
     recent : dict or None
-        Units that all routers spent in the window, by account and bin of time, for
-        those that have just started; None if nobody needs it or this router does
-        not know.
+        Units that all routers spent in the window, by account and bin of time: the
+        answer to one that asked.
     """
 
     name: str
@@ -43,6 +44,7 @@
     sequence: int
     loads: dict[str, tuple[int, int]]
     spent: dict[str, float]
+    asks: str | None = None
     recent: dict[str, list[float]] | None = None
 
 
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -1,6 +1,7 @@
 """Membership of routers and what they tell each other."""
 
 from asyncio import DatagramTransport, get_running_loop
+from random import choice
 from uuid import uuid4
 
 from anyio import create_task_group, sleep
@@ -27,9 +28,6 @@
 TELL_UNCHANGED_S = 0.25
 """The same while nothing has changed; a third of the time after which a peer is
 taken for silent."""
-NEWCOMER_TOLD_S = 0.6
-"""Time for which a router that has just started is told what it missed: several
-messages, of which some may be lost."""
 
 
 class Peering:
@@ -53,7 +51,6 @@
         self._transport: DatagramTransport | None = None
         self._told: tuple[object, object] | None = None
         self._told_at = float("-inf")
-        self._newcomers_until = float("-inf")
         self._decoder = msgpack.Decoder(PeerMessage)
 
     async def start(self) -> None:
@@ -173,11 +170,24 @@
         loads = context.targets.own_loads()
         spent = context.allowances.spent_by_account()
         now = context.clock()
-        is_unchanged = self._told == (loads, spent) and now >= self._newcomers_until
+        asks = self._peer_to_ask(now)
+        is_unchanged = self._told == (loads, spent) and asks is None
         if is_unchanged and now - self._told_at < TELL_UNCHANGED_S:
             return
         self._told = (loads, spent)
         self._told_at = now
+        data = self._encoded(now, asks=asks)
+        for peer in context.peers.by_name.values():
+            self._transport.sendto(data, (peer.host, peer.port))
+
+    def _encoded(
+        self,
+        now: float,
+        *,
+        asks: str | None = None,
+        recent: dict[str, list[float]] | None = None,
+    ) -> bytes:
+        context = self._context
         self._sequence += 1
         message = PeerMessage(
             context.settings.name,
@@ -186,20 +196,35 @@
             self._life,
             now - self._started_at,
             self._sequence,
-            loads,
-            spent,
-            self._recent(now),
+            context.targets.own_loads(),
+            context.allowances.spent_by_account(),
+            asks,
+            recent,
         )
-        data = msgpack.encode(message)
-        for peer in context.peers.by_name.values():
-            self._transport.sendto(data, (peer.host, peer.port))
+        return msgpack.encode(message)
 
-    def _recent(self, now: float) -> dict[str, list[float]] | None:
-        """Return the spending of the window if some peer needs to know."""
-        allowances = self._context.allowances
-        if allowances.knows_part(now) or now >= self._newcomers_until:
+    def _peer_to_ask(self, now: float) -> str | None:
+        """Return the peer that is asked what was spent before the start.
+
+        Another one each time, since one may not know or its answer be lost.
+        """
+        context = self._context
+        if context.allowances.knows_window(now):
             return None
-        return allowances.spent_by_bin(now)
+        peers = context.peers.by_name.values()
+        heard = [peer.name for peer in peers if peer.is_heard(now)]
+        return choice(heard) if heard else None
+
+    def _tell_newcomer(self, newcomer: Peer, now: float) -> None:
+        """Tell a router that asks what was spent, if it is known here.
+
+        Only that one: what all routers spent takes kilobytes, which would fill
+        the links of small VMs if each told it to all.
+        """
+        allowances = self._context.allowances
+        if allowances.knows_window(now):
+            data = self._encoded(now, recent=allowances.spent_by_bin(now))
+            self._transport.sendto(data, (newcomer.host, newcomer.port))
 
     def _hear(self, data: bytes) -> None:
         try:
@@ -219,8 +244,8 @@
         if not context.peers.hear(sender, now):
             return
         context.targets.hear_loads(message.name, message.loads)
-        if message.age_s < context.settings.allowances.window_s:
-            self._newcomers_until = now + NEWCOMER_TOLD_S
+        if message.asks == context.settings.name:
+            self._tell_newcomer(sender, now)
         if message.recent is not None:
             context.allowances.learn(message.recent, Knowledge.ALL, now)
         context.allowances.hear(
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -274,6 +274,46 @@
                 writer.close()
                 tasks.cancel_scope.cancel()
 
+    async def test_only_a_router_that_asks_is_told_the_window(
+        self, running, make_settings
+    ):
+        """Kilobytes to all peers, from all, would fill the links of small VMs."""
+        from anyio import create_memory_object_stream, create_task_group
+        from msgspec import msgpack
+
+        from berylwalk.direct import DirectRouter
+        from berylwalk.direct._peer_messages import PeerMessage
+
+        rules = AllowanceRules(window_s=30.0)
+        async with running(answers("ok"), allowances=rules) as fleet:
+            elder = fleet.router._context
+            elder.allowances.learn({}, Knowledge.ALL, elder.clock())
+            second = DirectRouter.from_settings(
+                make_settings(name="edge-2", allowances=rules)
+            )
+            _, stops = create_memory_object_stream(1)
+            sent = []
+            transport = fleet.router._peering._transport
+            send = transport.sendto
+
+            def noted(data, address):
+                sent.append(msgpack.decode(data, type=PeerMessage))
+                send(data, address)
+
+            fleet.router._peering._transport.sendto = noted
+            async with create_task_group() as tasks:
+                tasks.start_soon(second.run, stops)
+                newcomer = second._context
+                await fleet.until(
+                    lambda: newcomer.allowances.knows_window(newcomer.clock())
+                )
+                told = len(sent)
+                await fleet.until(lambda: len(sent) > told + 3)
+                tasks.cancel_scope.cancel()
+        answers_sent = [message for message in sent if message.recent is not None]
+        assert answers_sent
+        assert all(message.recent is None for message in sent[told + 1 :])
+
 
 class TestMetrics:
     """What the metrics address serves."""
--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -248,7 +248,7 @@
         now : float
             Time in seconds.
         """
-        if knowledge <= self._knowledge or not self.knows_part(now):
+        if knowledge <= self._knowledge or not self._started_within(now):
             return
         self._knowledge = knowledge
         for spending in self._spending_by_account.values():
@@ -268,8 +268,11 @@
                 if units > 0
             ]
 
-    def knows_part(self, now: float) -> bool:
-        """Return whether the start is within the window."""
+    def knows_window(self, now: float) -> bool:
+        """Return whether all that was spent in the window is known."""
+        return self._knowledge is Knowledge.ALL or not self._started_within(now)
+
+    def _started_within(self, now: float) -> bool:
         return now - self._started_at < self._rules.window_s
 
     def _binned(self, spending: _Spending, now: float) -> list[float]:
