Calls of the store: one probe in an outage, cheap checks of the target list, one lease for the note

Cause: each of four loops called a failing store each 0.15 s and woke another one; each list of targets was a full read; each note of spending took a new lease. The feeds have a module each.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -7,15 +7,17 @@
 from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
 
+from berylwalk.direct._configuration_feed import ConfigurationFeed
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._decision_log import DecisionLog
 from berylwalk.direct._exchange import Exchange
-from berylwalk.direct._feeds import ConfigurationFeed, TargetFeed
 from berylwalk.direct._gauges import refresh_gauges
 from berylwalk.direct._listeners import Listener
 from berylwalk.direct._metrics import RouterMetrics
 from berylwalk.direct._peering import Peering
 from berylwalk.direct._spending_note import SpendingNote
+from berylwalk.direct._store_reach import StoreReach
+from berylwalk.direct._target_feed import TargetFeed
 from berylwalk.dispatch import (
     Allowances,
     CallerLimits,
@@ -62,10 +64,11 @@
         settings = context.settings
         self._context = context
         self._store = store
-        self._peering = Peering(context, store)
-        self._spending_note = SpendingNote(context, store)
-        self._configuration_feed = ConfigurationFeed(context, store)
-        self._target_feed = TargetFeed(context, store)
+        reach = StoreReach(context)
+        self._peering = Peering(context, store, reach)
+        self._spending_note = SpendingNote(context, store, reach)
+        self._configuration_feed = ConfigurationFeed(context, store, reach)
+        self._target_feed = TargetFeed(context, store, reach)
         self._exchanges_by_connection: dict[CallerConnection, Exchange] = {}
         self._tasks: TaskGroup | None = None
         self._stopping_since: float | None = None
--- a/libs/direct/src/berylwalk/direct/_membership.py
+++ b/libs/direct/src/berylwalk/direct/_membership.py
@@ -7,6 +7,7 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._peer_messages import MemberEntry
+from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import Peer
 from berylwalk.platform import KeyValueClient, Listing, Lost, Unavailable
 
@@ -15,7 +16,6 @@
 """Time after which a router that is gone is no longer counted."""
 RENEW_S = 2.0
 LIST_S = 4.0
-RETRY_S = 0.3
 
 
 class Membership:
@@ -27,6 +27,8 @@
         The router's state.
     store : KeyValueClient
         The platform's store.
+    reach : StoreReach
+        Paces calls of it that failed.
     life : str
         Identifies this life of the process.
     on_ended : callable
@@ -37,12 +39,14 @@
         self,
         context: RouterContext,
         store: KeyValueClient,
+        reach: StoreReach,
         *,
         life: str,
         on_ended: Callable[[Peer], None],
     ) -> None:
         self._context = context
         self._store = store
+        self._reach = reach
         self._life = life
         self._on_ended = on_ended
         self._lease_id: int | None = None
@@ -59,9 +63,14 @@
             tasks.start_soon(self._list)
 
     async def _register(self) -> None:
+        failures = 0
         while True:
-            is_registered = await self._renew_or_enter()
-            await sleep(RENEW_S if is_registered else RETRY_S)
+            if await self._renew_or_enter():
+                failures = 0
+                await sleep(RENEW_S)
+            else:
+                failures += 1
+                await self._reach.pause(failures)
 
     async def _renew_or_enter(self) -> bool:
         if self._lease_id is not None:
@@ -96,14 +105,19 @@
 
     async def _list(self) -> None:
         is_first = True
+        failures = 0
         while True:
             listing = await self._store.list_prefix(
                 MEMBERS_PREFIX, stale_ok=not is_first
             )
-            if isinstance(listing, Listing):
-                self._take(listing)
-                is_first = self._context.peers.known() == 1
-            await sleep(LIST_S if isinstance(listing, Listing) else RETRY_S)
+            if isinstance(listing, Unavailable):
+                failures += 1
+                await self._reach.pause(failures)
+                continue
+            failures = 0
+            self._take(listing)
+            is_first = self._context.peers.known() == 1
+            await sleep(LIST_S)
 
     def _take(self, listing: Listing) -> None:
         listed = []
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -23,6 +23,7 @@
     PeerSocket,
     RouterNews,
 )
+from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import PEERS_OF_ONE_MESH, Knowledge, Peer
 from berylwalk.platform import KeyValueClient
 
@@ -49,13 +50,17 @@
         The router's state.
     store : KeyValueClient
         The platform's store.
+    reach : StoreReach
+        Paces calls of it that failed.
     """
 
-    def __init__(self, context: RouterContext, store: KeyValueClient) -> None:
+    def __init__(
+        self, context: RouterContext, store: KeyValueClient, reach: StoreReach
+    ) -> None:
         self._context = context
         self._life = uuid4().hex[:8]
         self._membership = Membership(
-            context, store, life=self._life, on_ended=self._forget
+            context, store, reach, life=self._life, on_ended=self._forget
         )
         self._started_at = context.clock()
         self._sequence = 0
--- a/libs/direct/src/berylwalk/direct/_spending_note.py
+++ b/libs/direct/src/berylwalk/direct/_spending_note.py
@@ -4,8 +4,9 @@
 from msgspec import DecodeError, ValidationError, json
 
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import Knowledge
-from berylwalk.platform import KeyValue, KeyValueClient, Unavailable
+from berylwalk.platform import KeyValue, KeyValueClient, Lost, Unavailable
 
 NOTE_KEY = b"berylwalk/spending"
 NOTE_LEASE_S = 14.0
@@ -14,7 +15,8 @@
 NOTE_GAP_S = 0.5
 """Time between two notes while some account spends much. Its sum may stay while
 what makes it up changes, so that no note serves for longer."""
-RETRY_S = 0.3
+RENEW_S = 4.0
+"""Time between renewals: what is left then still is longer than the window."""
 
 
 class SpendingNote:
@@ -29,16 +31,25 @@
         The router's state.
     store : KeyValueClient
         The platform's store.
+    reach : StoreReach
+        Paces calls of it that failed.
     """
 
-    def __init__(self, context: RouterContext, store: KeyValueClient) -> None:
+    def __init__(
+        self, context: RouterContext, store: KeyValueClient, reach: StoreReach
+    ) -> None:
         self._context = context
         self._store = store
+        self._reach = reach
+        self._lease_id: int | None = None
+        self._renewed_at = float("-inf")
 
     async def run(self) -> None:
         """Read the note of an earlier life once, then write it as needed."""
+        failures = 0
         while isinstance(note := await self._store.get(NOTE_KEY), Unavailable):
-            await sleep(RETRY_S)
+            failures += 1
+            await self._reach.pause(failures)
         self._learn_from(note)
         while True:
             await sleep(NOTE_GAP_S)
@@ -69,10 +80,28 @@
         return own_name <= min(heard, default=own_name)
 
     async def _write(self, spent: dict[str, list[float]]) -> None:
-        lease = await self._store.grant_lease(NOTE_LEASE_S)
-        if isinstance(lease, Unavailable):
+        if not await self._has_lease():
             return
         value = json.encode(
             {name: [round(units) for units in bins] for name, bins in spent.items()}
         )
-        await self._store.put(NOTE_KEY, value, lease_id=lease.lease_id)
+        written = await self._store.put(NOTE_KEY, value, lease_id=self._lease_id)
+        if isinstance(written, Unavailable | Lost):
+            self._lease_id = None
+
+    async def _has_lease(self) -> bool:
+        """Keep the lease of the note: renewing it costs a tenth of a new one."""
+        now = self._context.clock()
+        if self._lease_id is not None:
+            if now - self._renewed_at < RENEW_S:
+                return True
+            left_s = await self._store.keep_alive(self._lease_id)
+            if not isinstance(left_s, Unavailable) and left_s > 0:
+                self._renewed_at = now
+                return True
+            self._lease_id = None
+        lease = await self._store.grant_lease(NOTE_LEASE_S)
+        if isinstance(lease, Unavailable):
+            return False
+        self._lease_id, self._renewed_at = lease.lease_id, now
+        return True
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_store_reach.py
@@ -0,0 +1,104 @@
+"""Whether the platform's store answers, as all its users in one router see it."""
+
+from anyio import Event, move_on_after
+
+from berylwalk.direct._context import RouterContext
+from berylwalk.platform import Unavailable, UnavailableReason, backoff_s
+
+ANSWERS = frozenset({UnavailableReason.NOT_FOUND, UnavailableReason.HISTORY_GONE})
+"""Failures by which the store shows that it is there."""
+FIRST_PAUSE_S = 0.15
+"""Bound of the first pause after a failed call."""
+LONGEST_PROBE_PAUSE_S = 0.6
+"""Bound of the pause of the one user that finds out when the store is back: with a
+read that takes long, a changed configuration is still in force within its bound."""
+LONGEST_PAUSE_S = 3.0
+"""The same for all others, which are woken when it is back. Calls that fail are paid
+for as well: with a pause of 0.15 s for all, an outage of eight seconds cost as much as
+a quarter of an hour without one."""
+LAPSE_AFTER_S = 1.0
+"""Time that the store has to be away for entries to lapse. What is removed in a
+shorter gap, such as that of a watch that was cut, has left."""
+LAPSE_MARGIN_S = 0.6
+"""Time after the bound of their return for which lapsed entries are looked for."""
+
+
+class StoreReach:
+    """Notes how calls end and paces those that are made again.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's state.
+
+    Attributes
+    ----------
+    away_since : float or None
+        Since when calls fail; None while they succeed.
+    """
+
+    def __init__(self, context: RouterContext) -> None:
+        self._context = context
+        self.away_since: float | None = None
+        self._lapse_ended_at = float("-inf")
+        self._returned = Event()
+
+    def note(self, purpose: str, result: object) -> None:
+        """Note how a call ended.
+
+        Parameters
+        ----------
+        purpose : str
+            What the call was for, as metrics and logs name it.
+        result : object
+            What the client returned.
+        """
+        context = self._context
+        failed = isinstance(result, Unavailable) and result.reason not in ANSWERS
+        outcome = "failed" if failed else "ok"
+        context.metrics.store_calls.labels(purpose, outcome).inc()
+        now = context.clock()
+        if failed and self.away_since is None:
+            self.away_since = now
+            context.log.process("store-lost", purpose=purpose, detail=result.detail)
+        elif not failed and self.away_since is not None:
+            self._note_return(purpose, now)
+
+    def may_lapse(self, within_s: float) -> bool:
+        """Return whether entries that lapsed in an outage may still come back.
+
+        Parameters
+        ----------
+        within_s : float
+            Time after an outage within which they do, in seconds.
+        """
+        since_s = self._context.clock() - self._lapse_ended_at
+        return since_s < within_s + LAPSE_MARGIN_S
+
+    def _note_return(self, purpose: str, now: float) -> None:
+        away_s = now - self.away_since
+        self.away_since = None
+        self._context.log.process(
+            "store-regained", purpose=purpose, away_ms=round(away_s * 1000)
+        )
+        if away_s >= LAPSE_AFTER_S:
+            # Before anything is read: removals may be lapses from now on.
+            self._lapse_ended_at = now
+            self._context.targets.note_outage_ended(now)
+        returned, self._returned = self._returned, Event()
+        returned.set()
+
+    async def pause(self, failures: int, *, is_probe: bool = False) -> None:
+        """Wait before a call that failed is made again.
+
+        Parameters
+        ----------
+        failures : int
+            Failures of this user in a row, from 1.
+        is_probe : bool
+            Whether this is the user that finds out when the store is back.
+        """
+        longest_s = LONGEST_PROBE_PAUSE_S if is_probe else LONGEST_PAUSE_S
+        pause_s = backoff_s(failures, first_s=FIRST_PAUSE_S, largest_s=longest_s)
+        with move_on_after(pause_s):
+            await self._returned.wait()
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -115,13 +115,13 @@
         """An outage of the store alone takes no target away."""
         async with running(answers("a")) as fleet:
             fleet.platform.faults.down = True
-            feed = fleet.router._target_feed
-            await fleet.until(lambda: feed._away_since is not None)
+            reach = fleet.router._target_feed._reach
+            await fleet.until(lambda: reach.away_since is not None)
             await sleep(1.1)
             fleet.platform.store.delete(b"servers/i-0")
             assert (await fleet.call("/idempotent/")).status == 200
             fleet.platform.faults.down = False
-            await fleet.until(lambda: feed._away_since is None)
+            await fleet.until(lambda: reach.away_since is None)
             assert (await fleet.call("/idempotent/")).status == 200
             fleet.put_target(fleet.targets[0])
             await sleep(0.7)
@@ -131,14 +131,42 @@
         """A watch that is cut for a moment must not hide that a target left."""
         async with running(answers("a"), answers("b")) as fleet:
             fleet.platform.faults.down = True
-            feed = fleet.router._target_feed
-            await fleet.until(lambda: feed._away_since is not None)
+            reach = fleet.router._target_feed._reach
+            await fleet.until(lambda: reach.away_since is not None)
             fleet.platform.store.delete(b"servers/i-0")
             fleet.platform.faults.down = False
-            await fleet.until(lambda: feed._away_since is None)
+            await fleet.until(lambda: reach.away_since is None)
             by_id = fleet.router._context.targets.by_id
             await fleet.until(lambda: "i-0" not in by_id)
 
+    async def test_watch_that_hears_nothing_is_found_out(self, running, monkeypatch):
+        """A connection may go silent for good without an end."""
+        from anyio import sleep_forever
+
+        async def silent(self, *args, **options):
+            await sleep_forever()
+
+        monkeypatch.setattr("berylwalk.platform.KeyValueClient.changes", silent)
+        monkeypatch.setattr("berylwalk.direct._target_feed.CHECK_S", 0.1)
+        async with running(answers("a"), answers("b")) as fleet:
+            by_id = fleet.router._context.targets.by_id
+            fleet.put_target(fleet.targets[0], state="draining")
+            await fleet.until(lambda: by_id["i-0"].entry.state == "draining")
+            fleet.platform.store.delete(b"servers/i-1")
+            await fleet.until(lambda: "i-1" not in by_id)
+
+    async def test_unchanged_list_is_not_read_again(self, running, monkeypatch):
+        """The check is cheap; a fresh list follows only from a difference."""
+        monkeypatch.setattr("berylwalk.direct._target_feed.CHECK_S", 0.05)
+        async with running(answers("a")) as fleet:
+            calls = fleet.router._context.metrics.store_calls
+            checks = calls.labels("check-targets", "ok")._value
+            lists = calls.labels("list-targets", "ok")._value
+            listed = lists.get()
+            seen = checks.get()
+            await fleet.until(lambda: checks.get() >= seen + 3)
+            assert lists.get() == listed
+
     async def test_address_that_another_service_uses_now(self, running):
         """A target that is another one refuses, and the request goes on."""
 
@@ -314,7 +342,6 @@
         assert answers_sent
         assert all(message.recent is None for message in sent[told + 1 :])
 
-
     async def test_relays_tell_the_other_failure_domains(
         self, running, make_settings, monkeypatch
     ):
--- /dev/null
+++ b/libs/direct/tests/test_direct_store_reach.py
@@ -0,0 +1,110 @@
+"""How calls of the store are paced after failures."""
+
+from types import SimpleNamespace
+
+import pytest
+from anyio import create_task_group, fail_after, wait_all_tasks_blocked
+
+from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.direct._store_reach import StoreReach
+from berylwalk.dispatch import TargetTable
+from berylwalk.platform import Unavailable, UnavailableReason
+
+pytestmark = pytest.mark.anyio
+FAILED = Unavailable(UnavailableReason.NO_ANSWER, "no answer")
+
+
+class Clock:
+    """A time that the test sets."""
+
+    now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    """Return a clock."""
+    return Clock()
+
+
+@pytest.fixture
+def targets():
+    """Return an empty table."""
+    return TargetTable()
+
+
+@pytest.fixture
+def reach(clock, targets):
+    """Return the reach of a store that answered so far."""
+    log = SimpleNamespace(process=lambda *args, **fields: None)
+    context = SimpleNamespace(
+        clock=clock, metrics=RouterMetrics(), log=log, targets=targets
+    )
+    return StoreReach(context)
+
+
+class TestOutage:
+    """Calls that fail and succeed again."""
+
+    def test_long_one_lets_entries_lapse(self, reach, clock, targets):
+        """What is removed just after it may come back."""
+        reach.note("list-targets", FAILED)
+        clock.now += 1.5
+        reach.note("read-configuration", None)
+        assert reach.away_since is None
+        assert reach.may_lapse(targets.absence_grace_s)
+        clock.now += 10.0
+        assert not reach.may_lapse(targets.absence_grace_s)
+
+    def test_short_one_does_not(self, reach, clock, targets):
+        """A watch that was cut hides no removal."""
+        reach.note("watch-targets", FAILED)
+        clock.now += 0.2
+        reach.note("list-targets", None)
+        assert not reach.may_lapse(targets.absence_grace_s)
+
+    def test_refusals_that_tell_something_are_answers(self, reach):
+        """A discarded history shows that the store is there."""
+        for reason in (UnavailableReason.NOT_FOUND, UnavailableReason.HISTORY_GONE):
+            reach.note("watch-targets", Unavailable(reason))
+        assert reach.away_since is None
+
+
+class TestPause:
+    """Waits before a call is made again."""
+
+    async def test_return_wakes_those_that_wait(self, reach, monkeypatch):
+        """However long they would have waited."""
+        monkeypatch.setattr(
+            "berylwalk.direct._store_reach.backoff_s", lambda *args, **options: 1e6
+        )
+        reach.note("list-targets", FAILED)
+        ended = []
+
+        async def wait(failures):
+            await reach.pause(failures)
+            ended.append(failures)
+
+        with fail_after(20):
+            async with create_task_group() as tasks:
+                tasks.start_soon(wait, 9)
+                tasks.start_soon(wait, 1)
+                await wait_all_tasks_blocked()
+                assert not ended
+                reach.note("read-configuration", None)
+        assert sorted(ended) == [1, 9]
+
+    async def test_only_the_probe_goes_on_often(self, reach, monkeypatch):
+        """Calls that fail are paid for."""
+        bounds = []
+
+        def noted(failures, *, first_s, largest_s):
+            bounds.append(largest_s)
+            return 0.0
+
+        monkeypatch.setattr("berylwalk.direct._store_reach.backoff_s", noted)
+        await reach.pause(9, is_probe=True)
+        await reach.pause(9)
+        assert bounds[0] < 1.0 < bounds[1]
