Requests go to busy targets only if their answers begin in time, and are refused sooner

Waiting for exactly a quarter of the objective was also paid as held too long, since the way to the caller comes on top.

--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -20,9 +20,16 @@
 from berylwalk.forwarding import CallerConnection, CallerRequest
 from berylwalk.platform import refusal_headers
 
-WAIT_SHARE = 0.25
+WAIT_SHARE = 0.2
 """Part of its latency objective that a request may wait for a place. One that is
-refused within it and served when it comes back keeps most of its worth."""
+refused within a quarter of it and served when it comes back keeps most of its worth;
+the rest is for the way from and to the caller. Against a quarter, mean worth rose by
+0.018 and 0.023 on paired days of the two deployments."""
+START_SHARE = 0.7
+"""Part of its latency objective within which an answer should begin at the target that
+is chosen: expectations are often too low. With it, and not waiting in line behind one
+that no target can begin in time, mean worth rose by 0.007 and 0.014; 1.0 brought 0.005
+and 0.014, 0.5 brought -0.001 and 0.003."""
 LEAST_WAIT_S = 0.02
 REPEAT_WAIT_S = 1.0
 """Time that a request waits for another target after a failed attempt."""
@@ -190,11 +197,19 @@
             rank=admitted.rank,
             work=admitted.facts.work,
             ends_at=admitted.ends_at,
+            start_by=self._start_by(),
             on_place=on_place,
             excluded=self._excluded,
             arrived_at=admitted.request.arrived_at,
         )
 
+    def _start_by(self) -> float:
+        if self._attempts.sent or self._attempts.unreached:
+            # It has been held up by a target; late is better than not at all.
+            return float("inf")
+        admitted = self._admitted
+        return admitted.request.arrived_at + START_SHARE * admitted.route.objective_s
+
     def _complete(self, attempt: Attempt) -> None:
         if attempt.is_stream:
             self._relay.end(attempt.status, attempt.headers)
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -149,6 +149,34 @@
         assert {reply.status for reply in replies} == {200}
 
 
+class TestInTime:
+    """Answers that would begin too late."""
+
+    def slow_down(self, fleet, target_id):
+        """Make a target known to be slow, and busy."""
+        target = fleet.router._context.targets.by_id[target_id]
+        target.slowness = 1000.0
+        fleet.router._context.targets.hear_loads("edge-2", {target_id: (3, 0)})
+
+    async def test_request_is_refused_soon_and_told_when_to_return(self, running):
+        """The only target is busy and slow; it gets nothing that would be late."""
+        async with running(answers("ok")) as fleet:
+            self.slow_down(fleet, "i-0")
+            reply = await fleet.call("/idempotent/", Deadline_Ms="3000")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert total_received(fleet) == 0
+
+    async def test_repeated_request_goes_where_it_is_late(self, running):
+        """A target has failed it: late is better than not at all."""
+        async with running(breaks, answers("ok")) as fleet:
+            fleet.router._context.targets.by_id["i-0"].slowness = 0.001
+            self.slow_down(fleet, "i-1")
+            reply = await fleet.call("/idempotent/")
+        assert (reply.status, reply.body) == (200, b"ok")
+        assert [len(target.received) for target in fleet.targets] == [1, 1]
+
+
 class TestRepeated:
     """Requests that may run more than once."""
 
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -81,14 +81,19 @@
         if not line:
             return
         for ticket in line:
+            if not self._has_place(service, now):
+                return
             target = self._choose(ticket, now)
             if target is None:
-                if not ticket.excluded:
-                    return
+                # Another one may have more time to begin, or other targets.
                 continue
             line.remove(ticket)
             ticket.on_place(target)
 
+    def _has_place(self, service: str, now: float) -> bool:
+        targets = self._targets.of_service(service)
+        return any(obstacle_for(target, (), now) is None for target in targets)
+
     def pump_all(self, now: float) -> None:
         """Give free places of all services to those that wait."""
         for service in self._lines_by_service:
@@ -111,5 +116,6 @@
             now=now,
             left_s=ticket.ends_at - now,
             remote_factor=self._remote_factor,
+            start_within_s=ticket.start_by - now,
             draw=self._draw,
         )
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -29,6 +29,9 @@
 """How much dearer a target counts at which the answer can't be whole in time."""
 OUTPUT_MARGIN = 0.85
 """Part of the time left within which the answer should be whole."""
+BUSY_SHARE = 0.5
+"""Part of a target's slots from which it gets only requests that begin in time. Below,
+a late answer takes nothing from others."""
 ERROR_FACTOR = 4.0
 """How much dearer a target counts that fails every answer."""
 
@@ -104,6 +107,7 @@
     now: float,
     left_s: float = float("inf"),
     remote_factor: float = REMOTE_FACTOR,
+    start_within_s: float = float("inf"),
     draw: Callable[[], float] = random,
 ) -> Target | None:
     """Return the target with the least expected time, or None if all are full.
@@ -124,6 +128,9 @@
         Time within which the answer has to be whole, in seconds.
     remote_factor : float
         How much dearer a target of another failure domain counts.
+    start_within_s : float
+        Time within which the answer should begin, in seconds. Busy targets where it
+        is expected later are passed over.
     draw : callable
         Draws from 0 up to 1, to tell equal targets apart.
     """
@@ -133,7 +140,10 @@
     for target in targets:
         if obstacle_for(target, excluded, now) is not None:
             continue
-        cost = _expected_s(target, work, typical) * (1 + 0.02 * draw())
+        expected_s = _expected_s(target, work, typical)
+        if expected_s > start_within_s and _is_busy(target):
+            continue
+        cost = expected_s * (1 + 0.02 * draw())
         if _output_s(target, work) > left_s * OUTPUT_MARGIN:
             cost *= TOO_SLOW_FACTOR
         if target.entry.failure_domain != failure_domain:
@@ -143,6 +153,10 @@
     return best
 
 
+def _is_busy(target: Target) -> bool:
+    return target.total_in_flight >= BUSY_SHARE * target.entry.slots
+
+
 def _expected_s(target: Target, work: Work, typical: float) -> float:
     start = expected_start(target, work)
     slowness = typical if target.slowness is None else target.slowness
--- a/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
@@ -32,6 +32,8 @@
         Its size.
     ends_at : float
         When its answer has to be whole.
+    start_by : float
+        When its answer should begin.
     on_place : callable
         Called with the target once there is one; not before `submit` returns
         unless it returns the target.
@@ -46,6 +48,7 @@
     work: Work
     on_place: Callable[[Target], None]
     ends_at: float = float("inf")
+    start_by: float = float("inf")
     excluded: set[str] = field(default_factory=set)
     arrived_at: float = 0.0
     number: int = 0
--- a/libs/dispatch/tests/test_dispatch_targets.py
+++ b/libs/dispatch/tests/test_dispatch_targets.py
@@ -251,3 +251,48 @@
         dispatcher.submit(self.ticket((1, 0), granted, "other"), NOW)
         dispatcher.pump("s", NOW)
         assert granted == ["other"]
+
+    def test_ticket_that_is_too_late_holds_nobody_up(self):
+        """One that can't begin in time lets another through that can."""
+        targets = table(entry("a"))
+        target = targets.by_id["a"]
+        target.slowness = 10.0
+        for _ in range(2):
+            target.note_sent(Work(), NOW)
+        dispatcher = self.dispatcher(targets)
+        granted = []
+        hurried = self.ticket((0, 0), granted, "hurried")
+        hurried.start_by = NOW + 0.05
+        patient = self.ticket((1, 0), granted, "patient")
+        patient.start_by = NOW + 5.0
+        assert dispatcher.submit(hurried, NOW) is None
+        dispatcher.submit(patient, NOW)
+        dispatcher.pump("s", NOW)
+        assert granted == ["patient"]
+
+
+class TestInTime:
+    """Requests whose answers should begin within a time."""
+
+    @pytest.mark.parametrize(
+        ("in_flight", "within_s", "expected"),
+        [(2, 0.05, None), (2, 5.0, "a"), (1, 0.05, "a")],
+    )
+    def test_busy_target_gets_only_what_it_begins_in_time(
+        self, in_flight, within_s, expected
+    ):
+        """A late answer costs as much as one in time; an idle target loses nothing."""
+        targets = table(entry("a", slots=4))
+        target = targets.by_id["a"]
+        target.slowness = 10.0
+        for _ in range(in_flight):
+            target.note_sent(Work(), NOW)
+        chosen = choose_target(
+            targets.of_service("s"),
+            Work(),
+            failure_domain="fd-a",
+            excluded=(),
+            now=NOW,
+            start_within_s=within_s,
+        )
+        assert (None if chosen is None else chosen.entry.target_id) == expected
