Soak over real processes of the direct router; targets passed over for their lateness are named

Three routers, a store and targets that crash, drain and come anew; routers are killed and stopped, the store is away, loses answers and its history, by a seed. Every answer is held against what the targets ran: at most once, 'not run' true, whole and of the right request, streams in order; at the end each router serves.

request-not-placed now says too-late for busy targets where the answer would begin late; before, they were missing among the obstacles.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 READY := .venv/.ready
 LIBS := platform/ $(sort $(dir $(wildcard libs/*/pyproject.toml)))
 
-.PHONY: setup demo test lint format fuzz prove-oracle bench overhead slopes docs clean
+.PHONY: setup demo test lint format fuzz soak prove-oracle bench overhead slopes docs clean
 
 setup: $(READY)
 
@@ -30,6 +30,9 @@
 fuzz: setup
 	BERYLWALK_FUZZ=long $(PYTHON) -P -m pytest tests/fuzz
 
+soak: setup
+	BERYLWALK_SOAK=$(shell seq -s, 1 40) $(PYTHON) -P -m pytest libs/direct/tests/test_direct_soak.py
+
 prove-oracle: setup
 	$(PYTHON) tests/fuzz/prove_oracle.py
 
--- a/libs/direct/tests/direct_fleet.py
+++ b/libs/direct/tests/direct_fleet.py
@@ -40,6 +40,7 @@
     service: str = "s"
     received: list = field(default_factory=list)
     open_requests: int = 0
+    writers: set = field(default_factory=set)
 
     async def start(self):
         self.server = await start_server(self._serve, HOST, self.port)
@@ -47,6 +48,12 @@
     async def close(self):
         self.server.close()
 
+    async def crash(self):
+        """Close, and break off all answers."""
+        await self.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def entry(self, **changes):
         """Return the entry in the store."""
         value = {
@@ -59,6 +66,7 @@
         return dumps({**value, **changes}).encode()
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -77,6 +85,7 @@
         except (IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
--- /dev/null
+++ b/libs/direct/tests/test_direct_soak.py
@@ -0,0 +1,256 @@
+"""Random faults against real processes of the direct router.
+
+Each request is numbered; targets note which ones they ran, and every answer is held
+against that. ``BERYLWALK_SOAK`` sets the seeds, such as ``1,2,3``.
+"""
+
+import os
+import sys
+from collections import Counter
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from json import dumps
+from random import Random
+from signal import SIGKILL, SIGTERM
+from subprocess import DEVNULL, Popen
+
+import pytest
+from anyio import create_task_group, sleep
+
+from berylwalk.standins import serving
+from direct_fleet import (
+    EVENTS,
+    HOST,
+    STORE,
+    Fleet,
+    ScriptedTarget,
+    chunk,
+    event,
+    head,
+)
+
+pytestmark = pytest.mark.anyio
+SEEDS = [int(seed) for seed in os.environ.get("BERYLWALK_SOAK", "1,3").split(",")]
+STEPS = 24
+CALLS_OF_A_STEP = 8
+EVENTS_OF_A_STREAM = 6
+RUN_S = 0.04
+"""Time that a target takes for a request: faults come in the middle of it."""
+KINDS = ("idempotent", "non_idempotent", "streaming")
+NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+@dataclass
+class Ledger:
+    """What targets ran, and what callers were told."""
+
+    runs: Counter = field(default_factory=Counter)
+    answers: list = field(default_factory=list)
+
+    async def run(self, request, writer):
+        """Run a request as a target does; the answer tells its number."""
+        number = request.headers["attempt-id"]
+        self.runs[number] += 1
+        if "/streaming/" not in request.path:
+            await sleep(RUN_S)
+            body = f"answer of {number}".encode()
+            writer.write(head(request, length=len(body)) + body)
+            return
+        writer.write(head(request, kind=EVENTS, more="Transfer-Encoding: chunked\r\n"))
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for each in range(first, EVENTS_OF_A_STREAM + 1):
+            writer.write(chunk(event(each)))
+            await writer.drain()
+            await sleep(RUN_S / EVENTS_OF_A_STREAM)
+        writer.write(b"0\r\n\r\n")
+
+    def check(self):
+        """Hold every answer against what ran."""
+        for number, kind, reply in self.answers:
+            runs = self.runs[number]
+            if kind == "non_idempotent":
+                assert runs <= 1, f"{number} ran {runs} times"
+                if reply is not None and reply.status in NOT_RUN:
+                    assert runs == 0, f"{number} was said not to have run"
+            if reply is None or reply.status != 200 or not reply.whole:
+                continue
+            expected = f"answer of {number}".encode()
+            if kind == "streaming":
+                expected = b"".join(map(event, range(1, EVENTS_OF_A_STREAM + 1)))
+            assert reply.body == expected, f"{number} got another answer"
+
+
+class Routers:
+    """Processes of the direct router."""
+
+    def __init__(self, settings_files):
+        self._files = settings_files
+        self.processes = [self._start(path) for path in settings_files]
+
+    def _start(self, path):
+        command = [sys.executable, "-m", "berylwalk.direct", "--settings", path]
+        return Popen(command, stdout=DEVNULL)
+
+    def restart(self, number, signal):
+        """End a process by a signal and start it again."""
+        process = self.processes[number]
+        assert process.poll() is None, "a router ended by itself"
+        process.send_signal(signal)
+        process.wait()
+        self.processes[number] = self._start(self._files[number])
+
+    def close(self):
+        """End all."""
+        for process in self.processes:
+            process.kill()
+            process.wait()
+
+
+class Soak:
+    """One run: faults by a seed, and callers all the while."""
+
+    def __init__(self, fleet, routers, ledger, random):
+        self.fleet = fleet
+        self.routers = routers
+        self.ledger = ledger
+        self.random = random
+        self.addresses = []
+        self.targets_made = []
+
+    async def add_target(self):
+        """Start a target and list it."""
+        number = len(self.targets_made)
+        target = ScriptedTarget(f"i-{number}", 22_200 + number, self.ledger.run)
+        await target.start()
+        self.targets_made.append(target)
+        self.fleet.targets.append(target)
+        self.fleet.put_target(target)
+
+    async def step(self):
+        """Do one thing that may go wrong in production."""
+        faults = self.fleet.platform.faults
+        match self.random.choice(
+            ("kill", "stop", "outage", "lost", "compact", "crash", "drain", "version")
+        ):
+            case "kill":
+                self.routers.restart(self.random.randrange(3), SIGKILL)
+            case "stop":
+                self.routers.restart(self.random.randrange(3), SIGTERM)
+            case "outage":
+                faults.down = not faults.down
+            case "lost":
+                faults.lose_answers = 3
+            case "compact":
+                self.fleet.platform.store.compact()
+            case "crash":
+                target = self.fleet.targets.pop(0)
+                await target.crash()
+                await self.add_target()
+                self.fleet.platform.store.delete(f"servers/{target.target_id}".encode())
+            case "drain":
+                target = self.fleet.targets.pop(0)
+                self.fleet.put_target(target, state="draining")
+                await self.add_target()
+            case "version":
+                self.fleet.put_configuration()
+
+    async def call(self, number):
+        """Make one call at some router and note what came back."""
+        kind = self.random.choice(KINDS)
+        self.fleet.settings = self.random.choice(self.addresses)
+        try:
+            reply = await self.fleet.call(
+                f"/{kind}/", request_id=number, Deadline_Ms="2000"
+            )
+        except (ConnectionError, EOFError):
+            reply = None
+        self.ledger.answers.append((number, kind, reply))
+        return reply
+
+    async def until_served(self):
+        """Heal the store, and wait until each router serves."""
+        self.fleet.platform.faults.down = False
+        every = self.addresses
+        for address in every:
+            self.addresses = [address]
+            reply = None
+            while reply is None or reply.status != 200:
+                reply = await self.call(f"healed-{len(self.ledger.answers)}")
+                await sleep(0.05)
+        self.addresses = every
+
+
+@pytest.fixture
+def soaking(make_settings, free_port, tmp_path):
+    """Return a context manager that runs three routers and two targets."""
+
+    @asynccontextmanager
+    async def run(seed):
+        settings = [make_settings(name=f"edge-{number}") for number in range(3)]
+        # Routers find each other by the store; the metrics port follows the peers'.
+        files = []
+        for number, each in enumerate(settings):
+            ports = [22_000 + 10 * number, 22_001 + 10 * number]
+            path = tmp_path / f"{each.name}.json"
+            path.write_text(dumps(settings_document(each, ports)))
+            files.append(str(path))
+        fleet = Fleet(settings[0])
+        for kind in KINDS:
+            fleet.route(kind, resumable=kind == "streaming")
+        ledger = Ledger()
+        async with serving(fleet.platform.handle, *STORE, fleet.platform.run):
+            fleet.put_configuration()
+            routers = Routers(files)
+            soak = Soak(fleet, routers, ledger, Random(seed))
+            soak.addresses = settings
+            try:
+                for _ in range(2):
+                    await soak.add_target()
+                await soak.until_served()
+                yield soak
+            finally:
+                routers.close()
+                for target in soak.targets_made:
+                    await target.close()
+
+    return run
+
+
+def settings_document(settings, ports):
+    """Return the settings file that a platform would place."""
+    caller, readiness = settings.caller_address, settings.readiness_address
+    return {
+        "node-name": settings.name,
+        "ip": HOST,
+        "zone": settings.failure_domain,
+        "listen": {
+            "front": f"{caller.host}:{caller.port}",
+            "readiness": f"{readiness.host}:{readiness.port}",
+        },
+        "port-range": ports,
+        "platform": {"address": f"{STORE[0]}:{STORE[1]}"},
+        "bounds": {"grace-s": 4, "quota-window-s": 1},
+    }
+
+
+class TestSoak:
+    """Whatever happens, answers are whole and true."""
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    async def test_answers_are_true_under_random_faults(self, soaking, seed):
+        """And all routers serve again once the faults are over."""
+        async with soaking(seed) as soak:
+            for step in range(STEPS):
+                async with create_task_group() as calls:
+                    for number in range(CALLS_OF_A_STEP):
+                        calls.start_soon(soak.call, f"s{step}-{number}")
+                    await sleep(RUN_S / 2)
+                    await soak.step()
+            await soak.until_served()
+            assert all(process.poll() is None for process in soak.routers.processes)
+            soak.ledger.check()
+        statuses = Counter(
+            None if reply is None else reply.status
+            for _, _, reply in soak.ledger.answers
+        )
+        assert statuses[200] > STEPS
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -8,6 +8,7 @@
     REMOTE_FACTOR,
     choose_target,
     obstacle_for,
+    targets_too_late,
 )
 from berylwalk.dispatch._target import Target
 from berylwalk.dispatch._target_entries import Obstacle
@@ -101,11 +102,17 @@
 
     def obstacles(self, ticket: Ticket, now: float) -> dict[str, Obstacle]:
         """Return why each target of a service can't be chosen, by target id."""
-        found = {
-            target.entry.target_id: obstacle_for(target, ticket.excluded, now)
-            for target in self._targets.of_service(ticket.service)
-        }
-        return {name: obstacle for name, obstacle in found.items() if obstacle}
+        targets = self._targets.of_service(ticket.service)
+        too_late = targets_too_late(targets, ticket.work, ticket.start_by - now)
+        found = {}
+        for target in targets:
+            target_id = target.entry.target_id
+            obstacle = obstacle_for(target, ticket.excluded, now)
+            if obstacle is None and target_id in too_late:
+                obstacle = Obstacle.TOO_LATE
+            if obstacle is not None:
+                found[target_id] = obstacle
+        return found
 
     def _choose(self, ticket: Ticket, now: float) -> Target | None:
         return choose_target(
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -141,7 +141,7 @@
         if obstacle_for(target, excluded, now) is not None:
             continue
         expected_s = _expected_s(target, work, typical)
-        if expected_s > start_within_s and _is_busy(target):
+        if _starts_too_late(target, expected_s, start_within_s):
             continue
         cost = expected_s * (1 + 0.02 * draw())
         if _output_s(target, work) > left_s * OUTPUT_MARGIN:
@@ -153,8 +153,21 @@
     return best
 
 
-def _is_busy(target: Target) -> bool:
-    return target.total_in_flight >= BUSY_SHARE * target.entry.slots
+def targets_too_late(
+    targets: Sequence[Target], work: Work, start_within_s: float
+) -> set[str]:
+    """Return the ids of targets that are passed over since they would begin late."""
+    typical = _typical_slowness(targets)
+    return {
+        target.entry.target_id
+        for target in targets
+        if _starts_too_late(target, _expected_s(target, work, typical), start_within_s)
+    }
+
+
+def _starts_too_late(target: Target, expected_s: float, within_s: float) -> bool:
+    is_busy = target.total_in_flight >= BUSY_SHARE * target.entry.slots
+    return is_busy and expected_s > within_s
 
 
 def _expected_s(target: Target, work: Work, typical: float) -> float:
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -21,6 +21,9 @@
     SILENT = "silent"
     ERRORS = "errors"
     FULL = "full"
+    TOO_LATE = "too-late"
+    """It is busy, and the answer would begin later than it should."""
+
     EXCLUDED = "excluded"
     """It was tried for this request."""
 
--- a/libs/dispatch/tests/test_dispatch_targets.py
+++ b/libs/dispatch/tests/test_dispatch_targets.py
@@ -4,6 +4,7 @@
 
 from berylwalk.dispatch import (
     Dispatcher,
+    Obstacle,
     TargetEntry,
     TargetState,
     TargetTable,
@@ -266,6 +267,7 @@
         patient = self.ticket((1, 0), granted, "patient")
         patient.start_by = NOW + 5.0
         assert dispatcher.submit(hurried, NOW) is None
+        assert dispatcher.obstacles(hurried, NOW) == {"a": Obstacle.TOO_LATE}
         dispatcher.submit(patient, NOW)
         dispatcher.pump("s", NOW)
         assert granted == ["patient"]
