--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -105,45 +105,48 @@
     async def _tell(self) -> None:
         while True:
             await sleep(tell_interval_s(len(self._context.peers.near())))
-            self._share_with_silent_peers()
+            self._leave_to_silent_peers()
             self._send_if_due()
 
     async def _relay(self) -> None:
         while True:
             await sleep(RELAY_S)
             peers, now = self._context.peers, self._context.clock()
-            if not peers.is_relay(now):
-                continue
             far_domains = peers.far_domains()
-            if not far_domains:
-                continue
-            data = msgpack.encode(self._domain_message(now))
-            for failure_domain in far_domains:
-                receiver = peers.relay_of(failure_domain, now)
-                if receiver is not None:
-                    self._send(data, [receiver])
-
-    def _share_with_silent_peers(self) -> None:
+            if far_domains and peers.is_relay(now):
+                self._tell_domains(far_domains, now)
+
+    def _tell_domains(self, far_domains: set[str], now: float) -> None:
+        data = msgpack.encode(self._domain_message(now))
+        for failure_domain in far_domains:
+            receiver = self._context.peers.relay_of(failure_domain, now)
+            if receiver is not None:
+                self._send(data, [receiver])
+
+    def _leave_to_silent_peers(self) -> None:
+        """Leave silent peers their part of the allowances, and forget their loads."""
         context = self._context
         peers, now = context.peers, context.clock()
-        heard = peers.heard(now)
-        context.allowances.set_share(heard, peers.known())
-        domains_heard = set()
-        for peer in peers.by_name.values():
-            if not peers.is_near(peer) or not peers.is_heard(peer, now):
-                # What a silent one had in flight is answered by now or unknown,
-                # and a far one is counted with its failure domain.
-                context.targets.hear_loads(peer.name, {})
-            if peers.is_heard(peer, now):
-                domains_heard.add(peer.failure_domain)
-        far_domains = peers.far_domains()
-        context.dispatcher.set_relayed(bool(far_domains))
+        context.allowances.set_share(peers.heard(now), peers.known())
+        context.dispatcher.set_relayed(bool(peers.far_domains()))
+        counted = self._counted_sources(now)
         for source in context.targets.sources_of_loads():
-            domain = source.removeprefix(DOMAIN_SOURCE)
-            is_counted = domain in far_domains and domain in domains_heard
-            if source.startswith(DOMAIN_SOURCE) and not is_counted:
+            if source not in counted:
+                # What it had in flight is answered by now or unknown.
                 context.targets.hear_loads(source, {})
 
+    def _counted_sources(self, now: float) -> set[str]:
+        """Return under which names loads count: near peers and far domains heard."""
+        peers = self._context.peers
+        heard = [peer for peer in peers.by_name.values() if peers.is_heard(peer, now)]
+        near = {peer.name for peer in heard if peers.is_near(peer)}
+        far = {
+            DOMAIN_SOURCE + peer.failure_domain
+            for peer in heard
+            if not peers.is_near(peer)
+        }
+        return near | far
+
     def _send_if_due(self) -> None:
         context = self._context
         loads = context.targets.own_loads()
