--- a/libs/dispatch/src/berylwalk/dispatch/_outcomes.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_outcomes.py
@@ -60,6 +60,8 @@
         Targets at which it may have run.
     refused : int
         Targets that said that they didn't run it.
+    unreached : int
+        Targets to which no connection was made.
     """
 
     sent: int = 0
