Places for the most urgent rank; starts by a learned model, not by constants

And slowness was learned against constants of another engine: median expected 237 ms where 107 ms were taken, a fast target 0.4 when full and 1.4 when idle.

Two places of each target are left to the most urgent rank seen lately. The time to a first event is a fixed part, reading, and attention, learned per service and scaled by the output speed of each target; targets whose streams pause too long cost more, and a prompt goes where its reading holds nobody up.

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -10,6 +10,9 @@
 from berylwalk.platform import REQUEST_ID_HEADER, says_not_run
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+EVENTS_TOLD = 8
+"""Events of a stream after which its speed is told: a slow target shows within a
+second or less, and not only at the end of a long answer."""
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -31,6 +34,8 @@
         Time of the loop, in seconds.
     on_first_event : callable
         Called when the first event has arrived.
+    on_output : callable
+        Called now and then with a number of events and the seconds that they took.
 
     Attributes
     ----------
@@ -50,12 +55,16 @@
         expects_stream: bool,
         clock: Callable[[], float],
         on_first_event: Callable[[], None],
+        on_output: Callable[[int, float], None],
     ) -> None:
         self._relay = relay
         self._request_id = request_id
         self._expects_stream = expects_stream
         self._clock = clock
         self._on_first_event = on_first_event
+        self._on_output = on_output
+        self._events_told = 0
+        self._told_at = 0.0
         self._splitter: EventSplitter | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -113,11 +122,21 @@
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
         self.last_event_at = now
         if self.first_event_at is None:
-            self.first_event_at = self.last_event_at
+            self.first_event_at = self._told_at = now
+            self._events_told = len(events)
             self._on_first_event()
         self.events += len(events)
+        if self.events - self._events_told >= EVENTS_TOLD:
+            self._tell_output(now)
         self._relay.pass_on(self.status, self.headers, events)
 
+    def _tell_output(self, now: float) -> None:
+        events = self.events - self._events_told
+        if events > 0:
+            self._on_output(events, now - self._told_at)
+        self._events_told = self.events
+        self._told_at = now
+
     def on_end(self, end: AnswerEnd, detail: str) -> None:
         """Take the end of the answer."""
         if self.end is not None:
@@ -128,6 +147,8 @@
             if self._splitter.has_rest:
                 self._finish(AttemptEnd.BROKEN, "the last event is not whole")
             else:
+                if self.last_event_at is not None:
+                    self._tell_output(self.last_event_at)
                 self._finish(AttemptEnd.ANSWERED, "")
         else:
             self._finish(*self._judge_whole_answer())
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -198,6 +198,7 @@
             work=admitted.facts.work,
             ends_at=admitted.ends_at,
             start_by=self._start_by(),
+            longest_pause_s=admitted.route.longest_pause_s,
             on_place=on_place,
             excluded=self._excluded,
             arrived_at=admitted.request.arrived_at,
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -62,12 +62,14 @@
             target=target.entry.target_id,
             prompt_tokens=admitted.facts.work.prompt_tokens,
             output_tokens=admitted.facts.work.output_tokens,
-            ahead_tokens=target.waiting_tokens + target.peer_tokens,
-            expected_ms=_ms((target.slowness or 1.0) * start.reference_s),
+            ahead_tokens=start.ahead_tokens,
+            expected_ms=_ms(start.total_s),
+            reading_ms=_ms(start.reading_s),
             slot_wait_ms=_ms(start.slot_wait_s),
             in_flight=target.in_flight,
             peer_in_flight=target.peer_in_flight,
-            slowness=None if target.slowness is None else round(target.slowness, 2),
+            token_ms=_known_ms(target.output_token_s),
+            paused_share=round(target.paused_share, 3),
             error_share=round(target.errors, 3),
         )
 
@@ -155,5 +157,9 @@
         )
 
 
+def _known_ms(seconds: float | None) -> float | None:
+    return None if seconds is None else _ms(seconds)
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
--- a/libs/direct/src/berylwalk/direct/_gauges.py
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -18,7 +18,7 @@
     for target_id, target in context.targets.by_id.items():
         metrics.in_flight.labels(target_id).set(target.in_flight)
         metrics.peer_in_flight.labels(target_id).set(target.peer_in_flight)
-        metrics.target_slowness.labels(target_id).set(target.slowness or 0.0)
+        metrics.target_token_s.labels(target_id).set(target.output_token_s or 0.0)
         metrics.target_errors.labels(target_id).set(target.errors)
         heard_s = min(now - target.heard_at, LONGEST_AGE_S)
         metrics.target_heard_age_s.labels(target_id).set(heard_s)
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -76,8 +76,8 @@
         self.peer_in_flight = self._gauge(
             "target_peer_in_flight", "Requests of other routers.", "target"
         )
-        self.target_slowness = self._gauge(
-            "target_slowness", "Time to a first event against the reference.", "target"
+        self.target_token_s = self._gauge(
+            "target_token_s", "Time for an output token, in seconds.", "target"
         )
         self.target_errors = self._gauge(
             "target_error_share", "Moving share of failed answers.", "target"
@@ -102,7 +102,7 @@
         for gauge in (
             self.in_flight,
             self.peer_in_flight,
-            self.target_slowness,
+            self.target_token_s,
             self.target_errors,
             self.target_heard_age_s,
         ):
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -89,12 +89,11 @@
         self._log.tell_placed(self._admitted, target, start)
 
         def on_first_event() -> None:
-            target.note_first_event(
-                work,
-                expected_s=start.reference_s,
-                waited_s=start.slot_wait_s,
-                taken_s=self._context.clock() - sent_at,
-            )
+            target.note_first_event(work, start, self._context.clock() - sent_at)
+
+        def on_output(events: int, taken_s: float) -> None:
+            tokens = self._tokens_per_event() * events
+            target.note_output(tokens, events, taken_s)
 
         return Attempt(
             self._relay,
@@ -102,6 +101,7 @@
             expects_stream=self._admitted.route.kind is RouteKind.STREAMING,
             clock=self._context.clock,
             on_first_event=on_first_event,
+            on_output=on_output,
         )
 
     def _may_still_send(self, target: Target) -> bool:
@@ -211,8 +211,8 @@
         if started_at is None:
             return
         target.note_slot_time(now - started_at)
-        tokens = self._tokens_per_event() * (attempt.events - 1)
-        target.note_output(tokens, attempt.last_event_at - started_at)
+        longest_s = self._admitted.route.longest_pause_s
+        target.note_paused(attempt.longest_pause_s > longest_s > 0)
 
     def _tokens_per_event(self) -> int:
         current = self._context.configuration.current
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -155,7 +155,7 @@
     def slow_down(self, fleet, target_id):
         """Make a target known to be slow, and busy."""
         target = fleet.router._context.targets.by_id[target_id]
-        target.slowness = 1000.0
+        target.fixed_s = 1000.0
         fleet.router._context.targets.hear_loads("edge-2", {target_id: (3, 0)})
 
     async def test_request_is_refused_soon_and_told_when_to_return(self, running):
@@ -170,7 +170,7 @@
     async def test_repeated_request_goes_where_it_is_late(self, running):
         """A target has failed it: late is better than not at all."""
         async with running(breaks, answers("ok")) as fleet:
-            fleet.router._context.targets.by_id["i-0"].slowness = 0.001
+            fleet.router._context.targets.by_id["i-0"].fixed_s = 0.001
             self.slow_down(fleet, "i-1")
             reply = await fleet.call("/idempotent/")
         assert (reply.status, reply.body) == (200, b"ok")
@@ -244,8 +244,8 @@
             fleet.targets[1].script = streams(1, 20)
             # The target that breaks off looks faster, so it is asked first.
             by_id = fleet.router._context.targets.by_id
-            by_id["i-0"].slowness = 0.01
-            by_id["i-1"].slowness = 9.0
+            by_id["i-0"].fixed_s = 0.01
+            by_id["i-1"].fixed_s = 9.0
             reply = await fleet.call("/streaming/")
             assert len(fleet.targets[0].received) == 1
         assert reply.whole
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -20,7 +20,7 @@
 from berylwalk.dispatch._outcomes import AttemptEnd, Attempts
 from berylwalk.dispatch._peer_view import PEERS_OF_ONE_MESH, Peer, PeerTable
 from berylwalk.dispatch._placing import (
-    ExpectedStart,
+    PlaceRequest,
     choose_target,
     expected_start,
     place_limit,
@@ -28,7 +28,8 @@
 from berylwalk.dispatch._retries import WindowedRetryBudget
 from berylwalk.dispatch._return_times import return_time_s
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
-from berylwalk.dispatch._target import Target
+from berylwalk.dispatch._start_model import StartModel
+from berylwalk.dispatch._target import ExpectedStart, Target
 from berylwalk.dispatch._target_entries import (
     Obstacle,
     TargetEntry,
@@ -57,12 +58,14 @@
     "Obstacle",
     "Peer",
     "PeerTable",
+    "PlaceRequest",
     "Route",
     "RouteKind",
     "RouterSettings",
     "Service",
     "ServiceShare",
     "SocketAddress",
+    "StartModel",
     "Target",
     "TargetEntry",
     "TargetState",
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -6,6 +6,7 @@
 from berylwalk.dispatch._placing import (
     RELAYED_REMOTE_FACTOR,
     REMOTE_FACTOR,
+    PlaceRequest,
     choose_target,
     obstacle_for,
     targets_too_late,
@@ -15,6 +16,9 @@
 from berylwalk.dispatch._target_table import TargetTable
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
 
+RANK_SEEN_S = 5.0
+"""Time for which places are reserved for a rank after its last request, in seconds."""
+
 
 class Dispatcher:
     """Places requests at once or keeps them waiting.
@@ -41,6 +45,7 @@
         self._draw = draw
         self._lines_by_service: dict[str, WaitingLine] = {}
         self._remote_factor = REMOTE_FACTOR
+        self._seen_at_by_rank: dict[tuple[str, tuple[int, int]], float] = {}
 
     def set_relayed(self, is_relayed: bool) -> None:
         """Tell whether loads of other failure domains are heard through relays."""
@@ -64,6 +69,7 @@
         line = self._lines_by_service.get(ticket.service)
         if line is None:
             line = self._lines_by_service[ticket.service] = WaitingLine()
+        self._seen_at_by_rank[ticket.service, ticket.rank] = now
         if not line.waits_before(ticket.rank):
             target = self._choose(ticket, now)
             if target is not None:
@@ -82,18 +88,31 @@
         if not line:
             return
         for ticket in line:
-            if not self._has_place(service, now):
-                return
+            if not self._has_place(ticket, now):
+                # Another one may be more urgent or have other targets.
+                continue
             target = self._choose(ticket, now)
             if target is None:
-                # Another one may have more time to begin, or other targets.
+                # Another one may have more time to begin.
                 continue
             line.remove(ticket)
             ticket.on_place(target)
 
-    def _has_place(self, service: str, now: float) -> bool:
-        targets = self._targets.of_service(service)
-        return any(obstacle_for(target, (), now) is None for target in targets)
+    def _has_place(self, ticket: Ticket, now: float) -> bool:
+        is_most_urgent = self._is_most_urgent(ticket, now)
+        return any(
+            obstacle_for(target, (), now, is_most_urgent=is_most_urgent) is None
+            for target in self._targets.of_service(ticket.service)
+        )
+
+    def _is_most_urgent(self, ticket: Ticket, now: float) -> bool:
+        """Return whether no higher rank was seen lately at the same service."""
+        return not any(
+            service == ticket.service
+            and rank < ticket.rank
+            and now - seen_at < RANK_SEEN_S
+            for (service, rank), seen_at in self._seen_at_by_rank.items()
+        )
 
     def pump_all(self, now: float) -> None:
         """Give free places of all services to those that wait."""
@@ -103,11 +122,17 @@
     def obstacles(self, ticket: Ticket, now: float) -> dict[str, Obstacle]:
         """Return why each target of a service can't be chosen, by target id."""
         targets = self._targets.of_service(ticket.service)
-        too_late = targets_too_late(targets, ticket.work, ticket.start_by - now)
+        request = self._request(ticket, now)
+        too_late = targets_too_late(targets, request, now)
         found = {}
         for target in targets:
             target_id = target.entry.target_id
-            obstacle = obstacle_for(target, ticket.excluded, now)
+            obstacle = obstacle_for(
+                target,
+                request.excluded,
+                now,
+                is_most_urgent=request.is_most_urgent,
+            )
             if obstacle is None and target_id in too_late:
                 obstacle = Obstacle.TOO_LATE
             if obstacle is not None:
@@ -117,12 +142,19 @@
     def _choose(self, ticket: Ticket, now: float) -> Target | None:
         return choose_target(
             self._targets.of_service(ticket.service),
-            ticket.work,
+            self._request(ticket, now),
             failure_domain=self._failure_domain,
-            excluded=ticket.excluded,
             now=now,
-            left_s=ticket.ends_at - now,
             remote_factor=self._remote_factor,
-            start_within_s=ticket.start_by - now,
             draw=self._draw,
         )
+
+    def _request(self, ticket: Ticket, now: float) -> PlaceRequest:
+        return PlaceRequest(
+            work=ticket.work,
+            excluded=ticket.excluded,
+            is_most_urgent=self._is_most_urgent(ticket, now),
+            left_s=ticket.ends_at - now,
+            start_within_s=ticket.start_by - now,
+            longest_pause_s=ticket.longest_pause_s,
+        )
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -1,16 +1,16 @@
-"""Which target gets a request."""
+"""Which target gets a request.
+
+Load pattern: bursts of two to three times the usual, with some engines gone. All
+places are taken then, and what decides is who gets those that fall free.
+"""
 
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from random import random
 
-from berylwalk.dispatch._target import TOKEN_S, Target, reading_time_s
+from berylwalk.dispatch._target import UNKNOWN_TOKEN_S, ExpectedStart, Target
 from berylwalk.dispatch._target_entries import Obstacle, Work
 
-FIRST_S = 0.010
-"""Time of the reference engine to a first event without a prompt, in seconds."""
-REQUEST_S = 0.001
-"""The same for each request that it works on besides."""
 TURN_WAIT_S = 0.15
 """Longest wait for a slot inside a target, in seconds: less than half of the
 objectives of interactive requests."""
@@ -18,6 +18,10 @@
 """Bound of the requests at a target beyond those that it works on."""
 MORE_PLACES_UNKNOWN = 2
 """The same while nothing is known of a target's speed."""
+RESERVED_PLACES = 2
+"""Places at each target that are left to the most urgent requests of its service.
+Routers know only their own lines: without it, a place that falls free goes to whatever
+waits where that is seen first."""
 REMOTE_FACTOR = 1.3
 """How much dearer a target of another failure domain counts: bytes between
 failure domains are paid for, and an answer takes longer on its way."""
@@ -25,6 +29,20 @@
 """The same in a fleet that tells loads by failure domain: what is known of the others
 is older, and all routers of a domain would go for the same place. Against 1.3, worth
 rose by 0.011 to 0.015 on three days of a fleet of 31 routers."""
+SLOT_TIME_WEIGHT = 0.1
+"""Weight of the time that a request keeps its slot against that to its first event: a
+target that is done sooner has sooner a place for the next."""
+LOAD_WEIGHT = 0.1
+"""How much dearer a target counts whose slots are all taken: among equals the one with
+more room."""
+PAUSE_FACTOR = 4.0
+"""How much dearer a target counts where the reading of the prompt is likely to hold up
+its streams for too long, or where all streams had such a pause."""
+PAUSE_SHARE = 0.8
+"""Part of the longest pause allowed within which an expected one should stay."""
+INHERENT_FACTOR = 1.5
+"""Multiple of the least time at an idle target that a start may take at least: what
+can't begin in time anywhere is better late than never."""
 TOO_SLOW_FACTOR = 20.0
 """How much dearer a target counts at which the answer can't be whole in time."""
 OUTPUT_MARGIN = 0.85
@@ -36,43 +54,33 @@
 """How much dearer a target counts that fails every answer."""
 
 
-@dataclass(frozen=True, slots=True)
-class ExpectedStart:
-    """When a request should bring its first event at a target.
+def expected_start(
+    target: Target, work: Work, *, typical_token_s: float = UNKNOWN_TOKEN_S
+) -> ExpectedStart:
+    """Return when a request that is added should bring its first event.
 
     Parameters
     ----------
-    reference_s : float
-        Time of the reference engine with the same load, in seconds.
-    slot_wait_s : float
-        Wait for a slot of this target, in seconds.
-    """
-
-    reference_s: float
-    slot_wait_s: float
-
-
-def expected_start(target: Target, work: Work) -> ExpectedStart:
-    """Return when a request that is added should bring its first event.
-
-    Prompts are read one after the other; requests that only write answers hold
-    each other up little, until no slot is free.
+    target : Target
+        Where it is added.
+    work : Work
+        The request.
+    typical_token_s : float
+        Time for an output token of a target of which nothing is known, in seconds.
     """
-    ahead_tokens = target.waiting_tokens + target.peer_tokens
-    reference_s = (
-        FIRST_S
-        + REQUEST_S * target.total_in_flight
-        + TOKEN_S * ahead_tokens
-        + reading_time_s(work.prompt_tokens)
-    )
+    token_s = target.output_token_s or typical_token_s
+    model = target.start_model
+    fixed_s = model.fixed_s if target.fixed_s is None else target.fixed_s
+    ahead_tokens = target.unread_tokens
+    reading_s = model.reading_s(token_s, ahead_tokens, work.prompt_tokens)
     over = target.total_in_flight + 1 - target.entry.slots
     slot_wait_s = 0.0
     if over > 0 and target.slot_s is not None:
         slot_wait_s = over * target.slot_s / target.entry.slots
-    return ExpectedStart(reference_s, slot_wait_s)
+    return ExpectedStart(fixed_s, reading_s, slot_wait_s, ahead_tokens)
 
 
-def place_limit(target: Target) -> int:
+def place_limit(target: Target, *, is_most_urgent: bool = True) -> int:
     """Return how many requests may be at a target, of all routers.
 
     As many more than it works on as get their turn within a short time, so
@@ -80,72 +88,104 @@
     order any more, and at a slow one it waits for long.
     """
     slots = target.entry.slots
+    reserved = 0 if is_most_urgent else min(RESERVED_PLACES, slots // 4)
     if target.slot_s is None:
-        return slots + MORE_PLACES_UNKNOWN
+        return slots + MORE_PLACES_UNKNOWN - reserved
     more = int(TURN_WAIT_S * slots / target.slot_s)
-    return slots + min(more, MORE_PLACES)
+    return slots + min(more, MORE_PLACES) - reserved
 
 
 def obstacle_for(
-    target: Target, excluded: Collection[str], now: float
+    target: Target,
+    excluded: Collection[str],
+    now: float,
+    *,
+    is_most_urgent: bool = True,
 ) -> Obstacle | None:
     """Return why a target can't be chosen, or None."""
     if target.entry.target_id in excluded:
         return Obstacle.EXCLUDED
     obstacle = target.obstacle(now)
-    if obstacle is None and target.total_in_flight >= place_limit(target):
+    limit = place_limit(target, is_most_urgent=is_most_urgent)
+    if obstacle is None and target.total_in_flight >= limit:
         return Obstacle.FULL
     return obstacle
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlaceRequest:
+    """What a choice depends on besides the targets.
+
+    Parameters
+    ----------
+    work : Work
+        Its size.
+    excluded : collection of str
+        Ids of the targets that were tried for it.
+    is_most_urgent : bool
+        Whether no request of a higher rank goes to the same targets.
+    left_s : float
+        Time within which the answer has to be whole, in seconds.
+    start_within_s : float
+        Time within which the answer should begin, in seconds. Busy targets where it
+        is expected later are passed over.
+    longest_pause_s : float
+        Longest pause of a stream that is on time, in seconds; 0 if there is no bound.
+    """
+
+    work: Work
+    excluded: Collection[str] = ()
+    is_most_urgent: bool = True
+    left_s: float = float("inf")
+    start_within_s: float = float("inf")
+    longest_pause_s: float = 0.0
+
+
 def choose_target(
     targets: Sequence[Target],
-    work: Work,
+    request: PlaceRequest,
     *,
     failure_domain: str,
-    excluded: Collection[str],
     now: float,
-    left_s: float = float("inf"),
     remote_factor: float = REMOTE_FACTOR,
-    start_within_s: float = float("inf"),
     draw: Callable[[], float] = random,
 ) -> Target | None:
-    """Return the target with the least expected time, or None if all are full.
+    """Return the target with the least cost, or None if no place is fit.
 
     Parameters
     ----------
     targets : sequence of Target
         Targets of the service.
-    work : Work
-        The request.
+    request : PlaceRequest
+        What is to be placed.
     failure_domain : str
         Where this router runs.
-    excluded : collection of str
-        Ids of the targets that were tried for this request.
     now : float
         Time in seconds.
-    left_s : float
-        Time within which the answer has to be whole, in seconds.
     remote_factor : float
         How much dearer a target of another failure domain counts.
-    start_within_s : float
-        Time within which the answer should begin, in seconds. Busy targets where it
-        is expected later are passed over.
     draw : callable
         Draws from 0 up to 1, to tell equal targets apart.
     """
-    typical = _typical_slowness(targets)
+    free = [
+        target
+        for target in targets
+        if obstacle_for(
+            target, request.excluded, now, is_most_urgent=request.is_most_urgent
+        )
+        is None
+    ]
+    if not free:
+        return None
+    typical_token_s = _typical_token_s(targets)
+    within_s = _start_bound_s(targets, request, typical_token_s, now)
     best = None
     best_cost = float("inf")
-    for target in targets:
-        if obstacle_for(target, excluded, now) is not None:
-            continue
-        expected_s = _expected_s(target, work, typical)
-        if _starts_too_late(target, expected_s, start_within_s):
+    for target in free:
+        start = expected_start(target, request.work, typical_token_s=typical_token_s)
+        if _starts_too_late(target, start, within_s):
             continue
-        cost = expected_s * (1 + 0.02 * draw())
-        if _output_s(target, work) > left_s * OUTPUT_MARGIN:
-            cost *= TOO_SLOW_FACTOR
+        cost = _cost_s(target, request, start, typical_token_s) * (1 + 0.02 * draw())
         if target.entry.failure_domain != failure_domain:
             cost *= remote_factor
         if cost < best_cost:
@@ -154,33 +194,73 @@
 
 
 def targets_too_late(
-    targets: Sequence[Target], work: Work, start_within_s: float
+    targets: Sequence[Target], request: PlaceRequest, now: float
 ) -> set[str]:
     """Return the ids of targets that are passed over since they would begin late."""
-    typical = _typical_slowness(targets)
+    typical_token_s = _typical_token_s(targets)
+    within_s = _start_bound_s(targets, request, typical_token_s, now)
     return {
         target.entry.target_id
         for target in targets
-        if _starts_too_late(target, _expected_s(target, work, typical), start_within_s)
+        if _starts_too_late(
+            target,
+            expected_start(target, request.work, typical_token_s=typical_token_s),
+            within_s,
+        )
     }
 
 
-def _starts_too_late(target: Target, expected_s: float, within_s: float) -> bool:
-    is_busy = target.total_in_flight >= BUSY_SHARE * target.entry.slots
-    return is_busy and expected_s > within_s
+def _cost_s(
+    target: Target, request: PlaceRequest, start: ExpectedStart, typical_token_s: float
+) -> float:
+    token_s = target.output_token_s or typical_token_s
+    output_s = token_s * request.work.output_tokens
+    cost = start.total_s + SLOT_TIME_WEIGHT * (start.reading_s + output_s)
+    cost *= 1 + ERROR_FACTOR * target.errors
+    cost *= 1 + LOAD_WEIGHT * target.total_in_flight / target.entry.slots
+    if output_s > request.left_s * OUTPUT_MARGIN:
+        cost *= TOO_SLOW_FACTOR
+    if request.longest_pause_s > 0:
+        cost *= 1 + PAUSE_FACTOR * _pause_risk(target, request, start)
+    return cost
+
 
+def _pause_risk(target: Target, request: PlaceRequest, start: ExpectedStart) -> float:
+    """Return the risk of a long pause there, from 0 to 1."""
+    bound_s = PAUSE_SHARE * request.longest_pause_s
+    expected_s = (target.event_s or 0.0) + start.reading_s
+    if target.total_in_flight and expected_s > bound_s:
+        return 1.0
+    return target.paused_share
 
-def _expected_s(target: Target, work: Work, typical: float) -> float:
-    start = expected_start(target, work)
-    slowness = typical if target.slowness is None else target.slowness
-    expected_s = slowness * start.reference_s + start.slot_wait_s
-    return expected_s * (1 + ERROR_FACTOR * target.errors)
 
+def _start_bound_s(
+    targets: Sequence[Target], request: PlaceRequest, typical_token_s: float, now: float
+) -> float:
+    """Return within what time a start at a busy target is expected to be useful."""
+    if request.start_within_s == float("inf"):
+        return request.start_within_s
+    idle_s = [
+        target.start_model.fixed_s
+        + target.start_model.reading_s(
+            target.output_token_s or typical_token_s, 0, request.work.prompt_tokens
+        )
+        for target in targets
+        if target.takes_work(now)
+    ]
+    least_s = min(idle_s, default=0.0)
+    if least_s <= request.start_within_s:
+        return request.start_within_s
+    return INHERENT_FACTOR * least_s
 
-def _output_s(target: Target, work: Work) -> float:
-    return (target.output_token_s or 0.0) * work.output_tokens
+
+def _starts_too_late(target: Target, start: ExpectedStart, within_s: float) -> bool:
+    is_busy = target.total_in_flight >= BUSY_SHARE * target.entry.slots
+    return is_busy and start.total_s > within_s
 
 
-def _typical_slowness(targets: Sequence[Target]) -> float:
-    known = [target.slowness for target in targets if target.slowness is not None]
-    return sum(known) / len(known) if known else 1.0
+def _typical_token_s(targets: Sequence[Target]) -> float:
+    known = [
+        target.output_token_s for target in targets if target.output_token_s is not None
+    ]
+    return sum(known) / len(known) if known else UNKNOWN_TOKEN_S
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -1,7 +1,8 @@
 """What a router believes of one target."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from berylwalk.dispatch._start_model import StartModel
 from berylwalk.dispatch._target_entries import (
     Obstacle,
     TargetEntry,
@@ -20,21 +21,54 @@
 TRIAL_GAP_S = 0.5
 """Time between trial requests at an erroneous target, in seconds."""
 SPEED_WEIGHT = 0.12
-"""Weight of one first event in the moving speed."""
+"""Weight of one answer in the moving means of times: some eight answers count."""
+WAITED_WEIGHT = 0.03
+"""The same in the fixed time, for an answer that had to wait for a slot: its own part
+of the time is less certain."""
+OUTPUT_TOKENS_KNOWN = 400
+"""Output tokens whose weight in the moving speed is one half: one long answer, or a few
+short ones, tell the speed of a target."""
 LEAST_OUTPUT_TOKENS = 30
 """Output tokens from which an answer tells something of a target's speed."""
-LEAST_OWN_SHARE = 0.2
+LEAST_OWN_SHARE = 0.05
 """Least part of the time to a first event that is not put down to waiting."""
 SILENT_AFTER_S = 0.6
 """A target that owes events and sent no byte for this long is taken for dark."""
 SILENCE_FACTOR = 2.0
 """Margin over the expected time of reading prompts, in which nothing is sent."""
-UNKNOWN_SLOWNESS = 3.0
-"""Taken for a target that nothing is known of, when its silence is judged."""
-TOKEN_S = 0.0000165
-"""Time of the reference engine for a prompt token, in seconds."""
-PAIR_S = 1.6e-10
-"""The same for each pair of tokens of one prompt."""
+UNKNOWN_TOKEN_S = 0.004
+"""Time for an output token of a target of which nothing is known, in seconds: engines
+take some milliseconds for a step."""
+UNKNOWN_FACTOR = 3.0
+"""How much slower a target may be of which nothing is known, when its silence is
+judged."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedStart:
+    """When a request should bring its first event at a target, in parts.
+
+    Parameters
+    ----------
+    fixed_s : float
+        What each request takes there, in seconds.
+    reading_s : float
+        Reading of the prompts ahead of it and of its own, in seconds.
+    slot_wait_s : float
+        Wait for a slot, in seconds.
+    ahead_tokens : int
+        Prompt tokens ahead of it.
+    """
+
+    fixed_s: float
+    reading_s: float
+    slot_wait_s: float
+    ahead_tokens: int
+
+    @property
+    def total_s(self) -> float:
+        """Time from the sending to the first event, in seconds."""
+        return self.fixed_s + self.reading_s + self.slot_wait_s
 
 
 @dataclass(slots=True)
@@ -43,18 +77,24 @@
 
     Attributes
     ----------
+    start_model : StartModel
+        What is known of the starts of all targets of the service.
     in_flight, waiting_tokens : int
         Own requests at the target, and prompt tokens of those that have not
         brought a first event.
     peer_in_flight, peer_tokens : int
         The same of the other routers, as last heard.
-    slowness : float or None
-        Moving mean of the time to a first event, as a multiple of that of the
-        reference engine.
+    fixed_s : float or None
+        Moving mean of the time to a first event besides reading and waiting, in
+        seconds.
     slot_s : float or None
         Moving mean of the time that a request keeps its slot, in seconds.
     output_token_s : float or None
         Moving mean of the time that an output token takes, in seconds.
+    event_s : float or None
+        The same of an event of a stream.
+    paused_share : float
+        Moving share of streams with a pause that was too long.
     errors : float
         Moving share of failed answers.
     failures : int
@@ -68,13 +108,16 @@
     """
 
     entry: TargetEntry
+    start_model: StartModel = field(default_factory=StartModel)
     in_flight: int = 0
     waiting_tokens: int = 0
     peer_in_flight: int = 0
     peer_tokens: int = 0
-    slowness: float | None = None
+    fixed_s: float | None = None
     slot_s: float | None = None
     output_token_s: float | None = None
+    event_s: float | None = None
+    paused_share: float = 0.0
     errors: float = 0.0
     failures: int = 0
     aside_until: float = float("-inf")
@@ -88,6 +131,11 @@
         """Requests at the target of all routers."""
         return self.in_flight + self.peer_in_flight
 
+    @property
+    def unread_tokens(self) -> int:
+        """Prompt tokens of all routers at the target that are not read yet."""
+        return self.waiting_tokens + self.peer_tokens
+
     def is_silent(self, now: float) -> bool:
         """Return whether the target owes an event for too long."""
         if self.owes_since is None:
@@ -99,9 +147,8 @@
 
         One that reads long prompts and has no other request sends nothing.
         """
-        slowness = self.slowness or UNKNOWN_SLOWNESS
-        tokens = self.waiting_tokens + self.peer_tokens
-        reading_s = slowness * reading_time_s(tokens)
+        token_s = self.output_token_s or UNKNOWN_FACTOR * UNKNOWN_TOKEN_S
+        reading_s = self.start_model.reading_s(token_s, 0, self.unread_tokens)
         return SILENT_AFTER_S + SILENCE_FACTOR * reading_s
 
     def takes_work(self, now: float) -> bool:
@@ -130,7 +177,7 @@
             self.owes_since = now
 
     def note_first_event(
-        self, work: Work, *, expected_s: float, waited_s: float, taken_s: float
+        self, work: Work, start: ExpectedStart, taken_s: float
     ) -> None:
         """Learn from the time to a first event.
 
@@ -138,36 +185,46 @@
         ----------
         work : Work
             The request.
-        expected_s : float
-            Time of the reference engine with the load at the sending.
-        waited_s : float
-            Expected wait for a slot of it, in seconds.
+        start : ExpectedStart
+            What was expected at the sending.
         taken_s : float
             Time from the sending to the first event, in seconds.
         """
         self.waiting_tokens -= work.prompt_tokens
-        sample = max(taken_s - waited_s, taken_s * LEAST_OWN_SHARE) / expected_s
-        if self.slowness is None:
-            self.slowness = sample
-        else:
-            self.slowness += SPEED_WEIGHT * (sample - self.slowness)
-
-    def note_output(self, tokens: int, taken_s: float) -> None:
-        """Learn from the time between the first and the last of output tokens."""
+        rest_s = taken_s - start.slot_wait_s - start.reading_s
+        sample = max(rest_s, taken_s * LEAST_OWN_SHARE)
+        had_free_slot = start.slot_wait_s == 0
+        if had_free_slot and self.output_token_s is not None:
+            self.start_model.note(
+                self.output_token_s, start.ahead_tokens, work.prompt_tokens, taken_s
+            )
+        weight = SPEED_WEIGHT if had_free_slot else WAITED_WEIGHT
+        self.fixed_s = _moved(self.fixed_s, sample, weight)
+
+    def note_output(self, tokens: int, events: int, taken_s: float) -> None:
+        """Learn from the time that some output tokens took.
+
+        Parameters
+        ----------
+        tokens, events : int
+            Tokens after the first event, and events in which they came.
+        taken_s : float
+            Time between that event and the last one, in seconds.
+        """
         if tokens < LEAST_OUTPUT_TOKENS:
             return
-        sample = taken_s / tokens
-        if self.output_token_s is None:
-            self.output_token_s = sample
-        else:
-            self.output_token_s += SPEED_WEIGHT * (sample - self.output_token_s)
+        weight = tokens / (tokens + OUTPUT_TOKENS_KNOWN)
+        self.output_token_s = _moved(self.output_token_s, taken_s / tokens, weight)
+        self.event_s = _moved(self.event_s, taken_s / events, weight)
+
+    def note_paused(self, was_too_long: bool) -> None:
+        """Learn whether a stream had a pause that was too long."""
+        sample = 1.0 if was_too_long else 0.0
+        self.paused_share += SPEED_WEIGHT * (sample - self.paused_share)
 
     def note_slot_time(self, taken_s: float) -> None:
         """Learn from the time that an answered request kept its slot."""
-        if self.slot_s is None:
-            self.slot_s = taken_s
-        else:
-            self.slot_s += SPEED_WEIGHT * (taken_s - self.slot_s)
+        self.slot_s = _moved(self.slot_s, taken_s, SPEED_WEIGHT)
 
     def note_heard(self, now: float) -> None:
         """Note that bytes came."""
@@ -203,6 +260,5 @@
         self.aside_until = max(self.aside_until, now + pause_s)
 
 
-def reading_time_s(tokens: int) -> float:
-    """Return the time of the reference engine for reading a prompt, in seconds."""
-    return TOKEN_S * tokens + PAIR_S * tokens * tokens
+def _moved(mean: float | None, sample: float, weight: float) -> float:
+    return sample if mean is None else mean + weight * (sample - mean)
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from berylwalk.dispatch._start_model import StartModel
 from berylwalk.dispatch._target import Target
 from berylwalk.dispatch._target_entries import TargetEntry
 
@@ -24,6 +25,7 @@
         self.absence_grace_s = absence_grace_s
         self._lapsed_until = float("-inf")
         self._by_service: dict[str, list[Target]] = {}
+        self._start_models_by_service: dict[str, StartModel] = {}
         self._peer_loads_by_name: dict[str, dict[str, tuple[int, int]]] = {}
 
     def of_service(self, service: str) -> list[Target]:
@@ -122,7 +124,10 @@
         if target is not None:
             target.entry = entry
             return
-        target = Target(entry)
+        start_model = self._start_models_by_service.setdefault(
+            entry.service, StartModel()
+        )
+        target = Target(entry, start_model)
         for loads_by_id in self._peer_loads_by_name.values():
             count, tokens = loads_by_id.get(entry.target_id, (0, 0))
             target.peer_in_flight += count
--- a/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
@@ -34,6 +34,8 @@
         When its answer has to be whole.
     start_by : float
         When its answer should begin.
+    longest_pause_s : float
+        Longest pause of its answer that is on time, in seconds; 0 if unbounded.
     on_place : callable
         Called with the target once there is one; not before `submit` returns
         unless it returns the target.
@@ -49,6 +51,7 @@
     on_place: Callable[[Target], None]
     ends_at: float = float("inf")
     start_by: float = float("inf")
+    longest_pause_s: float = 0.0
     excluded: set[str] = field(default_factory=set)
     arrived_at: float = 0.0
     number: int = 0
--- a/libs/dispatch/tests/test_dispatch_peers.py
+++ b/libs/dispatch/tests/test_dispatch_peers.py
@@ -115,8 +115,8 @@
         ]
         targets.replace(entries, 0.0)
         # The own one is slower than the remote one by a factor of two.
-        for name, slowness in (("own", 2.0), ("far", 1.0)):
-            targets.by_id[name].slowness = slowness
+        for name, fixed_s in (("own", 0.2), ("far", 0.1)):
+            targets.by_id[name].fixed_s = fixed_s
         dispatcher = Dispatcher(targets, failure_domain="fd-a", draw=lambda: 0.0)
         dispatcher.set_relayed(is_relayed)
         ticket = Ticket(
--- /dev/null
+++ b/libs/dispatch/tests/test_dispatch_start_model.py
@@ -0,0 +1,104 @@
+"""What is learned of the time to a first event."""
+
+from random import Random
+
+import pytest
+
+from berylwalk.dispatch import (
+    StartModel,
+    Target,
+    TargetEntry,
+    TargetState,
+    Work,
+    expected_start,
+)
+
+ENTRY = TargetEntry(
+    target_id="a",
+    service="s",
+    host="127.0.0.1",
+    port=1,
+    failure_domain="fd-a",
+    slots=8,
+    state=TargetState.READY,
+)
+
+
+def start_s(token_s, tokens, *, fixed_s, token_ratio, pair_ratio):
+    """Return the time of an engine to a first event."""
+    reading_s = token_ratio * token_s * tokens + pair_ratio * token_s * tokens**2
+    return fixed_s + reading_s
+
+
+ENGINES = [
+    {"fixed_s": 0.055, "token_ratio": 2.3e-3, "pair_ratio": 9.6e-8},
+    {"fixed_s": 0.015, "token_ratio": 3.9e-3, "pair_ratio": 3.8e-8},
+    {"fixed_s": 0.2, "token_ratio": 1.0e-2, "pair_ratio": 0.0},
+]
+
+
+class TestStartModel:
+    """Engines of several makes, each with fast and slow targets."""
+
+    @pytest.mark.parametrize("engine", ENGINES)
+    def test_long_and_short_prompts_are_told_apart_after_a_few_answers(self, engine):
+        """Without constants of one engine, at any speed of a target."""
+        model, random = StartModel(), Random(1)
+        for _ in range(64):
+            token_s = random.choice([0.0016, 0.003, 0.0085])
+            tokens = min(50_000, int(random.lognormvariate(7.0, 1.3)))
+            taken_s = start_s(token_s, tokens, **engine)
+            model.note(token_s, 0, tokens, taken_s * random.uniform(0.95, 1.2))
+        for tokens in (500, 6_000, 20_000):
+            expected_s = model.fixed_s + model.reading_s(0.003, 0, tokens)
+            assert expected_s == pytest.approx(
+                start_s(0.003, tokens, **engine), rel=0.3
+            )
+
+    def test_prompts_ahead_are_read_first(self):
+        """They delay the first event like the own tokens, but for attention."""
+        model = StartModel()
+        assert model.reading_s(0.003, 5_000, 100) > model.reading_s(0.003, 0, 100)
+        assert model.reading_s(0.003, 5_000, 100) < model.reading_s(0.003, 0, 5_100)
+
+
+class TestCongestion:
+    """A target that is full is not a slow target."""
+
+    def test_waiting_for_a_slot_is_not_taken_for_slowness(self):
+        """What is known of an idle target stays while it is full."""
+        target = Target(ENTRY)
+        target.note_output(1_000, 100, 3.0)
+        target.note_slot_time(0.5)
+        for _ in range(20):
+            start = expected_start(target, Work(500, 100))
+            target.note_sent(Work(500, 100), 0.0)
+            target.note_first_event(Work(500, 100), start, 0.06)
+            target.note_left(Work(500, 100), had_first_event=True)
+        idle_s = expected_start(target, Work(500, 100)).total_s
+        for _ in range(14):
+            target.note_sent(Work(500, 100), 0.0)
+        for _ in range(50):
+            start = expected_start(target, Work(500, 100))
+            assert start.slot_wait_s > 0
+            target.waiting_tokens += 500
+            waited_s = start.reading_s + start.slot_wait_s
+            target.note_first_event(Work(500, 100), start, 0.055 + waited_s)
+        for _ in range(14):
+            target.note_left(Work(500, 100), had_first_event=False)
+        assert expected_start(target, Work(500, 100)).total_s == pytest.approx(
+            idle_s, rel=0.2
+        )
+
+    def test_one_long_answer_tells_a_speed(self):
+        """A router hears of a target once a second or less."""
+        target = Target(ENTRY)
+        target.note_output(300, 40, 0.9)
+        target.note_output(300, 40, 9.0)
+        assert target.output_token_s > 0.01
+
+    def test_speed_of_an_unknown_target_is_that_of_the_others(self):
+        """Nothing is known of it yet."""
+        typical = expected_start(Target(ENTRY), Work(5_000, 1), typical_token_s=0.01)
+        fast = expected_start(Target(ENTRY), Work(5_000, 1), typical_token_s=0.001)
+        assert typical.reading_s == pytest.approx(10 * fast.reading_s)
--- a/libs/dispatch/tests/test_dispatch_targets.py
+++ b/libs/dispatch/tests/test_dispatch_targets.py
@@ -5,6 +5,7 @@
 from berylwalk.dispatch import (
     Dispatcher,
     Obstacle,
+    PlaceRequest,
     TargetEntry,
     TargetState,
     TargetTable,
@@ -42,9 +43,8 @@
     """Return the id of the chosen target."""
     chosen = choose_target(
         targets.of_service("s"),
-        work or Work(),
+        PlaceRequest(work=work or Work(), excluded=excluded),
         failure_domain="fd-a",
-        excluded=excluded,
         now=now,
         draw=lambda: 0.0,
     )
@@ -143,8 +143,8 @@
     def test_measured_speed_counts(self):
         """A target half as fast gets the request only at half the load."""
         targets = table(entry("fast"), entry("slow"))
-        targets.by_id["fast"].slowness = 0.5
-        targets.by_id["slow"].slowness = 1.5
+        targets.by_id["fast"].output_token_s = 0.002
+        targets.by_id["slow"].output_token_s = 0.006
         assert choose(targets, work=Work(1000)) == "fast"
         for _ in range(3):
             targets.by_id["fast"].note_sent(Work(20_000), NOW)
@@ -183,6 +183,89 @@
         assert place_limit(target) == 4 + more
 
 
+class TestReservedPlaces:
+    """Places that are left to the most urgent requests."""
+
+    def filled(self, target):
+        """Fill a target as far as less urgent requests may."""
+        while target.total_in_flight < place_limit(target, is_most_urgent=False):
+            target.note_sent(Work(), NOW)
+
+    def submit(self, dispatcher, rank, now=NOW):
+        """Return the target that a request gets at once, if any."""
+        ticket = Ticket(
+            service="s", rank=rank, work=Work(), on_place=lambda target: None
+        )
+        return dispatcher.submit(ticket, now)
+
+    def test_less_urgent_ones_leave_them(self):
+        """The line of this router tells nothing of those that wait elsewhere."""
+        targets = table(entry("a", slots=12))
+        dispatcher = Dispatcher(targets, failure_domain="fd-a", draw=lambda: 0.0)
+        assert self.submit(dispatcher, (1, 0)) is not None
+        self.filled(targets.by_id["a"])
+        assert self.submit(dispatcher, (1, 1)) is None
+        assert self.submit(dispatcher, (1, 0)) is not None
+
+    def test_all_places_are_used_where_no_other_rank_is_seen(self):
+        """A service with one kind of request loses nothing by it."""
+        targets = table(entry("a", slots=12))
+        dispatcher = Dispatcher(targets, failure_domain="fd-a", draw=lambda: 0.0)
+        self.filled(targets.by_id["a"])
+        assert self.submit(dispatcher, (1, 1)) is not None
+
+    def test_rank_that_is_no_longer_seen_is_forgotten(self):
+        """Places are not kept for those that don't come."""
+        targets = table(entry("a", slots=12))
+        dispatcher = Dispatcher(targets, failure_domain="fd-a", draw=lambda: 0.0)
+        self.submit(dispatcher, (1, 0))
+        self.filled(targets.by_id["a"])
+        targets.by_id["a"].note_heard(NOW + 60.0)
+        assert self.submit(dispatcher, (1, 1), NOW + 60.0) is not None
+
+
+class TestPauses:
+    """Prompts whose reading holds up the streams of a target."""
+
+    def target_ids(self, work):
+        """Return where a prompt goes: to a slow busy target or a fast one far off."""
+        targets = table(entry("slow"), entry("fast", failure_domain="fd-b"))
+        targets.by_id["slow"].output_token_s = 0.008
+        targets.by_id["slow"].event_s = 0.064
+        targets.by_id["fast"].output_token_s = 0.004
+        targets.by_id["fast"].event_s = 0.032
+        for target in targets.by_id.values():
+            target.note_sent(Work(), NOW)
+        chosen = choose_target(
+            targets.of_service("s"),
+            PlaceRequest(work=work, longest_pause_s=0.3),
+            failure_domain="fd-a",
+            now=NOW,
+            remote_factor=4.0,
+            draw=lambda: 0.0,
+        )
+        return chosen.entry.target_id
+
+    def test_long_prompt_goes_where_it_holds_nobody_up(self):
+        """A short one may be read beside streams of a slow target."""
+        assert self.target_ids(Work(600, 100)) == "slow"
+        assert self.target_ids(Work(7_000, 100)) == "fast"
+
+    def test_target_with_many_pauses_is_avoided(self):
+        """What was observed counts, whatever its cause."""
+        targets = table(entry("a"), entry("b"))
+        for _ in range(10):
+            targets.by_id["a"].note_paused(True)
+        chosen = choose_target(
+            targets.of_service("s"),
+            PlaceRequest(work=Work(10, 10), longest_pause_s=0.3),
+            failure_domain="fd-a",
+            now=NOW,
+            draw=lambda: 0.0,
+        )
+        assert chosen.entry.target_id == "b"
+
+
 class TestWaiting:
     """Requests that find no place."""
 
@@ -257,7 +340,7 @@
         """One that can't begin in time lets another through that can."""
         targets = table(entry("a"))
         target = targets.by_id["a"]
-        target.slowness = 10.0
+        target.fixed_s = 0.2
         for _ in range(2):
             target.note_sent(Work(), NOW)
         dispatcher = self.dispatcher(targets)
@@ -286,15 +369,13 @@
         """A late answer costs as much as one in time; an idle target loses nothing."""
         targets = table(entry("a", slots=4))
         target = targets.by_id["a"]
-        target.slowness = 10.0
+        target.fixed_s = 0.2
         for _ in range(in_flight):
             target.note_sent(Work(), NOW)
         chosen = choose_target(
             targets.of_service("s"),
-            Work(),
+            PlaceRequest(work=Work(), start_within_s=within_s),
             failure_domain="fd-a",
-            excluded=(),
             now=NOW,
-            start_within_s=within_s,
         )
         assert (None if chosen is None else chosen.entry.target_id) == expected
