An account's most urgent requests are left what they will need of its allowance

Less urgent ranks leave what the most urgent asks at its present pace; routers tell each other what it asked. Refusals for a spent allowance tell the account, its count and its limit in the log.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -4,7 +4,7 @@
 from random import random
 
 from berylwalk.direct._context import RouterContext
-from berylwalk.dispatch import Account, Allowed, Denied, Route
+from berylwalk.dispatch import Account, AllowanceState, Allowed, Denied, Route
 from berylwalk.forwarding import CallerRequest
 from berylwalk.platform import BadHeaders, CallFacts, read_call
 
@@ -72,12 +72,37 @@
         When it may come back, in seconds.
     request_id : bytes
         Empty if the request has none.
+    spent : Spent or None
+        The allowance that does not suffice, if that is why.
     """
 
     status: int
     reason: str
     retry_after_s: float | None
     request_id: bytes
+    spent: "Spent | None" = None
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """An allowance that does not suffice for a request.
+
+    Parameters
+    ----------
+    account_name : str
+        Who pays.
+    route : Route
+        Where the request would go.
+    cost : float
+        Its units.
+    state : AllowanceState
+        What decided.
+    """
+
+    account_name: str
+    route: Route
+    cost: float
+    state: AllowanceState
 
 
 def admit(context: RouterContext, request: CallerRequest) -> Admitted | Refusal:
@@ -98,7 +123,13 @@
         admitted.account, admitted.cost, admitted.route.priority, now
     )
     if wait_s > 0:
-        return Refusal(429, "allowance-spent", wait_s, facts.request_id)
+        spent = Spent(
+            admitted.account.name,
+            admitted.route,
+            admitted.cost,
+            context.allowances.state(admitted.account, now),
+        )
+        return Refusal(429, "allowance-spent", wait_s, facts.request_id, spent)
     return admitted
 
 
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from berylwalk.direct._admission import Admitted, Refusal
+from berylwalk.direct._admission import Admitted, Refusal, Spent
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
 from berylwalk.dispatch import ExpectedStart, Target, Ticket
@@ -113,7 +113,10 @@
             UNKNOWN_KIND, LOWEST_RANK, refusal.status, reason
         ).inc()
         self._tell_ended(
-            refusal.request_id, status=refusal.status, reason=refusal.reason
+            refusal.request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            **_spent_fields(refusal.spent),
         )
 
     def tell_ended(self, admitted: Admitted, status: int, reason: str) -> None:
@@ -157,6 +160,22 @@
         )
 
 
+def _spent_fields(spent: Spent | None) -> dict[str, object]:
+    if spent is None:
+        return {}
+    return {
+        "account": spent.account_name,
+        "route": spent.route.name,
+        "kind": spent.route.kind,
+        "priority": spent.route.priority,
+        "cost": round(spent.cost),
+        "limit": round(spent.state.limit),
+        "unknown": round(spent.state.unknown),
+        "counted": round(spent.state.counted),
+        "share": round(spent.state.share, 3),
+    }
+
+
 def _known_ms(seconds: float | None) -> float | None:
     return None if seconds is None else _ms(seconds)
 
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -3,7 +3,7 @@
 from asyncio import DatagramProtocol
 from collections.abc import Callable
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from berylwalk.dispatch import Peer
 
@@ -37,6 +37,8 @@
         Grows with each message of a life.
     spent : dict
         Units spent since the start, by client account.
+    asked : dict
+        Likewise the most urgent rank that was seen, and the units that it asked.
     """
 
     name: str
@@ -47,6 +49,7 @@
     age_s: float
     sequence: int
     spent: dict[str, int]
+    asked: dict[str, tuple[int, int]] = field(default_factory=dict)
 
     def to_peer(self) -> Peer:
         """Return the router as an entry of the table of peers."""
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -166,6 +166,7 @@
         settings = context.settings
         self._sequence += 1
         spent = context.allowances.spent_by_account()
+        asked = context.allowances.urgent_demand.totals()
         return RouterNews(
             settings.name,
             settings.caller_address.host,
@@ -175,6 +176,7 @@
             now - self._started_at,
             self._sequence,
             {name: round(units) for name, units in spent.items()},
+            {name: (rank, round(units)) for name, (rank, units) in asked.items()},
         )
 
     def _domain_message(self, now: float) -> DomainMessage:
@@ -277,6 +279,7 @@
             is_new=news.age_s < now - self._started_at,
             now=now,
         )
+        self._context.allowances.urgent_demand.hear(_life_of(peer), news.asked, now)
         return True
 
     def _forget(self, peer: Peer) -> None:
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -6,7 +6,12 @@
     DenialReason,
     Denied,
 )
-from berylwalk.dispatch._allowances import AllowanceRules, Allowances, Knowledge
+from berylwalk.dispatch._allowances import (
+    AllowanceRules,
+    Allowances,
+    AllowanceState,
+    Knowledge,
+)
 from berylwalk.dispatch._configuration import (
     Account,
     CallerLimits,
@@ -48,6 +53,7 @@
     "PEERS_OF_ONE_MESH",
     "Account",
     "AllowanceRules",
+    "AllowanceState",
     "Allowances",
     "Allowed",
     "AttemptEnd",
--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -5,6 +5,7 @@
 from enum import IntEnum
 
 from berylwalk.dispatch._configuration import Account
+from berylwalk.dispatch._urgent_demand import UrgentDemand
 
 STEP_S = 0.1
 """Resolution of the window, in seconds."""
@@ -22,9 +23,9 @@
 NOTED_SHARE = 0.6
 """Part of an account's allowance from which its spending is noted where a restart
 of all routers does not lose it. An account's usual spending is below."""
-RESERVE_SHARE = 0.06
-"""Part of the allowance that each rank leaves to the next higher one: under
-pressure an account's urgent requests go before its others."""
+RESERVE_SHARE = 0.02
+"""Part of the allowance that each rank leaves to the next higher one, besides what the
+most urgent rank asks: with 0.06 calm days refused labels that were owed."""
 LOWEST_RANK = 3
 
 
@@ -94,6 +95,28 @@
             self.total -= self.steps.popleft()[1]
 
 
+@dataclass(frozen=True, slots=True)
+class AllowanceState:
+    """What decides about the requests of an account, in units of the window.
+
+    Parameters
+    ----------
+    limit : float
+        What the account may spend.
+    unknown : float
+        What may have been spent before the start without being known.
+    counted : float
+        What was spent, as far as is known.
+    share : float
+        Part of the rest that this router may give: the others are silent.
+    """
+
+    limit: float
+    unknown: float
+    counted: float
+    share: float
+
+
 class Allowances:
     """The spending of each account by all routers, in a sliding window.
 
@@ -118,6 +141,7 @@
         self._knowledge = Knowledge.NOTHING
         self._accounts_by_name: dict[str, Account] = {}
         self._share = 1.0
+        self.urgent_demand = UrgentDemand(rules.window_s)
 
     def set_share(self, heard: int, known: int) -> None:
         """Tell how many of the known routers, this one included, are heard."""
@@ -141,21 +165,33 @@
         """
         if account.rate_per_s <= 0:
             return 0.0
-        limit = self._rules.limit(account)
         self._accounts_by_name[account.name] = account
-        spending = self._spending(account.name)
-        known = limit - self._unknown(account, limit, now)
-        left = known * self._share - self._counted(spending, now)
-        reserve = RESERVE_SHARE * min(rank, LOWEST_RANK) * known * self._share
+        state = self.state(account, now)
+        known = (state.limit - state.unknown) * state.share
+        left = known - state.counted
+        reserve = RESERVE_SHARE * min(rank, LOWEST_RANK) * known
+        self.urgent_demand.ask(account.name, rank, cost, now)
+        reserve += self.urgent_demand.needed(account.name, rank, now)
         # A request dearer than the whole allowance must not wait for ever.
-        needed = min(cost, 0.9 * limit * self._share - reserve)
+        needed = min(cost, 0.9 * state.limit * state.share - reserve)
         if left - reserve < needed:
-            per_s = limit * self._share / self._rules.window_s
+            per_s = state.limit * state.share / self._rules.window_s
             return (needed + reserve - left) / per_s
+        spending = self._spending(account.name)
         spending.add(cost, now)
         spending.spent += cost
         return 0.0
 
+    def state(self, account: Account, now: float) -> AllowanceState:
+        """Return what decides about the requests of an account."""
+        limit = self._rules.limit(account)
+        return AllowanceState(
+            limit=limit,
+            unknown=self._unknown(account, limit, now),
+            counted=self._counted(self._spending(account.name), now),
+            share=self._share,
+        )
+
     def give_back(self, account: Account, cost: float, now: float) -> None:
         """Return the cost of a request that has surely not run."""
         spending = self._spending_by_account.get(account.name)
@@ -207,6 +243,7 @@
     def forget(self, life: str) -> None:
         """Forget the totals of a peer's life that has ended."""
         self._lives.discard(life)
+        self.urgent_demand.forget(life)
         for spending in self._spending_by_account.values():
             spending.spent_by_peer.pop(life, None)
 
