--- a/libs/cli/src/berylwalk/cli/_parser.py
+++ b/libs/cli/src/berylwalk/cli/_parser.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from berylwalk.cli._causes import print_causes
 from berylwalk.cli._changing import (
     delete_section,
     import_settings,
@@ -23,6 +24,7 @@
 from berylwalk.cli._explaining import explain, print_beliefs
 from berylwalk.cli._options import change_id, change_options, client_options
 from berylwalk.cli._reading import export_settings, get_settings, print_tree
+from berylwalk.cli._replaying import replay, setting_change
 from berylwalk.cli._status import print_status
 
 Command = Callable[[Namespace], ExitCode]
@@ -98,6 +100,44 @@
     explaining.add_argument("request_id", metavar="ID", help="the request's id")
     explaining.add_argument("files", type=Path, nargs="+", metavar="LOG")
 
+    text = "count the requests in logs of routers by what kept them from being in time"
+    causes = _add(commands, "causes", text, print_causes)
+    causes.add_argument("files", type=Path, nargs="+", metavar="LOG")
+    for name, default in (("since", 0.0), ("until", float("inf"))):
+        causes.add_argument(
+            f"--{name}",
+            dest=f"{name}_s",
+            type=float,
+            default=default,
+            metavar="SECONDS",
+            help="from the first line on",
+        )
+
+    text = "replay a load in virtual time on the decisions of the direct router"
+    replaying = _add(commands, "replay", text, replay)
+    replaying.add_argument(
+        "scenario",
+        metavar="SCENARIO",
+        help="a TOML file, or the name of a standard scenario such as burst",
+    )
+    replaying.add_argument("--seeds", type=int, default=3, metavar="N")
+    replaying.add_argument(
+        "--without",
+        action="append",
+        default=[],
+        metavar="MECHANISM",
+        help="show also without it, such as reserved-places",
+    )
+    replaying.add_argument(
+        "--set",
+        dest="changes",
+        action="append",
+        default=[],
+        type=setting_change,
+        metavar="NAME=VALUE",
+        help="change a setting, such as _placing.RESERVED_PLACES=0",
+    )
+
     text = "show what a direct router believes, from its metrics"
     beliefs = _add(commands, "beliefs", text, print_beliefs)
     beliefs.add_argument("url", metavar="URL", help="address of its metrics")
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -140,6 +140,8 @@
             service=admitted.service,
             prompt_tokens=admitted.facts.work.prompt_tokens,
             output_tokens=admitted.facts.work.output_tokens,
+            objective_ms=_ms(admitted.route.objective_s),
+            longest_pause_allowed_ms=_ms(admitted.route.longest_pause_s),
             limit_ms=_ms(admitted.ends_at - admitted.request.arrived_at),
             waited_ms=_ms(self.waited_s),
             first_event_ms=first_event_ms,
