A slot time of nothing no longer ends a router; one failed request ends no others

Cause: answers whose events come all at once have kept their slot for no time, and the note rounds such times to zero; a first sample of zero divides. It was there before the note, which made it likely. A fault in one exchange is now cut, told with its traceback and counted; it ended the process, and with it all other requests. Both tests fail without this.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -2,6 +2,7 @@
 
 from asyncio import get_running_loop
 from collections.abc import AsyncIterator
+from traceback import format_exception
 from typing import Self
 
 from anyio import create_task_group, sleep
@@ -220,9 +221,14 @@
         try:
             await exchange.run()
         except Exception as error:
-            self._context.log.process("exchange-failed", detail=repr(error))
+            # A fault in the handling of one request must not end all the others.
+            self._context.metrics.exchanges_failed.inc()
+            self._context.log.process(
+                "exchange-failed",
+                detail=repr(error),
+                traceback="".join(format_exception(error)),
+            )
             connection.cut()
-            raise
         finally:
             if self._exchanges_by_connection.get(connection) is exchange:
                 del self._exchanges_by_connection[connection]
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -50,6 +50,11 @@
             ("service", "end"),
             registry=registry,
         )
+        self.exchanges_failed = Counter(
+            "berylwalk_exchanges_failed",
+            "Requests that were cut by a fault of the router itself.",
+            registry=registry,
+        )
         self.connections = Counter(
             "berylwalk_target_connections_opened",
             "Connections to targets that were opened.",
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -149,6 +149,27 @@
         assert {reply.status for reply in replies} == {200}
 
 
+class TestFault:
+    """A fault of the router's own in the handling of a request."""
+
+    async def test_other_requests_go_on(self, running, monkeypatch):
+        """That one is cut; the process stays, and tells."""
+        async with running(answers("ok")) as fleet:
+            dispatcher = fleet.router._context.dispatcher
+
+            def fail(ticket, now):
+                raise ZeroDivisionError("no slots")
+
+            monkeypatch.setattr(dispatcher, "submit", fail)
+            with pytest.raises((AssertionError, OSError, EOFError)):
+                await fleet.call("/idempotent/")
+            monkeypatch.undo()
+            reply = await fleet.call("/idempotent/")
+            text = fleet.router._context.metrics.text().decode()
+        assert reply.status == 200
+        assert "berylwalk_exchanges_failed_total 1.0" in text
+
+
 class TestInTime:
     """Answers that would begin too late."""
 
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -76,7 +76,7 @@
     over = target.total_in_flight + 1 - target.entry.slots
     slot_wait_s = 0.0
     if over > 0 and target.slot_s is not None:
-        slot_wait_s = over * target.slot_s / target.entry.slots
+        slot_wait_s = over * target.slot_s / max(1, target.entry.slots)
     return ExpectedStart(fixed_s, reading_s, slot_wait_s, ahead_tokens)
 
 
@@ -217,7 +217,7 @@
     output_s = token_s * request.work.output_tokens
     cost = start.total_s + SLOT_TIME_WEIGHT * (start.reading_s + output_s)
     cost *= 1 + ERROR_FACTOR * target.errors
-    cost *= 1 + LOAD_WEIGHT * target.total_in_flight / target.entry.slots
+    cost *= 1 + LOAD_WEIGHT * target.total_in_flight / max(1, target.entry.slots)
     if output_s > request.left_s * OUTPUT_MARGIN:
         cost *= TOO_SLOW_FACTOR
     if request.longest_pause_s > 0:
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -30,6 +30,9 @@
 short ones, tell the speed of a target."""
 LEAST_OUTPUT_TOKENS = 30
 """Output tokens from which an answer tells something of a target's speed."""
+LEAST_SLOT_S = 0.001
+"""Least time that a request is taken to keep its slot, in seconds: an answer whose
+events come all at once tells of none, and others are divided by it."""
 LEAST_OWN_SHARE = 0.2
 """Least part of the time to a first event that is not put down to waiting."""
 SILENT_AFTER_S = 0.6
@@ -258,8 +261,8 @@
         """
         if self.fixed_s is None:
             self.fixed_s = speed.fixed_s
-        if self.slot_s is None:
-            self.slot_s = speed.slot_s
+        if self.slot_s is None and speed.slot_s is not None:
+            self.slot_s = max(speed.slot_s, LEAST_SLOT_S)
         if self.output_token_s is None:
             self.output_token_s = speed.output_token_s
             self.event_s = speed.event_s
@@ -267,7 +270,8 @@
 
     def note_slot_time(self, taken_s: float) -> None:
         """Learn from the time that an answered request kept its slot."""
-        self.slot_s = _moved(self.slot_s, taken_s, SPEED_WEIGHT)
+        sample = max(taken_s, LEAST_SLOT_S)
+        self.slot_s = _moved(self.slot_s, sample, SPEED_WEIGHT)
 
     def note_heard(self, now: float) -> None:
         """Note that bytes came."""
--- a/libs/dispatch/tests/test_dispatch_speeds.py
+++ b/libs/dispatch/tests/test_dispatch_speeds.py
@@ -1,5 +1,7 @@
 """Speeds that are kept beyond one life of a router."""
 
+from dataclasses import replace
+
 from berylwalk.dispatch import (
     Target,
     TargetEntry,
@@ -7,6 +9,7 @@
     TargetTable,
     Work,
     expected_start,
+    place_limit,
 )
 
 
@@ -54,6 +57,18 @@
             unknown = expected_start(Target(entry("slow")), Work(4_000, 1))
             assert abs(start.total_s - 0.5) < abs(unknown.total_s - 0.5)
 
+    def test_times_of_nothing_are_sound(self):
+        """An answer that came all at once, and its rounded note."""
+        targets = TargetTable()
+        targets.replace([entry("a"), entry("b")], 0.0)
+        quick, noted = targets.by_id["a"], targets.by_id["b"]
+        quick.note_slot_time(0.0)
+        speed = replace(quick.speed(), slot_s=0.0, output_token_s=0.0)
+        noted.adopt_speed(speed)
+        for target in (quick, noted):
+            assert place_limit(target) >= target.entry.slots
+            assert expected_start(target, Work(100, 10)).total_s > 0
+
     def test_own_observations_go_before(self):
         """A note is older than what was seen since the start."""
         speeds_by_id, start_models = learned()
