--- a/libs/dispatch/src/berylwalk/dispatch/_place_limits.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_place_limits.py
@@ -19,7 +19,10 @@
 RESERVED_PLACES = 2
 """Places at each target that are left to the most urgent requests of its service.
 Routers know only their own lines: without it, a place that falls free goes to whatever
-waits where that is seen first."""
+waits where that is seen first. Against none, mean worth rose from 0.518 to 0.572 on ten
+paired plays of a fleet of six routers; one and four places brought 0.557 and 0.552."""
+RESERVED_SHARE = 0.25
+"""Bound of the same as a part of the slots, for targets with few."""
 
 
 def place_limit(target: Target, *, is_most_urgent: bool = True) -> int:
@@ -30,7 +33,9 @@
     order any more, and at a slow one it waits for long.
     """
     slots = target.entry.slots
-    reserved = 0 if is_most_urgent else min(RESERVED_PLACES, slots // 4)
+    reserved = (
+        0 if is_most_urgent else min(RESERVED_PLACES, int(RESERVED_SHARE * slots))
+    )
     if target.slot_s is None:
         return slots + MORE_PLACES_UNKNOWN - reserved
     more = int(TURN_WAIT_S * slots / target.slot_s)
