--- a/libs/replay/tests/test_replay_policy.py
+++ b/libs/replay/tests/test_replay_policy.py
@@ -5,6 +5,7 @@
 """
 
 import pytest
+from msgspec.structs import replace
 
 from berylwalk.replay import (
     MECHANISMS,
@@ -29,6 +30,19 @@
     return sum(values) / len(values)
 
 
+class TestFreshLoads:
+    """Many routers see the same free places."""
+
+    def test_loads_that_are_told_sooner_keep_the_most_urgent_in_time(self):
+        """Half a second old, places are given away that were taken long ago."""
+        scenario = read_scenario(standard_scenarios()["many-routers"])
+        shares = {}
+        for tell_s in (scenario.tell_s, 0.45):
+            outcomes = run(replace(scenario, tell_s=tell_s), seed=1)
+            shares[tell_s] = measure(outcomes)["long"].in_time
+        assert shares[scenario.tell_s] > shares[0.45] + 0.03
+
+
 class TestMostUrgentFirst:
     """Places are short, and what waits is spread over many routers."""
 
