--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -37,8 +37,8 @@
 taken for silent."""
 RELAY_S = 0.1
 """Time between two messages of a relay to those of the other failure domains, where few
-routers are near it: with 0.25, places that were taken in other failure domains were
-given away again; 0.1 brought 0.08 of worth in a burst on 21 routers."""
+routers are near it. Against 0.25, worth rose from 0.233 to 0.316 on one play of a burst
+on 21 routers; in replays older loads keep fewer of the most urgent in time."""
 DOMAIN_SOURCE = "failure-domain "
 """Start of the name under which the loads of a whole failure domain are counted."""
 
--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -25,7 +25,9 @@
 of all routers does not lose it. An account's usual spending is below."""
 RESERVE_SHARE = 0.02
 """Part of the allowance that each rank leaves to the next higher one, besides what the
-most urgent rank asks: with 0.06 calm days refused labels that were owed."""
+most urgent rank asks. Not settled by measurement: against 0.06, which it had before,
+three plays each gave 0.519 and 0.538 for 0.510 and 0.520 on days with one account at
+many times its usual, and 0.858 for 0.875 on a calm day, all within their spread."""
 LOWEST_RANK = 3
 
 
