KNOWN-RED.txt: tests that fail for a known fault are listed, run, printed and passed over

A listed test that passes, or that a whole run does not find, fails the run; so does a list of more than three lines or with a line that lacks a field.

--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,82 @@
+"""Tests that fail for a known fault: listed, run, printed, and passed over.
+
+`KNOWN-RED.txt` at the root has one line for each, with fields between `` | ``: the
+test's id, the cause, the command and seed that show it, what was seen, and the open
+issue. A listed test has to fail: one that passes, or that a whole run doesn't find,
+fails the run.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+LIST_NAME = "KNOWN-RED.txt"
+MOST_ENTRIES = 3
+FIELDS = 5
+KNOWN = pytest.StashKey[list["KnownRed"]]()
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRed:
+    """One listed test.
+
+    Parameters
+    ----------
+    test_id : str
+        The id that pytest prints.
+    reason : str
+        The other fields, for the report.
+    """
+
+    test_id: str
+    reason: str
+
+
+def read_known_red(path: Path) -> list[KnownRed]:
+    """Read the list; it is empty if there is no file.
+
+    Raises
+    ------
+    pytest.UsageError
+        If a line has not the five fields, or there are more than three lines.
+    """
+    if not path.exists():
+        return []
+    lines = [line for line in path.read_text().splitlines() if line.strip()]
+    if len(lines) > MOST_ENTRIES:
+        raise pytest.UsageError(f"{LIST_NAME}: more than {MOST_ENTRIES} lines")
+    entries = []
+    for number, line in enumerate(lines, 1):
+        fields = [field.strip() for field in line.split(" | ")]
+        if len(fields) != FIELDS or not all(fields):
+            raise pytest.UsageError(f"{LIST_NAME}:{number}: not {FIELDS} fields")
+        entries.append(KnownRed(fields[0], " | ".join(fields[1:])))
+    return entries
+
+
+def pytest_collection_modifyitems(
+    config: pytest.Config, items: list[pytest.Item]
+) -> None:
+    """Expect the listed tests to fail, and only to fail."""
+    known = read_known_red(config.rootpath / LIST_NAME)
+    config.stash[KNOWN] = known
+    items_by_id = {item.nodeid: item for item in items}
+    is_whole_run = config.args_source is config.ArgsSource.TESTPATHS
+    is_whole_run = is_whole_run and not (
+        config.option.keyword or config.option.markexpr
+    )
+    for entry in known:
+        item = items_by_id.get(entry.test_id)
+        if item is not None:
+            item.add_marker(pytest.mark.xfail(reason=entry.reason, strict=True))
+        elif is_whole_run:
+            raise pytest.UsageError(f"{LIST_NAME}: there is no test {entry.test_id}")
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter, config: pytest.Config
+) -> None:
+    """Print the list."""
+    for entry in config.stash.get(KNOWN, []):
+        terminalreporter.write_line(f"known red: {entry.test_id} | {entry.reason}")
