Logs tell when a failed call of the store was made and sent twice, and entries' revisions

No change of logic. The record of the incident could not tell: when a watch was asked, whether one call was sent twice, at which revision an entry was taken, and how old the knowledge of targets was. New: event store-call-failed, revision in target-listed and target-gone, gauge berylwalk_targets_age_seconds.

--- a/libs/direct/src/berylwalk/direct/_configuration_feed.py
+++ b/libs/direct/src/berylwalk/direct/_configuration_feed.py
@@ -55,8 +55,9 @@
         failures = 0
         while True:
             asked_at = self._context.clock()
-            item = await self._store.get(CONFIGURATION_KEY)
-            self._reach.note("read-configuration", item)
+            item = await self._reach.ask(
+                "read-configuration", self._store.get(CONFIGURATION_KEY)
+            )
             if isinstance(item, Unavailable):
                 failures += 1
                 await self._reach.pause(failures, is_probe=True)
@@ -74,10 +75,10 @@
             if not self._revision:
                 await sleep(ABSENT_S)
                 continue
-            changes = await self._store.changes(
-                CONFIGURATION_KEY, self._revision, wait_s=WATCH_S
+            changes = await self._reach.ask(
+                "watch-configuration",
+                self._store.changes(CONFIGURATION_KEY, self._revision, wait_s=WATCH_S),
             )
-            self._reach.note("watch-configuration", changes)
             if isinstance(changes, Unavailable):
                 failures += 1
                 self._wanted.set()
--- a/libs/direct/src/berylwalk/direct/_gauges.py
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -12,6 +12,8 @@
     now = context.clock()
     age_s = min(context.configuration.age_s(now), LONGEST_AGE_S)
     metrics.configuration_age_s.set(age_s)
+    targets_age_s = min(now - context.targets.confirmed_at, LONGEST_AGE_S)
+    metrics.targets_age_s.set(targets_age_s)
     for service, length in context.dispatcher.lengths().items():
         metrics.waiting.labels(service).set(length)
         metrics.retries_left.labels(service).set(context.retries.left(service, now))
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -72,6 +72,10 @@
         self.configuration_age_s = self._gauge(
             "configuration_age_seconds", "Time since the last confirming read."
         )
+        self.targets_age_s = self._gauge(
+            "targets_age_seconds",
+            "Time since the store last told what targets there are.",
+        )
         self.waiting = self._gauge(
             "waiting_requests", "Requests that wait for a place.", "service"
         )
--- a/libs/direct/src/berylwalk/direct/_speed_note.py
+++ b/libs/direct/src/berylwalk/direct/_speed_note.py
@@ -92,8 +92,9 @@
         }
         speeds = Speeds(speeds_by_id, targets.start_models_by_service())
         if speeds_by_id and speeds != self._noted:
-            written = await self._store.put(NOTE_KEY, json.encode(speeds))
-            self._reach.note("note-speeds", written)
+            await self._reach.ask(
+                "note-speeds", self._store.put(NOTE_KEY, json.encode(speeds))
+            )
             self._noted = speeds
 
 
--- a/libs/direct/src/berylwalk/direct/_store_reach.py
+++ b/libs/direct/src/berylwalk/direct/_store_reach.py
@@ -1,5 +1,8 @@
 """Whether the platform's store answers, as all its users in one router see it."""
 
+from collections.abc import Awaitable
+from typing import TypeVar
+
 from anyio import Event, move_on_after
 
 from berylwalk.direct._context import RouterContext
@@ -22,6 +25,8 @@
 LAPSE_MARGIN_S = 0.6
 """Time after the bound of their return for which lapsed entries are looked for."""
 
+Result = TypeVar("Result")
+
 
 class StoreReach:
     """Notes how calls end and paces those that are made again.
@@ -43,7 +48,27 @@
         self._lapse_ended_at = float("-inf")
         self._returned = Event()
 
-    def note(self, purpose: str, result: object) -> None:
+    async def ask(self, purpose: str, call: Awaitable[Result]) -> Result:
+        """Make a call and note how it ended.
+
+        Parameters
+        ----------
+        purpose : str
+            What the call is for, as metrics and logs name it.
+        call : awaitable
+            The call of the store's client.
+
+        Returns
+        -------
+        object
+            What the client returned.
+        """
+        asked_at = self._context.clock()
+        result = await call
+        self.note(purpose, result, asked_at)
+        return result
+
+    def note(self, purpose: str, result: object, asked_at: float) -> None:
         """Note how a call ended.
 
         Parameters
@@ -52,12 +77,21 @@
             What the call was for, as metrics and logs name it.
         result : object
             What the client returned.
+        asked_at : float
+            When the call was made.
         """
         context = self._context
         failed = isinstance(result, Unavailable) and result.reason not in ANSWERS
         outcome = "failed" if failed else "ok"
         context.metrics.store_calls.labels(purpose, outcome).inc()
         now = context.clock()
+        if failed:
+            context.log.process(
+                "store-call-failed",
+                purpose=purpose,
+                asked_ms_ago=round((now - asked_at) * 1000),
+                detail=result.detail,
+            )
         if failed and self.away_since is None:
             self.away_since = now
             context.log.process("store-lost", purpose=purpose, detail=result.detail)
--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -64,13 +64,15 @@
     async def _list(self) -> None:
         failures = 0
         while True:
-            listing = await self._store.list_prefix(TARGETS_PREFIX)
-            self._reach.note("list-targets", listing)
+            listing = await self._reach.ask(
+                "list-targets", self._store.list_prefix(TARGETS_PREFIX)
+            )
             if isinstance(listing, Unavailable):
                 failures += 1
                 await self._reach.pause(failures)
                 continue
             failures = 0
+            self._context.targets.confirmed_at = self._context.clock()
             self._take_all(listing)
             self._wanted = Event()
             await self._until_wanted()
@@ -90,8 +92,9 @@
 
     async def _is_confirmed(self) -> bool:
         """Return whether a cheap list, which may be old, shows what is known."""
-        listing = await self._store.list_prefix(TARGETS_PREFIX, stale_ok=True)
-        self._reach.note("check-targets", listing)
+        listing = await self._reach.ask(
+            "check-targets", self._store.list_prefix(TARGETS_PREFIX, stale_ok=True)
+        )
         if isinstance(listing, Unavailable):
             return False
         return _revisions_by_id(listing) == self._revisions_by_id
@@ -102,10 +105,10 @@
             if not self._revision:
                 await sleep(UNLISTED_S)
                 continue
-            changes = await self._store.changes(
-                TARGETS_PREFIX, self._revision, wait_s=WATCH_S
+            changes = await self._reach.ask(
+                "watch-targets",
+                self._store.changes(TARGETS_PREFIX, self._revision, wait_s=WATCH_S),
             )
-            self._reach.note("watch-targets", changes)
             if isinstance(changes, Unavailable):
                 failures += 1
                 if changes.reason is UnavailableReason.HISTORY_GONE:
@@ -114,11 +117,12 @@
                 await self._reach.pause(failures)
                 continue
             failures = 0
+            self._context.targets.confirmed_at = self._context.clock()
             for event in changes.events:
                 if event.kind is EventKind.PUT:
                     self._take_one(event.key_value)
                 else:
-                    self._remove(target_id_of(event.key_value.key), "removed")
+                    self._remove(event.key_value)
             self._revision = max(self._revision, changes.revision)
             if changes.events:
                 await sleep(GATHER_S)
@@ -130,10 +134,10 @@
         for item in listing.entries:
             entry = self._decoded(item)
             if entry is not None:
-                self._log_change(entry)
+                self._log_change(entry, item.mod_revision)
                 entries.append(entry)
         for target_id in context.targets.replace(entries, context.clock()):
-            self._note_gone(target_id, "not listed")
+            self._note_gone(target_id, "not listed", listing.revision)
         self._revision = max(self._revision, listing.revision)
         context.dispatcher.pump_all(context.clock())
 
@@ -141,21 +145,24 @@
         self._revisions_by_id[target_id_of(item.key)] = item.mod_revision
         entry = self._decoded(item)
         if entry is not None:
-            self._log_change(entry)
+            self._log_change(entry, item.mod_revision)
             self._context.targets.update(entry)
             self._context.dispatcher.pump(entry.service, self._context.clock())
 
-    def _remove(self, target_id: str, detail: str) -> None:
+    def _remove(self, item: KeyValue) -> None:
+        target_id = target_id_of(item.key)
         self._revisions_by_id.pop(target_id, None)
         if self._context.targets.remove(target_id, self._context.clock()):
-            self._note_gone(target_id, detail)
+            self._note_gone(target_id, "removed", item.mod_revision)
 
-    def _note_gone(self, target_id: str, detail: str) -> None:
+    def _note_gone(self, target_id: str, detail: str, revision: int) -> None:
         self._context.pool.drop(target_id)
         self._context.metrics.forget_target(target_id)
-        self._context.log.process("target-gone", target=target_id, detail=detail)
+        self._context.log.process(
+            "target-gone", target=target_id, detail=detail, revision=revision
+        )
 
-    def _log_change(self, entry: TargetEntry) -> None:
+    def _log_change(self, entry: TargetEntry, revision: int) -> None:
         known = self._context.targets.by_id.get(entry.target_id)
         if known is not None and known.entry == entry:
             return
@@ -166,6 +173,7 @@
             address=f"{entry.host}:{entry.port}",
             state=entry.state,
             slots=entry.slots,
+            revision=revision,
         )
 
     def _decoded(self, item: KeyValue) -> TargetEntry | None:
--- a/libs/direct/tests/test_direct_store_reach.py
+++ b/libs/direct/tests/test_direct_store_reach.py
@@ -11,6 +11,7 @@
 from berylwalk.platform import Unavailable, UnavailableReason
 
 pytestmark = pytest.mark.anyio
+ASKED_AT = 99.0
 FAILED = Unavailable(UnavailableReason.NO_ANSWER, "no answer")
 
 
@@ -50,9 +51,9 @@
 
     def test_long_one_lets_entries_lapse(self, reach, clock, targets):
         """What is removed just after it may come back."""
-        reach.note("list-targets", FAILED)
+        reach.note("list-targets", FAILED, ASKED_AT)
         clock.now += 1.5
-        reach.note("read-configuration", None)
+        reach.note("read-configuration", None, ASKED_AT)
         assert reach.away_since is None
         assert reach.may_lapse(targets.absence_grace_s)
         clock.now += 10.0
@@ -60,15 +61,15 @@
 
     def test_short_one_does_not(self, reach, clock, targets):
         """A watch that was cut hides no removal."""
-        reach.note("watch-targets", FAILED)
+        reach.note("watch-targets", FAILED, ASKED_AT)
         clock.now += 0.2
-        reach.note("list-targets", None)
+        reach.note("list-targets", None, ASKED_AT)
         assert not reach.may_lapse(targets.absence_grace_s)
 
     def test_refusals_that_tell_something_are_answers(self, reach):
         """A discarded history shows that the store is there."""
         for reason in (UnavailableReason.NOT_FOUND, UnavailableReason.HISTORY_GONE):
-            reach.note("watch-targets", Unavailable(reason))
+            reach.note("watch-targets", Unavailable(reason), ASKED_AT)
         assert reach.away_since is None
 
 
@@ -80,7 +81,7 @@
         monkeypatch.setattr(
             "berylwalk.direct._store_reach.backoff_s", lambda *args, **options: 1e6
         )
-        reach.note("list-targets", FAILED)
+        reach.note("list-targets", FAILED, ASKED_AT)
         ended = []
 
         async def wait(failures):
@@ -93,7 +94,7 @@
                 tasks.start_soon(wait, 1)
                 await wait_all_tasks_blocked()
                 assert not ended
-                reach.note("read-configuration", None)
+                reach.note("read-configuration", None, ASKED_AT)
         assert sorted(ended) == [1, 9]
 
     async def test_only_the_probe_goes_on_often(self, reach, monkeypatch):
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -21,11 +21,19 @@
     absence_grace_s : float
         Time for which a target is kept that is missing after an outage of the
         store, during which entries may have lapsed, in seconds.
+
+    Attributes
+    ----------
+    by_id : dict
+        All targets.
+    confirmed_at : float
+        When the store last told what is there, in seconds.
     """
 
     def __init__(self, *, absence_grace_s: float = ABSENT_TARGETS_KEPT_S) -> None:
         self.by_id: dict[str, Target] = {}
         self.absence_grace_s = absence_grace_s
+        self.confirmed_at = float("-inf")
         self._lapsed_until = float("-inf")
         self._by_service: dict[str, list[Target]] = {}
         self._start_models_by_service: dict[str, StartModel] = {}
