--- /dev/null
+++ b/libs/direct/tests/virtual_feeds.py
@@ -0,0 +1,101 @@
+"""The feeds of a router and its client of the store, in virtual time."""
+
+import random
+from asyncio import Runner, get_running_loop
+from types import SimpleNamespace
+
+from anyio import create_task_group
+
+from berylwalk.direct._configuration_feed import ConfigurationFeed
+from berylwalk.direct._daemon import STORE_TIMEOUT_S
+from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.direct._store_reach import StoreReach
+from berylwalk.direct._target_feed import TargetFeed
+from berylwalk.dispatch import ConfigurationState, Dispatcher, TargetTable
+from berylwalk.platform import KeyValueClient
+from virtual_store import VirtualStore
+from virtual_time import VirtualLoop
+
+DRAIN_S = 2.0
+"""Time after which a target that leaves must get no request."""
+CONFIGURATION_S = 2.0
+"""Time after which a version must be in force."""
+
+
+class Feeds:
+    """What a router believes of the store, and the lines that it logs.
+
+    Parameters
+    ----------
+    store : VirtualStore
+        The store.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.lines = []
+        self.clock = get_running_loop().time
+        self.targets = TargetTable()
+        self.configuration = ConfigurationState(key_trust_s=4.5)
+        self.context = SimpleNamespace(
+            settings=SimpleNamespace(drain_s=DRAIN_S, configuration_s=CONFIGURATION_S),
+            targets=self.targets,
+            configuration=self.configuration,
+            dispatcher=Dispatcher(self.targets, failure_domain="fd-a"),
+            pool=SimpleNamespace(drop=lambda target_id: None),
+            metrics=RouterMetrics(),
+            log=SimpleNamespace(process=self._log),
+            clock=self.clock,
+        )
+
+    def _log(self, event, **fields):
+        self.lines.append((round(self.clock(), 3), event, fields))
+
+    def takes_work(self, target_id):
+        """Return whether a request would be sent to a target."""
+        target = self.targets.by_id.get(target_id)
+        return target is not None and target.takes_work(self.clock())
+
+    @property
+    def version(self):
+        """Return the version in force, or 0."""
+        current = self.configuration.current
+        return 0 if current is None else current.version
+
+    async def run(self):
+        """Run the feeds for ever."""
+        client = KeyValueClient.from_config(
+            ["http://10.0.0.9:80"], timeout_s=STORE_TIMEOUT_S
+        )
+        await client.start()
+        reach = StoreReach(self.context)
+        async with create_task_group() as tasks:
+            tasks.start_soon(ConfigurationFeed(self.context, client, reach).run)
+            tasks.start_soon(TargetFeed(self.context, client, reach).run)
+
+
+def play(scenario, **options):
+    """Play a scenario against running feeds.
+
+    Parameters
+    ----------
+    scenario : callable
+        Coroutine function of the feeds; what it returns is returned.
+    options : dict
+        Of the store.
+    """
+    store = VirtualStore(**options)
+    # Pauses between calls are drawn: a play ends the same way each time.
+    random.seed(1)
+
+    async def main():
+        store.start()
+        feeds = Feeds(store)
+        async with create_task_group() as tasks:
+            tasks.start_soon(feeds.run)
+            result = await scenario(feeds)
+            tasks.cancel_scope.cancel()
+        return result
+
+    with Runner(loop_factory=lambda: VirtualLoop(store)) as runner:
+        return runner.run(main())
--- /dev/null
+++ b/libs/direct/tests/virtual_store.py
@@ -0,0 +1,160 @@
+"""The platform's store in virtual time, with outages and answers that get lost."""
+
+from asyncio import create_task, get_running_loop, sleep
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from json import dumps
+from urllib.parse import parse_qsl, urlsplit
+
+from msgspec.json import decode, encode
+
+from berylwalk.standins._metadata_store import MetadataStore
+from berylwalk.standins._revisions import RevisionStore
+
+ANSWER_S = 0.006
+"""Time from a call to its answer in a sound store."""
+
+
+@dataclass
+class Call:
+    """One call, as the stand-in of the store takes it."""
+
+    transport: object
+    method: str
+    target: str
+    body: bytes
+    asked_at: float
+    status: int | None = None
+    answer: bytes = b""
+
+    @property
+    def path(self):
+        """Return the path."""
+        return urlsplit(self.target).path
+
+    def query(self):
+        """Return the parameters by name."""
+        return dict(parse_qsl(urlsplit(self.target).query))
+
+    async def json(self):
+        """Return the body."""
+        return decode(self.body or b"{}")
+
+    def gone(self):
+        """Return whether the caller has closed."""
+        return self.transport.is_closing()
+
+    async def abort(self):
+        """Break the connection."""
+        self.transport.abort()
+
+    async def answer_json(self, status, value):
+        """Keep the answer until it is delivered."""
+        self.status, self.answer = status, encode(value)
+
+
+@dataclass
+class VirtualStore:
+    """A store whose answers a test delays, loses and breaks off.
+
+    A connection on which an answer was lost returns nothing further.
+
+    Parameters
+    ----------
+    fate : callable
+        Gets a call that the store has taken up; returns the seconds until its
+        answer arrives, or None if it is lost.
+    """
+
+    fate: Callable = lambda call: ANSWER_S
+    store: RevisionStore = field(default_factory=RevisionStore)
+    calls: list = field(default_factory=list)
+
+    def __post_init__(self):
+        self._dead = set()
+        self._down_until = None
+        self._resets = False
+        self._open = set()
+        self._tasks = set()
+
+    def start(self):
+        """Begin to answer; called in the running loop."""
+        self.clock = get_running_loop().time
+        self._metadata = MetadataStore(
+            self.store, is_down=lambda: False, clock=self.clock
+        )
+        self.store.on_change = self._metadata.wake
+
+    async def accept(self, transport):
+        """Take a connection."""
+        await sleep(ANSWER_S / 3)
+        self._open.add(transport)
+
+    def receive(self, transport, data):
+        """Take a call; calls are written whole."""
+        head, _, body = data.partition(b"\r\n\r\n")
+        method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
+        call = Call(transport, method, target, body, self.clock())
+        self.calls.append(call)
+        task = create_task(self._answer(call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @property
+    def is_down(self):
+        """Whether nothing is answered."""
+        return self._down_until is not None
+
+    async def go_down(self, for_s, *, resets=False):
+        """Answer nobody for some time, by silence or by broken connections."""
+        self._down_until = self.clock() + for_s
+        self._resets = resets
+        await sleep(for_s)
+        self._down_until = None
+
+    def silence_connections(self):
+        """Let all open connections return nothing more, without a sign."""
+        self._dead |= self._open
+
+    async def _answer(self, call):
+        if self.is_down:
+            self._lose(call)
+            return
+        await self._metadata.answer(call)
+        delay_s = self.fate(call)
+        if self.is_down or delay_s is None or call.transport in self._dead:
+            self._lose(call)
+            return
+        await sleep(delay_s)
+        if call.transport not in self._dead:
+            head = f"HTTP/1.1 {call.status} X\r\nContent-Length: {len(call.answer)}"
+            call.transport.deliver(f"{head}\r\n\r\n".encode() + call.answer)
+
+    def _lose(self, call):
+        self._dead.add(call.transport)
+        if self._resets:
+            call.transport.abort()
+
+
+def target_value(*, state="ready", port=8406, **changes):
+    """Return an entry of a target."""
+    value = {
+        "service": "s",
+        "address": f"10.0.0.1:{port}",
+        "zone": "fd-a",
+        "slots": 6,
+        "state": state,
+        **changes,
+    }
+    return dumps(value).encode()
+
+
+def configuration_value(version):
+    """Return a configuration without routes."""
+    value = {"version": version, "routes": [], "services": [{"name": "s"}]}
+    return dumps(value).encode()
+
+
+async def until(time_s):
+    """Sleep until a moment of the virtual time."""
+    await sleep(max(0.0, time_s - get_running_loop().time()))
--- a/libs/standins/src/berylwalk/standins/_metadata_store.py
+++ b/libs/standins/src/berylwalk/standins/_metadata_store.py
@@ -61,11 +61,20 @@
         What the calls read and write.
     is_down : callable
         Whether connections are dropped at present.
+    clock : callable
+        Monotonic time, in seconds.
     """
 
-    def __init__(self, store: RevisionStore, *, is_down: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        store: RevisionStore,
+        *,
+        is_down: Callable[[], bool],
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
         self._store = store
         self._is_down = is_down
+        self._clock = clock
         self._changed = Event()
 
     def wake(self) -> None:
@@ -75,7 +84,7 @@
 
     async def answer(self, exchange: Exchange) -> None:
         """Answer one call."""
-        self._store.expire(monotonic())
+        self._store.expire(self._clock())
         try:
             status, body = await self._answer(exchange)
         except (DecodeError, ValidationError, KeyError, ValueError) as error:
@@ -103,10 +112,10 @@
             case "POST", "kv-lease":
                 ttl_ms = int((await exchange.json())["ttl-ms"])
                 ttl_ms = max(ttl_ms, SHORTEST_LEASE_MS)
-                lease = self._store.grant(monotonic(), ttl_ms / 1000)
+                lease = self._store.grant(self._clock(), ttl_ms / 1000)
                 return 200, {"lease": lease.lease_id, "ttl-ms": ttl_ms}
             case "POST", "kv-keep":
-                ttl_s = self._store.keep_alive(monotonic(), int(number))
+                ttl_s = self._store.keep_alive(self._clock(), int(number))
                 if not ttl_s:
                     raise LeaseNotFoundError(int(number))
                 return 200, {"ttl-ms": int(ttl_s * 1000)}
@@ -133,13 +142,13 @@
 
     async def _watch(self, exchange: Exchange) -> tuple[int | None, Json]:
         query = exchange.query()
-        ends_at = monotonic() + min(int(query["wait-ms"]), MAX_WAIT_MS) / 1000
+        ends_at = self._clock() + min(int(query["wait-ms"]), MAX_WAIT_MS) / 1000
         bounds = prefix_range(query["path-prefix"].encode())
         after = int(query["after"])
         while not self._is_down():
             changed = self._changed
             changes = self._store.changes_since(after + 1, *bounds)
-            left_s = ends_at - monotonic()
+            left_s = ends_at - self._clock()
             if changes or left_s <= 0 or exchange.gone():
                 events = [item_json(entry) for entry in changes]
                 return 200, {"events": events, "store-revision": self._store.revision}
