What routers know of the store is ordered by its revisions and never older than a bound

Cause (class): a belief with two sources, lists and watches, was taken in the order in which answers arrived, and its age was bounded by nothing but a look each 3 s at a list that may itself be old, while a target that leaves may get requests for 2 s.

Answers count by the revision at which the store gave them. The hold of a watch follows from the bound of the deployment: gathering, hold and the bound of a call fit into it, so that the loss of any one answer is noticed in time. The cheap check is gone.

With it: a lost answer of a write was taken for an answer (store-regained in the middle of the outage), and the failure of a call from before a return for a new outage. All users of the store tell how their calls end. A request whose connection was being opened while its target said that it leaves was sent all the same.

Replaced, as the check is gone: 'a watch that hears nothing is found out' by silent connections at 60 moments with a bound; 'an unchanged list is not read again' by the count of all calls of a calm minute.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -18,7 +18,7 @@
 from berylwalk.direct._peering import Peering
 from berylwalk.direct._speed_note import SpeedNote
 from berylwalk.direct._spending_note import SpendingNote
-from berylwalk.direct._store_reach import StoreReach
+from berylwalk.direct._store_reach import CALL_TIMEOUT_S, StoreReach
 from berylwalk.direct._target_feed import TargetFeed
 from berylwalk.dispatch import (
     Allowances,
@@ -34,8 +34,6 @@
 from berylwalk.forwarding import CallerConnection, CallerRequest, TargetPool
 from berylwalk.platform import REQUEST_ID_HEADER, KeyValueClient
 
-STORE_TIMEOUT_S = 0.9
-"""Bound of one call of the store: four times its answers when it is slow."""
 KEY_TRUST_MARGIN_S = 0.5
 """Time before the bound on revoked keys at which they are no longer trusted."""
 READY_AGE_S = 3.0
@@ -108,7 +106,7 @@
 
         address = settings.store_address
         store = KeyValueClient.from_config(
-            [f"http://{address.host}:{address.port}"], timeout_s=STORE_TIMEOUT_S
+            [f"http://{address.host}:{address.port}"], timeout_s=CALL_TIMEOUT_S
         )
         context = RouterContext(
             settings=settings,
--- a/libs/direct/src/berylwalk/direct/_membership.py
+++ b/libs/direct/src/berylwalk/direct/_membership.py
@@ -74,15 +74,18 @@
 
     async def _renew_or_enter(self) -> bool:
         if self._lease_id is not None:
-            left_s = await self._store.keep_alive(self._lease_id)
+            left_s = await self._reach.ask(
+                "renew-membership", self._store.keep_alive(self._lease_id)
+            )
             if isinstance(left_s, Unavailable):
                 return False
             if left_s > 0:
                 return True
             self._context.log.process("membership-lapsed", lease=self._lease_id)
         self._lease_id = None
-        lease = await self._store.grant_lease(
-            max(LEASE_S, self._context.settings.shortest_lease_s)
+        lease_s = max(LEASE_S, self._context.settings.shortest_lease_s)
+        lease = await self._reach.ask(
+            "lease-membership", self._store.grant_lease(lease_s)
         )
         if isinstance(lease, Unavailable):
             return False
@@ -94,8 +97,9 @@
             settings.failure_domain,
         )
         key = MEMBERS_PREFIX + settings.name.encode()
-        written = await self._store.put(
-            key, json.encode(entry), lease_id=lease.lease_id
+        written = await self._reach.ask(
+            "enter-membership",
+            self._store.put(key, json.encode(entry), lease_id=lease.lease_id),
         )
         if isinstance(written, Unavailable | Lost):
             return False
@@ -107,8 +111,9 @@
         is_first = True
         failures = 0
         while True:
-            listing = await self._store.list_prefix(
-                MEMBERS_PREFIX, stale_ok=not is_first
+            listing = await self._reach.ask(
+                "list-members",
+                self._store.list_prefix(MEMBERS_PREFIX, stale_ok=not is_first),
             )
             if isinstance(listing, Unavailable):
                 failures += 1
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -12,6 +12,7 @@
     Attempts,
     RouteKind,
     Target,
+    TargetState,
     expected_start,
 )
 from berylwalk.forwarding import TargetConnection, end_to_end, request_head
@@ -110,7 +111,9 @@
         is_keyed = self._admitted.account is not None
         if is_keyed and not configuration.trusts_keys(self._context.clock()):
             return False
-        return target.entry.target_id in self._context.targets.by_id
+        # While the connection was opened, the target may have said that it leaves.
+        is_known = self._context.targets.by_id.get(target.entry.target_id) is target
+        return is_known and target.entry.state is TargetState.READY
 
     async def _transfer(
         self, target: Target, connection: TargetConnection, attempt: Attempt
--- a/libs/direct/src/berylwalk/direct/_speed_note.py
+++ b/libs/direct/src/berylwalk/direct/_speed_note.py
@@ -63,7 +63,7 @@
     async def run(self) -> None:
         """Read once, then write for ever."""
         failures = 0
-        while isinstance(note := await self._store.get(NOTE_KEY), Unavailable):
+        while isinstance(note := await self._read(), Unavailable):
             failures += 1
             await self._reach.pause(failures)
         if note is not None:
@@ -73,6 +73,9 @@
             if self._context.peers.is_first(self._context.clock()):
                 await self._write()
 
+    async def _read(self) -> KeyValue | Unavailable | None:
+        return await self._reach.ask("read-speeds", self._store.get(NOTE_KEY))
+
     def _learn_from(self, note: KeyValue) -> None:
         context = self._context
         try:
--- a/libs/direct/src/berylwalk/direct/_spending_note.py
+++ b/libs/direct/src/berylwalk/direct/_spending_note.py
@@ -47,7 +47,7 @@
     async def run(self) -> None:
         """Read the note of an earlier life once, then write it as needed."""
         failures = 0
-        while isinstance(note := await self._store.get(NOTE_KEY), Unavailable):
+        while isinstance(note := await self._read(), Unavailable):
             failures += 1
             await self._reach.pause(failures)
         self._learn_from(note)
@@ -58,6 +58,9 @@
             if spent and self._context.peers.is_first(now):
                 await self._write(spent)
 
+    async def _read(self) -> KeyValue | Unavailable | None:
+        return await self._reach.ask("read-spending", self._store.get(NOTE_KEY))
+
     def _learn_from(self, note: KeyValue | None) -> None:
         spent: dict[str, list[float]] = {}
         if note is not None:
@@ -76,7 +79,10 @@
         value = json.encode(
             {name: [round(units) for units in bins] for name, bins in spent.items()}
         )
-        written = await self._store.put(NOTE_KEY, value, lease_id=self._lease_id)
+        written = await self._reach.ask(
+            "note-spending",
+            self._store.put(NOTE_KEY, value, lease_id=self._lease_id),
+        )
         if isinstance(written, Unavailable | Lost):
             self._lease_id = None
 
@@ -86,12 +92,16 @@
         if self._lease_id is not None:
             if now - self._renewed_at < RENEW_S:
                 return True
-            left_s = await self._store.keep_alive(self._lease_id)
+            left_s = await self._reach.ask(
+                "renew-spending", self._store.keep_alive(self._lease_id)
+            )
             if not isinstance(left_s, Unavailable) and left_s > 0:
                 self._renewed_at = now
                 return True
             self._lease_id = None
-        lease = await self._store.grant_lease(NOTE_LEASE_S)
+        lease = await self._reach.ask(
+            "lease-spending", self._store.grant_lease(NOTE_LEASE_S)
+        )
         if isinstance(lease, Unavailable):
             return False
         self._lease_id, self._renewed_at = lease.lease_id, now
--- a/libs/direct/src/berylwalk/direct/_store_reach.py
+++ b/libs/direct/src/berylwalk/direct/_store_reach.py
@@ -6,7 +6,10 @@
 from anyio import Event, move_on_after
 
 from berylwalk.direct._context import RouterContext
-from berylwalk.platform import Unavailable, UnavailableReason, backoff_s
+from berylwalk.platform import Lost, Unavailable, UnavailableReason, backoff_s
+
+CALL_TIMEOUT_S = 0.9
+"""Bound of one call of the store: four times its answers when it is slow."""
 
 ANSWERS = frozenset({UnavailableReason.NOT_FOUND, UnavailableReason.HISTORY_GONE})
 """Failures by which the store shows that it is there."""
@@ -45,10 +48,13 @@
     def __init__(self, context: RouterContext) -> None:
         self._context = context
         self.away_since: float | None = None
+        self._answered_at = float("-inf")
         self._lapse_ended_at = float("-inf")
         self._returned = Event()
 
-    async def ask(self, purpose: str, call: Awaitable[Result]) -> Result:
+    async def ask(
+        self, purpose: str, call: Awaitable[Result], *, held_s: float = 0.0
+    ) -> Result:
         """Make a call and note how it ended.
 
         Parameters
@@ -57,6 +63,8 @@
             What the call is for, as metrics and logs name it.
         call : awaitable
             The call of the store's client.
+        held_s : float
+            Time for which the store may hold it back, in seconds.
 
         Returns
         -------
@@ -65,10 +73,12 @@
         """
         asked_at = self._context.clock()
         result = await call
-        self.note(purpose, result, asked_at)
+        self.note(purpose, result, asked_at, held_s=held_s)
         return result
 
-    def note(self, purpose: str, result: object, asked_at: float) -> None:
+    def note(
+        self, purpose: str, result: object, asked_at: float, *, held_s: float = 0.0
+    ) -> None:
         """Note how a call ended.
 
         Parameters
@@ -79,9 +89,11 @@
             What the client returned.
         asked_at : float
             When the call was made.
+        held_s : float
+            Time for which the store might hold it back, in seconds.
         """
         context = self._context
-        failed = isinstance(result, Unavailable) and result.reason not in ANSWERS
+        failed = _is_failure(result)
         outcome = "failed" if failed else "ok"
         context.metrics.store_calls.labels(purpose, outcome).inc()
         now = context.clock()
@@ -92,10 +104,13 @@
                 asked_ms_ago=round((now - asked_at) * 1000),
                 detail=result.detail,
             )
-        if failed and self.away_since is None:
-            self.away_since = now
-            context.log.process("store-lost", purpose=purpose, detail=result.detail)
-        elif not failed and self.away_since is not None:
+            # A call that was due before another was answered tells nothing new.
+            if self.away_since is None and asked_at + held_s >= self._answered_at:
+                self.away_since = now
+                context.log.process("store-lost", purpose=purpose, detail=result.detail)
+            return
+        self._answered_at = now
+        if self.away_since is not None:
             self._note_return(purpose, now)
 
     def may_lapse(self, within_s: float) -> bool:
@@ -136,3 +151,10 @@
         pause_s = backoff_s(failures, first_s=FIRST_PAUSE_S, largest_s=longest_s)
         with move_on_after(pause_s):
             await self._returned.wait()
+
+
+def _is_failure(result: object) -> bool:
+    """Return whether the store did not answer a call, as far as can be told."""
+    if isinstance(result, Unavailable):
+        return result.reason not in ANSWERS
+    return isinstance(result, Lost)
--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -1,8 +1,7 @@
 """Keeps the list of targets up to date with the platform's store."""
 
-from anyio import Event, create_task_group, move_on_after, sleep
-
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._mirrored_prefix import MirroredPrefix, MirrorRules, hold_s
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import TargetEntry
 from berylwalk.platform import (
@@ -11,29 +10,23 @@
     EventKind,
     KeyValue,
     KeyValueClient,
-    Listing,
-    Unavailable,
-    UnavailableReason,
+    WatchEvent,
     decode_target,
     target_id_of,
 )
 
-CHECK_S = 3.0
-"""Time between cheap lists that check the watch. They may be seconds old, so that
-nothing is taken from them: one that differs asks for a fresh list."""
 LIST_AFTER_OUTAGE_S = 0.6
-"""Time between fresh lists while entries that lapsed in an outage may come back."""
-UNLISTED_S = 0.15
-"""Time between looks for a first list."""
-WATCH_S = 8.0
-"""Time that the store holds a watch back."""
+"""Time between lists while entries that lapsed in an outage may come back."""
 GATHER_S = 0.2
 """Time for which changes gather at the store before they are asked for again: a
 replaced target makes several in a row, and each answer is paid for."""
 
 
 class TargetFeed:
-    """Lists and watches the targets.
+    """Mirrors the entries of targets into the table of targets.
+
+    A target that leaves must get no request some time after the store has its word,
+    so that what is known of the entries is never older than that.
 
     Parameters
     ----------
@@ -49,100 +42,54 @@
         self, context: RouterContext, store: KeyValueClient, reach: StoreReach
     ) -> None:
         self._context = context
-        self._store = store
         self._reach = reach
-        self._revision = 0
-        self._revisions_by_id: dict[str, int] = {}
-        self._wanted = Event()
+        rules = MirrorRules(
+            prefix=TARGETS_PREFIX,
+            name="targets",
+            hold_s=hold_s(context.settings.drain_s, GATHER_S),
+            gather_s=GATHER_S,
+            list_gap_s=self._list_gap_s,
+        )
+        self._mirror = MirroredPrefix(
+            store,
+            reach,
+            rules,
+            clock=context.clock,
+            on_list=self._take_all,
+            on_changes=self._take_changes,
+        )
 
     async def run(self) -> None:
         """List and watch for ever."""
-        async with create_task_group() as tasks:
-            tasks.start_soon(self._list)
-            tasks.start_soon(self._watch)
-
-    async def _list(self) -> None:
-        failures = 0
-        while True:
-            listing = await self._reach.ask(
-                "list-targets", self._store.list_prefix(TARGETS_PREFIX)
-            )
-            if isinstance(listing, Unavailable):
-                failures += 1
-                await self._reach.pause(failures)
-                continue
-            failures = 0
-            self._context.targets.confirmed_at = self._context.clock()
-            self._take_all(listing)
-            self._wanted = Event()
-            await self._until_wanted()
-
-    async def _until_wanted(self) -> None:
-        """Wait until a fresh list is wanted."""
-        while True:
-            if self._reach.may_lapse(self._context.targets.absence_grace_s):
-                with move_on_after(LIST_AFTER_OUTAGE_S):
-                    await self._wanted.wait()
-                return
-            with move_on_after(CHECK_S):
-                await self._wanted.wait()
-                return
-            if not await self._is_confirmed():
-                return
-
-    async def _is_confirmed(self) -> bool:
-        """Return whether a cheap list, which may be old, shows what is known."""
-        listing = await self._reach.ask(
-            "check-targets", self._store.list_prefix(TARGETS_PREFIX, stale_ok=True)
-        )
-        if isinstance(listing, Unavailable):
-            return False
-        return _revisions_by_id(listing) == self._revisions_by_id
-
-    async def _watch(self) -> None:
-        failures = 0
-        while True:
-            if not self._revision:
-                await sleep(UNLISTED_S)
-                continue
-            changes = await self._reach.ask(
-                "watch-targets",
-                self._store.changes(TARGETS_PREFIX, self._revision, wait_s=WATCH_S),
-            )
-            if isinstance(changes, Unavailable):
-                failures += 1
-                if changes.reason is UnavailableReason.HISTORY_GONE:
-                    self._revision = 0
-                self._wanted.set()
-                await self._reach.pause(failures)
-                continue
-            failures = 0
-            self._context.targets.confirmed_at = self._context.clock()
-            for event in changes.events:
-                if event.kind is EventKind.PUT:
-                    self._take_one(event.key_value)
-                else:
-                    self._remove(event.key_value)
-            self._revision = max(self._revision, changes.revision)
-            if changes.events:
-                await sleep(GATHER_S)
-
-    def _take_all(self, listing: Listing) -> None:
+        await self._mirror.run()
+
+    def _list_gap_s(self) -> float | None:
+        may_lapse = self._reach.may_lapse(self._context.targets.absence_grace_s)
+        return LIST_AFTER_OUTAGE_S if may_lapse else None
+
+    def _take_all(self, items: list[KeyValue], revision: int, asked_at: float) -> None:
         context = self._context
+        context.targets.note_confirmed(asked_at)
         entries = []
-        self._revisions_by_id = _revisions_by_id(listing)
-        for item in listing.entries:
+        for item in items:
             entry = self._decoded(item)
             if entry is not None:
                 self._log_change(entry, item.mod_revision)
                 entries.append(entry)
         for target_id in context.targets.replace(entries, context.clock()):
-            self._note_gone(target_id, "not listed", listing.revision)
-        self._revision = max(self._revision, listing.revision)
+            self._note_gone(target_id, "not listed", revision)
         context.dispatcher.pump_all(context.clock())
 
+    def _take_changes(self, events: list[WatchEvent]) -> None:
+        context = self._context
+        context.targets.note_confirmed(context.clock())
+        for event in events:
+            if event.kind is EventKind.PUT:
+                self._take_one(event.key_value)
+            else:
+                self._remove(event.key_value)
+
     def _take_one(self, item: KeyValue) -> None:
-        self._revisions_by_id[target_id_of(item.key)] = item.mod_revision
         entry = self._decoded(item)
         if entry is not None:
             self._log_change(entry, item.mod_revision)
@@ -151,7 +98,6 @@
 
     def _remove(self, item: KeyValue) -> None:
         target_id = target_id_of(item.key)
-        self._revisions_by_id.pop(target_id, None)
         if self._context.targets.remove(target_id, self._context.clock()):
             self._note_gone(target_id, "removed", item.mod_revision)
 
@@ -184,7 +130,3 @@
                 "target-invalid", key=item.key.decode(), detail=repr(error)
             )
             return None
-
-
-def _revisions_by_id(listing: Listing) -> dict[str, int]:
-    return {target_id_of(item.key): item.mod_revision for item in listing.entries}
--- a/libs/direct/tests/test_direct_feeds.py
+++ b/libs/direct/tests/test_direct_feeds.py
@@ -18,7 +18,19 @@
    17.865  store-lost purpose=watch-targets detail="no answer within 8.9 s"
 """
 
-from virtual_feeds import DRAIN_S, play
+from collections import Counter
+from dataclasses import dataclass
+from random import Random
+
+import pytest
+from anyio import create_task_group
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from berylwalk.direct._mirrored_prefix import SENDING_S, hold_s
+from berylwalk.direct._store_reach import CALL_TIMEOUT_S
+from berylwalk.direct._target_feed import GATHER_S
+from virtual_feeds import CONFIGURATION_S, DRAIN_S, play
 from virtual_store import ANSWER_S, configuration_value, target_value, until
 
 SILENT_AT_S = 12.0
@@ -128,3 +140,227 @@
                 steps.append(line)
             newest_by_id[fields["target"]] = max(newest, fields["revision"])
     return steps
+
+
+class TestSilentConnections:
+    """Open connections return nothing more, without a sign; new ones work."""
+
+    def test_no_request_after_the_bound(self):
+        """Wherever the calls are at that moment."""
+
+        def takes_work_too_long(silent_at_s):
+            async def scenario(feeds):
+                store = feeds.store.store
+                store.put(b"op/config", configuration_value(1))
+                store.put(b"servers/i-1", target_value())
+                await until(silent_at_s)
+                feeds.store.silence_connections()
+                store.put(b"servers/i-1", target_value(state="draining"))
+                await until(silent_at_s + DRAIN_S)
+                return feeds.takes_work("i-1")
+
+            return play(scenario)
+
+        steps = [10.0 + step / 20 for step in range(60)]
+        assert [step for step in steps if takes_work_too_long(step)] == []
+
+
+class TestCalmStore:
+    """Nothing changes: calls are paid for."""
+
+    def test_is_asked_seldom(self):
+        """A list once, and then what the bounds need."""
+
+        async def scenario(feeds):
+            store = feeds.store.store
+            store.put(b"op/config", configuration_value(1))
+            store.put(b"servers/i-1", target_value())
+            await until(10.0)
+            before = len(feeds.store.calls)
+            await until(70.0)
+            return Counter(
+                call.target.split("&")[0] for call in feeds.store.calls[before:]
+            )
+
+        calls = play(scenario)
+        targets, configuration = "path-prefix=servers/", "path-prefix=op/config"
+        assert calls[f"/kv-range?{targets}"] == 0
+        assert calls[f"/kv-watch?{targets}"] <= 60 / hold_s(DRAIN_S, GATHER_S) + 1
+        assert calls[f"/kv-range?{configuration}"] <= 60 / 1.9 + 1
+        assert calls[f"/kv-watch?{configuration}"] <= 60 / 8.0 + 1
+
+    @pytest.mark.parametrize("bound_s", [1.6, 2.0, 3.0, 4.0, 30.0])
+    def test_hold_fits_into_the_bound(self, bound_s):
+        """With the gathering before it and a call that is lost."""
+        longest_s = GATHER_S + hold_s(bound_s, GATHER_S) + CALL_TIMEOUT_S + SENDING_S
+        assert longest_s <= bound_s + 1e-9
+
+
+@dataclass(frozen=True)
+class Change:
+    """A change of the store's keys: of a target, or of the configuration."""
+
+    at_s: float
+    name: str
+    state: str
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """A time in which the store is no good.
+
+    Parameters
+    ----------
+    kind : str
+        ``silent``, ``resets``, ``slow`` (answers are late and out of order), ``lost``
+        (some are lost) or ``mute`` (open connections return nothing from its end on).
+    at_s, for_s : float
+        When, and how long.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float
+
+    @property
+    def ends_at_s(self):
+        """Return the end."""
+        return self.at_s + self.for_s
+
+
+EPISODES = 3
+EPISODE_S = 15.0
+SOUND_FOR_S = 3.0
+"""Time after which a store that is well again has to be believed within the bounds."""
+LOOK_S = 0.05
+TENTHS = st.integers(0, 40).map(lambda step: step / 10)
+OFFSETS = st.integers(-20, 70).map(lambda step: step / 10)
+
+
+@st.composite
+def episodes(draw):
+    """Return troubles, and changes around the end of each."""
+    troubles, changes, forgets = [], [], []
+    for number in range(EPISODES):
+        at_s = 3.0 + EPISODE_S * number + draw(TENTHS)
+        kind = draw(st.sampled_from(["silent", "resets", "slow", "lost", "mute"]))
+        trouble = Trouble(kind, at_s, 0.1 + 1.5 * draw(TENTHS))
+        troubles.append(trouble)
+        for _ in range(draw(st.integers(1, 5))):
+            name = draw(st.sampled_from(["i-1", "i-1", "i-2", "configuration"]))
+            state = draw(st.sampled_from(["ready", "draining", "gone"]))
+            changes.append(Change(trouble.ends_at_s + draw(OFFSETS), name, state))
+        if draw(st.booleans()):
+            forgets.append(trouble.ends_at_s + draw(OFFSETS))
+    return troubles, changes, forgets
+
+
+class Play:
+    """Changes and troubles played against the feeds, and what must hold."""
+
+    def __init__(self, troubles, changes, forgets, seed):
+        self.changes = sorted(changes, key=lambda change: change.at_s)
+        self.troubles = troubles
+        self.forgets = forgets
+        self.draws = Random(seed)
+        self.findings = []
+        self.truths = {}
+        self.version = 1
+
+    def fate(self, call):
+        """Return when an answer arrives; slow ones overtake each other."""
+        kinds = {
+            trouble.kind
+            for trouble in self.troubles
+            if trouble.at_s <= call.asked_at < trouble.ends_at_s
+        }
+        if "lost" in kinds and self.draws.random() < 0.4:
+            return None
+        if "slow" in kinds:
+            return self.draws.uniform(ANSWER_S, 0.8)
+        return self.draws.uniform(ANSWER_S, 0.03)
+
+    async def run(self, feeds):
+        """Play all and return what did not hold."""
+        self.feeds = feeds
+        self._write("configuration", "")
+        for target_id in ("i-1", "i-2"):
+            self._write(target_id, "ready")
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._trouble)
+            tasks.start_soon(self._change)
+            for at_s in self.forgets:
+                tasks.start_soon(self._forget, at_s)
+            while feeds.clock() < EPISODES * EPISODE_S:
+                await until(feeds.clock() + LOOK_S)
+                self._look()
+        return self.findings + backward_steps(feeds.lines)
+
+    async def _trouble(self):
+        for trouble in sorted(self.troubles, key=lambda each: each.at_s):
+            await until(trouble.at_s)
+            left_s = trouble.ends_at_s - self.feeds.clock()
+            if trouble.kind in ("silent", "resets") and left_s > 0:
+                resets = trouble.kind == "resets"
+                await self.feeds.store.go_down(left_s, resets=resets)
+            elif trouble.kind == "mute":
+                await until(trouble.ends_at_s)
+                self.feeds.store.silence_connections()
+
+    async def _change(self):
+        for change in self.changes:
+            await until(change.at_s)
+            if not self.feeds.store.is_down:
+                self._write(change.name, change.state)
+
+    async def _forget(self, at_s):
+        await until(at_s)
+        self.feeds.store.store.compact()
+
+    def _write(self, name, state):
+        store = self.feeds.store.store
+        if name == "configuration":
+            store.put(b"op/config", configuration_value(self.version))
+            truth = self.version
+            self.version += 1
+        elif state == "gone":
+            store.delete(b"servers/" + name.encode())
+            truth = False
+        else:
+            store.put(b"servers/" + name.encode(), target_value(state=state))
+            truth = state == "ready"
+        self.truths.setdefault(name, []).append((self.feeds.clock(), truth))
+
+    def _look(self):
+        now = self.feeds.clock()
+        for name, bound_s in (
+            ("i-1", DRAIN_S),
+            ("i-2", DRAIN_S),
+            ("configuration", CONFIGURATION_S),
+        ):
+            if any(
+                trouble.at_s < now and trouble.ends_at_s > now - bound_s - SOUND_FOR_S
+                for trouble in self.troubles
+            ):
+                continue
+            is_version = name == "configuration"
+            believed = self.feeds.version if is_version else self.feeds.takes_work(name)
+            allowed = self._truths_since(name, now - bound_s)
+            if now > bound_s and believed not in allowed:
+                self.findings.append((now, name, believed, allowed))
+
+    def _truths_since(self, name, since):
+        history = self.truths[name]
+        before = [truth for at, truth in history if at <= since][-1:]
+        return before + [truth for at, truth in history if at > since]
+
+
+class TestBeliefs:
+    """Any changes, outages, late, reordered and lost answers, forgotten history."""
+
+    @settings(max_examples=300, deadline=None, derandomize=True, database=None)
+    @given(episodes(), st.integers(0, 2**32))
+    def test_follow_the_store(self, drawn, seed):
+        """They are as old as the bounds allow at most, and never go back."""
+        played = Play(*drawn, seed)
+        assert play(played.run, fate=played.fate) == []
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -139,33 +139,31 @@
             by_id = fleet.router._context.targets.by_id
             await fleet.until(lambda: "i-0" not in by_id)
 
-    async def test_watch_that_hears_nothing_is_found_out(self, running, monkeypatch):
-        """A connection may go silent for good without an end."""
-        from anyio import sleep_forever
+    async def test_word_to_leave_while_a_connection_is_opened(
+        self, running, monkeypatch
+    ):
+        """What is known at the sending counts, not at the placing."""
+        from berylwalk.forwarding import TargetPool
+
+        opened = TargetPool.open
 
-        async def silent(self, *args, **options):
-            await sleep_forever()
+        async def open_late(self, address):
+            connection = await opened(self, address)
+            if address.target_id == "i-0":
+                await fleet.until(lambda: by_id["i-0"].entry.state == "draining")
+            return connection
 
-        monkeypatch.setattr("berylwalk.platform.KeyValueClient.changes", silent)
-        monkeypatch.setattr("berylwalk.direct._target_feed.CHECK_S", 0.1)
         async with running(answers("a"), answers("b")) as fleet:
             by_id = fleet.router._context.targets.by_id
+            by_id["i-1"].note_full(fleet.router._context.clock(), 0.3)
+            monkeypatch.setattr(TargetPool, "open", open_late)
+            _, writer = await fleet.connect()
+            writer.write(fleet.encoded("/idempotent/"))
+            await fleet.until(lambda: by_id["i-0"].in_flight)
             fleet.put_target(fleet.targets[0], state="draining")
-            await fleet.until(lambda: by_id["i-0"].entry.state == "draining")
-            fleet.platform.store.delete(b"servers/i-1")
-            await fleet.until(lambda: "i-1" not in by_id)
-
-    async def test_unchanged_list_is_not_read_again(self, running, monkeypatch):
-        """The check is cheap; a fresh list follows only from a difference."""
-        monkeypatch.setattr("berylwalk.direct._target_feed.CHECK_S", 0.05)
-        async with running(answers("a")) as fleet:
-            calls = fleet.router._context.metrics.store_calls
-            checks = calls.labels("check-targets", "ok")._value
-            lists = calls.labels("list-targets", "ok")._value
-            listed = lists.get()
-            seen = checks.get()
-            await fleet.until(lambda: checks.get() >= seen + 3)
-            assert lists.get() == listed
+            await fleet.until(lambda: fleet.targets[1].received)
+            writer.close()
+        assert not fleet.targets[0].received
 
     async def test_address_that_another_service_uses_now(self, running):
         """A target that is another one refuses, and the request goes on."""
--- a/libs/direct/tests/test_direct_store_reach.py
+++ b/libs/direct/tests/test_direct_store_reach.py
@@ -8,7 +8,7 @@
 from berylwalk.direct._metrics import RouterMetrics
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import TargetTable
-from berylwalk.platform import Unavailable, UnavailableReason
+from berylwalk.platform import Lost, Unavailable, UnavailableReason
 
 pytestmark = pytest.mark.anyio
 ASKED_AT = 99.0
@@ -72,6 +72,31 @@
             reach.note("watch-targets", Unavailable(reason), ASKED_AT)
         assert reach.away_since is None
 
+    def test_lost_answer_of_a_write_shows_no_return(self, reach):
+        """It is no answer, although the write may have been made."""
+        reach.note("list-targets", FAILED, ASKED_AT)
+        reach.note("note-speeds", Lost("no answer"), ASKED_AT)
+        assert reach.away_since is not None
+
+    def test_failure_of_a_call_from_before_the_return_is_no_news(self, reach, clock):
+        """Calls that were made since then have been answered."""
+        reach.note("list-targets", FAILED, clock())
+        reach.note("read-configuration", None, clock())
+        clock.now += 0.4
+        reach.note("list-targets", FAILED, ASKED_AT)
+        assert reach.away_since is None
+        reach.note("list-targets", FAILED, clock())
+        assert reach.away_since == clock()
+
+    def test_held_call_tells_of_when_it_was_due(self, reach, clock):
+        """The store need not have answered it before."""
+        reach.note("read-configuration", None, clock())
+        clock.now += 0.4
+        reach.note("watch-targets", FAILED, ASKED_AT, held_s=0.8)
+        assert reach.away_since is None
+        reach.note("watch-targets", FAILED, ASKED_AT, held_s=1.2)
+        assert reach.away_since is not None
+
 
 class TestPause:
     """Waits before a call is made again."""
--- a/libs/direct/tests/virtual_feeds.py
+++ b/libs/direct/tests/virtual_feeds.py
@@ -7,9 +7,8 @@
 from anyio import create_task_group
 
 from berylwalk.direct._configuration_feed import ConfigurationFeed
-from berylwalk.direct._daemon import STORE_TIMEOUT_S
 from berylwalk.direct._metrics import RouterMetrics
-from berylwalk.direct._store_reach import StoreReach
+from berylwalk.direct._store_reach import CALL_TIMEOUT_S, StoreReach
 from berylwalk.direct._target_feed import TargetFeed
 from berylwalk.dispatch import ConfigurationState, Dispatcher, TargetTable
 from berylwalk.platform import KeyValueClient
@@ -65,7 +64,7 @@
     async def run(self):
         """Run the feeds for ever."""
         client = KeyValueClient.from_config(
-            ["http://10.0.0.9:80"], timeout_s=STORE_TIMEOUT_S
+            ["http://10.0.0.9:80"], timeout_s=CALL_TIMEOUT_S
         )
         await client.start()
         reach = StoreReach(self.context)
--- a/libs/dispatch/src/berylwalk/dispatch/_router_settings.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_router_settings.py
@@ -37,6 +37,12 @@
         Time from the request to stop until the process is killed, in seconds.
     key_revocation_s : float
         Time after which a key that was taken away must not work, in seconds.
+    drain_s : float
+        Time after which a target that said that it leaves must get no request, in
+        seconds.
+    configuration_s : float
+        Time after which a new version of the configuration must be in force, in
+        seconds.
     allowances : AllowanceRules
         How the spending of client accounts is judged.
     retry_ratio, retry_slack, retry_window_s : float
@@ -54,6 +60,8 @@
     shortest_lease_s: float = 1.0
     stop_grace_s: float = 8.0
     key_revocation_s: float = 5.0
+    drain_s: float = 2.0
+    configuration_s: float = 2.0
     allowances: AllowanceRules = field(default_factory=AllowanceRules)
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -44,6 +44,10 @@
         """Return the targets of a service."""
         return self._by_service.get(service, [])
 
+    def note_confirmed(self, told_at: float) -> None:
+        """Tell when the store told what targets there are."""
+        self.confirmed_at = max(self.confirmed_at, told_at)
+
     def note_outage_ended(self, now: float) -> None:
         """Tell that entries may have lapsed while the store was away."""
         self._lapsed_until = now + self.absence_grace_s
--- a/tests/platform/test_platform_formats.py
+++ b/tests/platform/test_platform_formats.py
@@ -25,7 +25,14 @@
     "zone": "fd-a",
     "listen": {"front": "127.0.0.1:8221", "readiness": "127.0.0.1:8224"},
     "port-range": [7600, 7615],
-    "bounds": {"grace-s": 8, "revoke-ms": 5000, "quota-window-s": 6, "new": True},
+    "bounds": {
+        "grace-s": 8,
+        "revoke-ms": 5000,
+        "drain-ms": 3000,
+        "config-ms": 2500,
+        "quota-window-s": 6,
+        "new": True,
+    },
     "platform": {"address": "127.0.0.2:8225", "ttl-min-ms": 1000},
     "unknown": {"field": 1},
 }
@@ -87,6 +94,7 @@
         assert settings.store_address.host == "127.0.0.2"
         assert (settings.peer_port, settings.metrics_port) == (7600, 7601)
         assert settings.key_revocation_s == 5.0
+        assert (settings.drain_s, settings.configuration_s) == (3.0, 2.5)
         assert settings.allowances.window_s == 6.0
 
     def test_missing_field_is_named(self):
