--- a/libs/direct/src/berylwalk/direct/_membership.py
+++ b/libs/direct/src/berylwalk/direct/_membership.py
@@ -6,10 +6,11 @@
 from msgspec import DecodeError, ValidationError, json
 
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._ordered_items import OrderedItems
 from berylwalk.direct._peer_messages import MemberEntry
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import Peer
-from berylwalk.platform import KeyValueClient, Listing, Lost, Unavailable
+from berylwalk.platform import KeyValue, KeyValueClient, Lost, Unavailable
 
 MEMBERS_PREFIX = b"berylwalk/routers/"
 LEASE_S = 6.0
@@ -50,6 +51,7 @@
         self._life = life
         self._on_ended = on_ended
         self._lease_id: int | None = None
+        self._ordered = OrderedItems()
 
     async def leave(self) -> None:
         """Leave the list of routers."""
@@ -120,13 +122,15 @@
                 await self._reach.pause(failures)
                 continue
             failures = 0
-            self._take(listing)
+            # A cheap list may be older than the one before.
+            if self._ordered.take_list(listing):
+                self._take(self._ordered.items)
             is_first = self._context.peers.known() == 1
             await sleep(LIST_S)
 
-    def _take(self, listing: Listing) -> None:
+    def _take(self, items: list[KeyValue]) -> None:
         listed = []
-        for item in listing.entries:
+        for item in items:
             name = item.key[len(MEMBERS_PREFIX) :].decode()
             try:
                 entry = json.decode(item.value, type=MemberEntry)
--- a/libs/direct/tests/virtual_feeds.py
+++ b/libs/direct/tests/virtual_feeds.py
@@ -84,11 +84,8 @@
         Of the store.
     """
     store = VirtualStore(**options)
-    # Pauses between calls are drawn: a play ends the same way each time.
-    random.seed(1)
 
     async def main():
-        store.start()
         feeds = Feeds(store)
         async with create_task_group() as tasks:
             tasks.start_soon(feeds.run)
@@ -96,5 +93,17 @@
             tasks.cancel_scope.cancel()
         return result
 
+    return in_virtual_time(store, main)
+
+
+def in_virtual_time(store, main):
+    """Run a coroutine function beside a store, in virtual time; return its result."""
+    # Pauses between calls are drawn: a play ends the same way each time.
+    random.seed(1)
+
+    async def run():
+        store.start()
+        return await main()
+
     with Runner(loop_factory=lambda: VirtualLoop(store)) as runner:
-        return runner.run(main())
+        return runner.run(run())
