Lives of targets, and entries of other writers

A target may start again under its id: one life is the id and the start that it tells. A later start ends the former life; its requests in flight end as if their connections had broken, so that the table of outcomes decides, and connections, places counted, loads told by peers and learned speeds, which all go by life now, are forgotten with it. An earlier life changes nothing. Before, a request behind a cut to a target that had started again waited until the target counted as silent, or for its time limit.

Each field of an entry is checked as it is decoded; one that can't be used names no target and ends the use of one that had it, also in the seconds after an outage. One item that can't be read no longer costs a whole page of a list or an answer of a watch.

--- a/libs/direct/src/berylwalk/direct/_configuration_feed.py
+++ b/libs/direct/src/berylwalk/direct/_configuration_feed.py
@@ -1,6 +1,7 @@
 """Keeps the configuration in force up to date with the platform's store."""
 
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._entry_findings import EntryFindings
 from berylwalk.direct._mirrored_prefix import (
     LONGEST_HOLD_S,
     SENDING_S,
@@ -47,6 +48,7 @@
         bound_s = context.settings.configuration_s
         self._confirm_s = min(LONGEST_CONFIRM_S, bound_s - SENDING_S)
         self._revision_in_force = 0
+        self._findings = EntryFindings(context, "configuration-invalid")
         rules = MirrorRules(
             prefix=CONFIGURATION_KEY,
             name="configuration",
@@ -90,11 +92,9 @@
         try:
             configuration = decode_configuration(item.value)
         except FORMAT_ERRORS as error:
-            self._context.log.process(
-                "configuration-invalid",
-                detail=repr(error),
-                revision=item.mod_revision,
-            )
+            # It may take keys away: what is in force is not confirmed by it.
+            key = f"{item.key.decode()} at revision {item.mod_revision}"
+            self._findings.note(key, "not-readable", repr(error))
             return
         if state.confirm(configuration, asked_at):
             self._context.metrics.configuration_version.set(configuration.version)
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -99,8 +99,8 @@
         )
         targets = TargetTable()
 
-        def note_bytes(target_id: str) -> None:
-            target = targets.by_id.get(target_id)
+        def note_bytes(life_id: str) -> None:
+            target = targets.by_life_id.get(life_id)
             if target is not None:
                 target.note_heard(clock())
 
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_entry_findings.py
@@ -0,0 +1,50 @@
+"""Findings about items of the store that can't be used, told once each."""
+
+from berylwalk.direct._context import RouterContext
+
+
+class EntryFindings:
+    """Logs an item that can't be used once, and counts each time that it is met.
+
+    Anyone may write to the store, again and again: an item is told anew only after
+    it was usable or gone in between.
+
+    Parameters
+    ----------
+    context : RouterContext
+        Where findings are logged and counted.
+    event : str
+        Name of the log line.
+    """
+
+    def __init__(self, context: RouterContext, event: str) -> None:
+        self._context = context
+        self._event = event
+        self._told: set[str] = set()
+
+    def note(self, key: str, problem: str, detail: str) -> None:
+        """Note an item that can't be used.
+
+        Parameters
+        ----------
+        key : str
+            Key of the item.
+        problem : str
+            One of a few words for why, which metrics count.
+        detail : str
+            The place in the item, and what was found there.
+        """
+        self._context.metrics.unusable_items.labels(self._event, problem).inc()
+        if key not in self._told:
+            self._told.add(key)
+            self._context.log.process(
+                self._event, key=key, problem=problem, detail=detail
+            )
+
+    def clear(self, key: str) -> None:
+        """Note that an item is usable, or gone."""
+        self._told.discard(key)
+
+    def keep_only(self, keys: set[str]) -> None:
+        """Note that all other items are gone."""
+        self._told &= keys
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -127,7 +127,7 @@
             if reason:
                 self._end_failed(attempt, reason)
                 return
-            self._excluded.add(target.entry.target_id)
+            self._excluded.add(target.entry.life_id)
             patience = patience_after_failure(context.clock(), admitted.ends_at)
             self._log.tell_repeated(
                 admitted, target, attempt, self._relay.last_event_id
--- a/libs/direct/src/berylwalk/direct/_membership.py
+++ b/libs/direct/src/berylwalk/direct/_membership.py
@@ -1,11 +1,13 @@
 """The list of routers in the store: own entry and those of the others."""
 
 from collections.abc import Callable
+from ipaddress import ip_address
 
 from anyio import create_task_group, sleep
-from msgspec import DecodeError, ValidationError, json
+from msgspec import DecodeError, json
 
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._entry_findings import EntryFindings
 from berylwalk.direct._ordered_items import OrderedItems
 from berylwalk.direct._peer_messages import MemberEntry
 from berylwalk.direct._store_reach import StoreReach
@@ -52,6 +54,7 @@
         self._on_ended = on_ended
         self._lease_id: int | None = None
         self._ordered = OrderedItems()
+        self._findings = EntryFindings(context, "member-invalid")
 
     async def leave(self) -> None:
         """Leave the list of routers."""
@@ -134,9 +137,11 @@
             name = item.key[len(MEMBERS_PREFIX) :].decode()
             try:
                 entry = json.decode(item.value, type=MemberEntry)
-            except (DecodeError, ValidationError) as error:
-                self._context.log.process("member-invalid", name=name, detail=error)
+                ip_address(entry.host)
+            except (DecodeError, ValueError, RecursionError) as error:
+                self._findings.note(name, "not-readable", repr(error))
                 continue
+            self._findings.clear(name)
             listed.append(
                 Peer(name, entry.host, entry.port, entry.life, entry.failure_domain)
             )
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -66,6 +66,12 @@
             ("purpose", "outcome"),
             registry=registry,
         )
+        self.unusable_items = Counter(
+            "berylwalk_unusable_items",
+            "Times that an item of the store could not be used, by kind and problem.",
+            ("kind", "problem"),
+            registry=registry,
+        )
         self.configuration_version = self._gauge(
             "configuration_version", "Version in force."
         )
--- a/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
+++ b/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
@@ -175,6 +175,9 @@
                     await self._reach.pause(failures - 1)
                 continue
             failures = 0
+            if changes.unreadable:
+                # Which keys changed can't be told: a list shows what is left.
+                self._wanted.set()
             news = self._ordered.take_changes(changes)
             self._on_changes(news)
             if news:
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -8,7 +8,7 @@
 from berylwalk.dispatch import Peer
 
 Loads = dict[str, tuple[int, int]]
-"""Requests in flight and waiting prompt tokens by target id."""
+"""Requests in flight and waiting prompt tokens by the life of a target."""
 
 
 class MemberEntry(Struct):
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -69,7 +69,7 @@
         attempt = self._attempt(target, sent_at)
         connection = None
         try:
-            connection = context.pool.take_idle(target.entry.target_id)
+            connection = context.pool.take_idle(target.entry.life_id)
             if connection is None:
                 connection = await context.pool.open(target.entry)
             if connection is None:
@@ -118,16 +118,25 @@
     async def _transfer(
         self, target: Target, connection: TargetConnection, attempt: Attempt
     ) -> None:
-        clock, ends_at = self._context.clock, self._admitted.ends_at
-
         def on_writable(writable: bool) -> None:
             if writable:
                 connection.resume()
             else:
                 connection.pause()
 
+        def on_life_ended() -> None:
+            attempt.give_up(AttemptEnd.BROKEN, "the target started again")
+
         self._relay.when_writable(on_writable)
         connection.send(self._encoded(target), self._admitted.request_id, attempt)
+        target.on_life_ended.add(on_life_ended)
+        try:
+            await self._until_ended(target, attempt)
+        finally:
+            target.on_life_ended.discard(on_life_ended)
+
+    async def _until_ended(self, target: Target, attempt: Attempt) -> None:
+        clock, ends_at = self._context.clock, self._admitted.ends_at
         while attempt.end is None:
             now = clock()
             if now >= ends_at:
@@ -170,7 +179,7 @@
     ) -> None:
         self._relay.when_writable(None)
         if attempt.end in WHOLE_ENDS:
-            self._context.pool.give_back(target.entry.target_id, connection)
+            self._context.pool.give_back(target.entry.life_id, connection)
         else:
             # By this the target stops working on the request.
             connection.close()
--- a/libs/direct/src/berylwalk/direct/_speed_note.py
+++ b/libs/direct/src/berylwalk/direct/_speed_note.py
@@ -7,8 +7,10 @@
 with such a restart.
 """
 
+from math import isfinite
+
 from anyio import sleep
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import DecodeError, Struct, json
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._store_reach import StoreReach
@@ -28,7 +30,7 @@
     Parameters
     ----------
     targets : dict
-        Speeds by target id.
+        Speeds by the life of a target.
     start_models : dict
         Coefficients of start models by service.
     """
@@ -80,11 +82,25 @@
         context = self._context
         try:
             speeds = json.decode(note.value, type=Speeds)
-        except (DecodeError, ValidationError) as error:
+        except (DecodeError, ValueError, RecursionError) as error:
             context.log.process("speeds-invalid", detail=repr(error))
             return
-        context.targets.adopt(speeds.targets, speeds.start_models)
-        context.log.process("speeds-learned", targets=len(speeds.targets))
+        possible = {
+            life_id: speed
+            for life_id, speed in speeds.targets.items()
+            if speed.is_possible
+        }
+        start_models = {
+            service: coefficients
+            for service, coefficients in speeds.start_models.items()
+            if all(map(isfinite, coefficients))
+        }
+        context.targets.adopt(possible, start_models)
+        context.log.process(
+            "speeds-learned",
+            targets=len(possible),
+            impossible=len(speeds.targets) - len(possible),
+        )
 
     async def _write(self) -> None:
         targets = self._context.targets
--- a/libs/direct/src/berylwalk/direct/_spending_note.py
+++ b/libs/direct/src/berylwalk/direct/_spending_note.py
@@ -1,7 +1,9 @@
 """A note of large spending that a restart of all routers does not lose."""
 
+from typing import Annotated
+
 from anyio import sleep
-from msgspec import DecodeError, ValidationError, json
+from msgspec import DecodeError, Meta, json
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._store_reach import StoreReach
@@ -15,6 +17,10 @@
 NOTE_GAP_S = 0.5
 """Time between two notes while some account spends much. Its sum may stay while
 what makes it up changes, so that no note serves for longer."""
+MOST_UNITS = 1e12
+"""Bound of what is believed of one noted sum: more than any account may spend."""
+NOTE_TYPE = dict[str, list[Annotated[float, Meta(ge=0, le=MOST_UNITS)]]]
+"""Units by account and part of the window, the latest first."""
 RENEW_S = 4.0
 """Time between renewals: what is left then still is longer than the window."""
 
@@ -65,8 +71,8 @@
         spent: dict[str, list[float]] = {}
         if note is not None:
             try:
-                spent = json.decode(note.value, type=dict[str, list[float]])
-            except (DecodeError, ValidationError) as error:
+                spent = json.decode(note.value, type=NOTE_TYPE)
+            except (DecodeError, ValueError, RecursionError) as error:
                 self._context.log.process("spending-invalid", detail=repr(error))
                 return
         context = self._context
--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -1,15 +1,17 @@
 """Keeps the list of targets up to date with the platform's store."""
 
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._entry_findings import EntryFindings
 from berylwalk.direct._mirrored_prefix import MirroredPrefix, MirrorRules, hold_s
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import TargetEntry
 from berylwalk.platform import (
-    FORMAT_ERRORS,
     TARGETS_PREFIX,
+    EntryProblem,
     EventKind,
     KeyValue,
     KeyValueClient,
+    UnusableEntry,
     WatchEvent,
     decode_target,
     target_id_of,
@@ -20,6 +22,7 @@
 GATHER_S = 0.2
 """Time for which changes gather at the store before they are asked for again: a
 replaced target makes several in a row, and each answer is paid for."""
+NO_START = "the target has told when it started, and this entry does not"
 
 
 class TargetFeed:
@@ -43,6 +46,8 @@
     ) -> None:
         self._context = context
         self._reach = reach
+        self._findings = EntryFindings(context, "target-invalid")
+        self._strangers = EntryFindings(context, "target-of-no-service")
         rules = MirrorRules(
             prefix=TARGETS_PREFIX,
             name="targets",
@@ -69,16 +74,19 @@
 
     def _take_all(self, items: list[KeyValue], revision: int, asked_at: float) -> None:
         context = self._context
+        now = context.clock()
         context.targets.note_confirmed(asked_at)
         entries = []
         for item in items:
-            entry = self._decoded(item)
+            entry = self._usable(item)
             if entry is not None:
                 self._log_change(entry, item.mod_revision)
                 entries.append(entry)
-        for target_id in context.targets.replace(entries, context.clock()):
+        self._findings.keep_only({item.key.decode() for item in items})
+        for target_id in context.targets.replace(entries, now):
             self._note_gone(target_id, "not listed", revision)
-        context.dispatcher.pump_all(context.clock())
+        self._note_ended_lives(revision)
+        context.dispatcher.pump_all(now)
 
     def _take_changes(self, events: list[WatchEvent]) -> None:
         context = self._context
@@ -90,19 +98,63 @@
                 self._remove(event.key_value)
 
     def _take_one(self, item: KeyValue) -> None:
-        entry = self._decoded(item)
+        entry = self._usable(item)
         if entry is not None:
             self._log_change(entry, item.mod_revision)
-            self._context.targets.update(entry)
+            self._context.targets.update(entry, self._context.clock())
+            self._note_ended_lives(item.mod_revision)
             self._context.dispatcher.pump(entry.service, self._context.clock())
 
     def _remove(self, item: KeyValue) -> None:
+        self._findings.clear(item.key.decode())
         target_id = target_id_of(item.key)
         if self._context.targets.remove(target_id, self._context.clock()):
             self._note_gone(target_id, "removed", item.mod_revision)
 
+    def _usable(self, item: KeyValue) -> TargetEntry | None:
+        """Return the entry if it names a target; one that does not ends its use."""
+        entry = decode_target(item)
+        if isinstance(entry, TargetEntry) and self._lacks_start(entry):
+            problem = EntryProblem.WRONG_FIELD
+            entry = UnusableEntry(entry.target_id, problem, NO_START)
+        if isinstance(entry, TargetEntry):
+            self._findings.clear(item.key.decode())
+            self._note_unknown_service(entry)
+            return entry
+        self._findings.note(item.key.decode(), entry.problem, entry.detail)
+        if self._context.targets.discard(entry.target_id, self._context.clock()):
+            self._note_gone(entry.target_id, "entry not usable", item.mod_revision)
+        return None
+
+    def _lacks_start(self, entry: TargetEntry) -> bool:
+        """Return whether an entry misses the start that its target has told before."""
+        known = self._context.targets.by_id.get(entry.target_id)
+        has_told = known is not None and known.entry.started_ms is not None
+        return has_told and entry.started_ms is None
+
+    def _note_unknown_service(self, entry: TargetEntry) -> None:
+        """Tell of an entry whose service no configuration names: it gets no work.
+
+        It is kept, since the next version may name the service.
+        """
+        current = self._context.configuration.current
+        if current is not None and entry.service not in current.services_by_name:
+            self._strangers.note(entry.target_id, "unknown-service", entry.service)
+
+    def _note_ended_lives(self, revision: int) -> None:
+        for target in self._context.targets.pop_ended_lives():
+            self._context.log.process(
+                "target-started-again",
+                target=target.entry.target_id,
+                ended_life=target.entry.life_id,
+                in_flight=target.in_flight,
+                revision=revision,
+            )
+        self._context.pool.keep_only(self._context.targets.by_life_id)
+
     def _note_gone(self, target_id: str, detail: str, revision: int) -> None:
-        self._context.pool.drop(target_id)
+        self._strangers.clear(target_id)
+        self._context.pool.keep_only(self._context.targets.by_life_id)
         self._context.metrics.forget_target(target_id)
         self._context.log.process(
             "target-gone", target=target_id, detail=detail, revision=revision
@@ -119,14 +171,6 @@
             address=f"{entry.host}:{entry.port}",
             state=entry.state,
             slots=entry.slots,
+            started_ms=entry.started_ms,
             revision=revision,
         )
-
-    def _decoded(self, item: KeyValue) -> TargetEntry | None:
-        try:
-            return decode_target(item)
-        except FORMAT_ERRORS as error:
-            self._context.log.process(
-                "target-invalid", key=item.key.decode(), detail=repr(error)
-            )
-            return None
--- a/libs/dispatch/src/berylwalk/dispatch/_place_limits.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_place_limits.py
@@ -50,7 +50,7 @@
     is_most_urgent: bool = True,
 ) -> Obstacle | None:
     """Return why a target can't be chosen, or None."""
-    if target.entry.target_id in excluded:
+    if target.entry.life_id in excluded:
         return Obstacle.EXCLUDED
     obstacle = target.obstacle(now)
     limit = place_limit(target, is_most_urgent=is_most_urgent)
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -1,5 +1,6 @@
 """What a router believes of one target."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from berylwalk.dispatch._start_model import StartModel
@@ -33,6 +34,8 @@
 LEAST_SLOT_S = 0.001
 """Least time that a request is taken to keep its slot, in seconds: an answer whose
 events come all at once tells of none, and others are divided by it."""
+LONGEST_LEARNED_S = 3600.0
+"""Bound of what is believed of a noted time, in seconds: no request takes longer."""
 LEAST_OWN_SHARE = 0.2
 """Least part of the time to a first event that is not put down to waiting."""
 SILENT_AFTER_S = 0.6
@@ -92,6 +95,13 @@
     event_s: float | None
     paused_share: float
 
+    @property
+    def is_possible(self) -> bool:
+        """Whether a target can have this speed: others divide by its times."""
+        times = (self.fixed_s, self.slot_s, self.output_token_s, self.event_s)
+        are_times = all(time is None or 0 < time < LONGEST_LEARNED_S for time in times)
+        return are_times and 0 <= self.paused_share <= 1
+
 
 @dataclass(slots=True)
 class Target:
@@ -127,6 +137,9 @@
         When any byte last came from the target.
     owes_since : float or None
         Since when requests are there without any byte of the target.
+    on_life_ended : set of callable
+        Called when the target turns out to have started again: what it held is
+        gone, and requests in flight there won't be answered.
     """
 
     entry: TargetEntry
@@ -147,6 +160,12 @@
     heard_at: float = float("-inf")
     owes_since: float | None = None
     missing_since: float | None = None
+    on_life_ended: set[Callable[[], None]] = field(default_factory=set)
+
+    def end_life(self) -> None:
+        """Tell all that wait for it that this life of the target has ended."""
+        for tell in list(self.on_life_ended):
+            tell()
 
     @property
     def total_in_flight(self) -> int:
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+LIFE_MARKS = 1 << 16
+"""Marks by which lives of one target are told apart."""
+
 
 class TargetState(StrEnum):
     """What a target says of itself."""
@@ -35,7 +38,7 @@
     Parameters
     ----------
     target_id : str
-        Identifies one life of the target.
+        Identifies the target; it may start again under the same id.
     service : str
         Service that it belongs to.
     host : str
@@ -48,6 +51,9 @@
         Requests that it works on at the same time.
     state : TargetState
         Whether it takes new work.
+    started_ms : int or None
+        When this life of it started, as it says, in milliseconds since the epoch.
+        None where targets don't say: there an id stands for one life.
     """
 
     target_id: str
@@ -57,6 +63,19 @@
     failure_domain: str
     slots: int
     state: TargetState
+    started_ms: int | None = None
+
+    @property
+    def life_id(self) -> str:
+        """Identifies one life of the target, also towards other routers.
+
+        Only the end of the start's time is told, since ids are in each message:
+        two lives of one target are taken for one if they started a multiple of
+        65.5 s apart to the millisecond.
+        """
+        if self.started_ms is None:
+            return self.target_id
+        return f"{self.target_id}~{self.started_ms % LIFE_MARKS:x}"
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -9,6 +9,10 @@
 Coefficients = tuple[float, float, float]
 """Those of a start model."""
 
+ENDED_STARTS_KEPT_S = 60.0
+"""Time for which the start of a target that is gone is remembered: an entry of an
+earlier life may be written late."""
+
 ABSENT_TARGETS_KEPT_S = 2.0
 """Time after an outage of the store within which lapsed entries come back."""
 
@@ -25,13 +29,16 @@
     Attributes
     ----------
     by_id : dict
-        All targets.
+        All targets by their ids.
+    by_life_id : dict
+        The same by the ids of their lives.
     confirmed_at : float
         When the store last told what is there, in seconds.
     """
 
     def __init__(self, *, absence_grace_s: float = ABSENT_TARGETS_KEPT_S) -> None:
         self.by_id: dict[str, Target] = {}
+        self.by_life_id: dict[str, Target] = {}
         self.absence_grace_s = absence_grace_s
         self.confirmed_at = float("-inf")
         self._lapsed_until = float("-inf")
@@ -39,6 +46,8 @@
         self._start_models_by_service: dict[str, StartModel] = {}
         self._adopted_speeds_by_id: dict[str, TargetSpeed] = {}
         self._peer_loads_by_name: dict[str, dict[str, tuple[int, int]]] = {}
+        self._ended_lives: list[Target] = []
+        self._ended_starts_by_id: dict[str, tuple[int, float]] = {}
 
     def of_service(self, service: str) -> list[Target]:
         """Return the targets of a service."""
@@ -69,18 +78,25 @@
                 target.missing_since = now
             if now >= self._lapsed_until:
                 gone.append(target_id)
-                del self.by_id[target_id]
+                self._forget(target, now)
         for entry in entries_by_id.values():
-            self._put(entry)
+            self._put(entry, now)
         self._index()
         return gone
 
-    def update(self, entry: TargetEntry) -> None:
+    def update(self, entry: TargetEntry, now: float) -> None:
         """Take one changed entry."""
-        self._put(entry)
-        self.by_id[entry.target_id].missing_since = None
+        self._put(entry, now)
+        target = self.by_id.get(entry.target_id)
+        if target is not None:
+            target.missing_since = None
         self._index()
 
+    def pop_ended_lives(self) -> list[Target]:
+        """Return the lives that ended since the last look: targets started again."""
+        ended, self._ended_lives = self._ended_lives, []
+        return ended
+
     def remove(self, target_id: str, now: float) -> bool:
         """Take a removed entry; returns whether the target is gone for good."""
         target = self.by_id.get(target_id)
@@ -89,14 +105,24 @@
         target.missing_since = now
         if now < self._lapsed_until:
             return False
-        del self.by_id[target_id]
+        self._forget(target, now)
+        self._index()
+        return True
+
+    def discard(self, target_id: str, now: float) -> bool:
+        """Use a target no more, whatever the state of the store."""
+        target = self.by_id.get(target_id)
+        if target is None:
+            return False
+        self._forget(target, now)
         self._index()
         return True
 
     def hear_loads(self, peer: str, loads_by_id: dict[str, tuple[int, int]]) -> None:
         """Take the requests in flight and waiting tokens of a peer, whole.
 
-        They replace what was heard before under the same name.
+        They go by the ids of lives, and replace what was heard before under the same
+        name.
         """
         former = self._peer_loads_by_name.get(peer, {})
         for target_id, (count, tokens) in former.items():
@@ -109,8 +135,8 @@
             self._peer_loads_by_name.pop(peer, None)
 
     def speeds_by_id(self) -> dict[str, TargetSpeed]:
-        """Return what was learned of the speeds of all targets."""
-        return {target_id: target.speed() for target_id, target in self.by_id.items()}
+        """Return what was learned of the speeds of all targets, by life."""
+        return {life_id: target.speed() for life_id, target in self.by_life_id.items()}
 
     def start_models_by_service(self) -> dict[str, Coefficients]:
         """Return what was learned of starts."""
@@ -128,19 +154,19 @@
         self._adopted_speeds_by_id = speeds_by_id
         for service, coefficients in start_models_by_service.items():
             self._start_model(service).adopt(coefficients)
-        for target_id, target in self.by_id.items():
-            if target_id in speeds_by_id:
-                target.adopt_speed(speeds_by_id[target_id])
+        for life_id, target in self.by_life_id.items():
+            if life_id in speeds_by_id:
+                target.adopt_speed(speeds_by_id[life_id])
 
     def sources_of_loads(self) -> list[str]:
         """Return the names under which loads of others are counted."""
         return list(self._peer_loads_by_name)
 
     def own_loads(self) -> dict[str, tuple[int, int]]:
-        """Return the own requests in flight and waiting tokens by target id."""
+        """Return the own requests in flight and waiting tokens by life."""
         return {
-            target_id: (target.in_flight, target.waiting_tokens)
-            for target_id, target in self.by_id.items()
+            life_id: (target.in_flight, target.waiting_tokens)
+            for life_id, target in self.by_life_id.items()
             if target.in_flight
         }
 
@@ -153,31 +179,81 @@
                 loads[target_id] = (count + load[0], tokens + load[1])
         return loads
 
-    def _shift(self, target_id: str, count: int, tokens: int) -> None:
-        target = self.by_id.get(target_id)
+    def _shift(self, life_id: str, count: int, tokens: int) -> None:
+        target = self.by_life_id.get(life_id)
         if target is not None:
             target.peer_in_flight += count
             target.peer_tokens += tokens
 
-    def _put(self, entry: TargetEntry) -> None:
+    def _put(self, entry: TargetEntry, now: float) -> None:
+        if self._is_of_earlier_life(entry, now):
+            return
         target = self.by_id.get(entry.target_id)
-        if target is not None:
+        if target is not None and _is_same_life(target.entry, entry):
+            has_new_name = target.entry.life_id != entry.life_id
             target.entry = entry
+            if has_new_name:
+                self._count_peers(target)
             return
-        target = Target(entry, self._start_model(entry.service))
-        if entry.target_id in self._adopted_speeds_by_id:
-            target.adopt_speed(self._adopted_speeds_by_id[entry.target_id])
-        for loads_by_id in self._peer_loads_by_name.values():
-            count, tokens = loads_by_id.get(entry.target_id, (0, 0))
-            target.peer_in_flight += count
-            target.peer_tokens += tokens
-        self.by_id[entry.target_id] = target
+        if target is not None:
+            self._ended_lives.append(target)
+        new = Target(entry, self._start_model(entry.service))
+        if entry.life_id in self._adopted_speeds_by_id:
+            new.adopt_speed(self._adopted_speeds_by_id[entry.life_id])
+        self._count_peers(new)
+        self.by_id[entry.target_id] = new
+        if target is not None:
+            target.end_life()
+
+    def _is_of_earlier_life(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether an entry came late: a later life is or was known."""
+        if entry.started_ms is None:
+            return False
+        target = self.by_id.get(entry.target_id)
+        if target is not None:
+            newest_ms = target.entry.started_ms
+        else:
+            newest_ms, gone_at = self._ended_starts_by_id.get(
+                entry.target_id, (None, now)
+            )
+            if now - gone_at > ENDED_STARTS_KEPT_S:
+                return False
+        return newest_ms is not None and entry.started_ms < newest_ms
+
+    def _forget(self, target: Target, now: float) -> None:
+        entry = target.entry
+        del self.by_id[entry.target_id]
+        if entry.started_ms is None:
+            return
+        self._ended_starts_by_id[entry.target_id] = (entry.started_ms, now)
+        for target_id, (_, gone_at) in list(self._ended_starts_by_id.items()):
+            if now - gone_at > ENDED_STARTS_KEPT_S:
+                del self._ended_starts_by_id[target_id]
+
+    def _count_peers(self, target: Target) -> None:
+        """Count what all peers said of this life of a target."""
+        loads = [
+            loads_by_id.get(target.entry.life_id, (0, 0))
+            for loads_by_id in self._peer_loads_by_name.values()
+        ]
+        target.peer_in_flight = sum(count for count, _ in loads)
+        target.peer_tokens = sum(tokens for _, tokens in loads)
 
     def _start_model(self, service: str) -> StartModel:
         return self._start_models_by_service.setdefault(service, StartModel())
 
     def _index(self) -> None:
         self._by_service = {}
+        self.by_life_id = {}
         for target in self.by_id.values():
+            self.by_life_id[target.entry.life_id] = target
             of_service = self._by_service.setdefault(target.entry.service, [])
             of_service.append(target)
+
+
+def _is_same_life(known: TargetEntry, entry: TargetEntry) -> bool:
+    """Return whether two entries with the same id are of one life.
+
+    A target that did not say when it started may say so later.
+    """
+    return known.started_ms in (None, entry.started_ms)
--- a/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
@@ -1,7 +1,7 @@
 """Connections to targets that are used again."""
 
 from asyncio import AbstractEventLoop
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from contextlib import suppress
 from socket import IPPROTO_TCP
 from typing import Protocol
@@ -20,15 +20,15 @@
 
 
 class Address(Protocol):
-    """Where a target listens."""
+    """Where one life of a target listens."""
 
-    target_id: str
+    life_id: str
     host: str
     port: int
 
 
 class TargetPool:
-    """Idle connections by target id.
+    """Idle connections by the life of a target: a new life has none of them.
 
     Parameters
     ----------
@@ -37,7 +37,7 @@
     id_header : bytes
         Lower-case name of the header with the request's id.
     on_bytes : callable
-        Called with a target's id whenever bytes of it arrive.
+        Called with the id of a target's life whenever bytes of it arrive.
     on_opened : callable
         Called for each connection that is opened.
     """
@@ -56,9 +56,9 @@
         self._on_opened = on_opened
         self._idle_by_id: dict[str, list[TargetConnection]] = {}
 
-    def take_idle(self, target_id: str) -> TargetConnection | None:
+    def take_idle(self, life_id: str) -> TargetConnection | None:
         """Return an idle connection that may be used again, the latest first."""
-        idle = self._idle_by_id.get(target_id)
+        idle = self._idle_by_id.get(life_id)
         now = self._loop.time()
         while idle:
             connection = idle.pop()
@@ -73,7 +73,7 @@
         def build() -> TargetConnection:
             return TargetConnection(
                 id_header=self._id_header,
-                on_bytes=lambda: self._on_bytes(address.target_id),
+                on_bytes=lambda: self._on_bytes(address.life_id),
                 clock=self._loop.time,
             )
 
@@ -91,32 +91,38 @@
             return connection
         return None
 
-    def give_back(self, target_id: str, connection: TargetConnection) -> None:
+    def give_back(self, life_id: str, connection: TargetConnection) -> None:
         """Keep a connection whose answer is complete, if it may be used again."""
         if connection.reusable and connection.is_open:
-            self._idle_by_id.setdefault(target_id, []).append(connection)
+            self._idle_by_id.setdefault(life_id, []).append(connection)
         else:
             connection.close()
 
-    def drop(self, target_id: str) -> None:
+    def drop(self, life_id: str) -> None:
         """Close the idle connections to a target."""
-        for connection in self._idle_by_id.pop(target_id, []):
+        for connection in self._idle_by_id.pop(life_id, []):
             connection.close()
 
+    def keep_only(self, life_ids: Container[str]) -> None:
+        """Close the idle connections to all other lives."""
+        for life_id in list(self._idle_by_id):
+            if life_id not in life_ids:
+                self.drop(life_id)
+
     def sweep(self) -> None:
         """Close idle connections that are too old to be used again."""
         now = self._loop.time()
-        for target_id, idle in list(self._idle_by_id.items()):
+        for life_id, idle in list(self._idle_by_id.items()):
             fresh = [connection for connection in idle if connection.is_fresh(now)]
             for connection in idle:
                 if connection not in fresh:
                     connection.close()
             if fresh:
-                self._idle_by_id[target_id] = fresh
+                self._idle_by_id[life_id] = fresh
             else:
-                del self._idle_by_id[target_id]
+                del self._idle_by_id[life_id]
 
     def close(self) -> None:
         """Close all idle connections."""
-        for target_id in list(self._idle_by_id):
-            self.drop(target_id)
+        for life_id in list(self._idle_by_id):
+            self.drop(life_id)
--- a/libs/replay/src/berylwalk/replay/_simulation.py
+++ b/libs/replay/src/berylwalk/replay/_simulation.py
@@ -286,7 +286,7 @@
         """Try another engine: this one is down or full."""
         self.leave_target()
         self.target.note_unreachable(self.now)
-        self.service.excluded.add(self.target.entry.target_id)
+        self.service.excluded.add(self.target.entry.life_id)
         self.service.place(patience_after_failure(self.now, self.service.ends_at))
 
     def take_end(self, whole: bool, *, by_caller: bool = False) -> None:
