A router that was cut off alone no longer takes removed targets for lapsed entries

An outage also counts by the time without any answer (2.2 s): one that began just after an answer was noticed so late that it passed for a short gap.

--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -39,6 +39,8 @@
         Units spent since the start, by client account.
     asked : dict
         Likewise the most urgent rank that was seen, and the units that it asked.
+    store_well_s : float
+        For how long the store has been well for it, in seconds.
     """
 
     name: str
@@ -50,6 +52,7 @@
     sequence: int
     spent: dict[str, int]
     asked: dict[str, tuple[int, int]] = field(default_factory=dict)
+    store_well_s: float = 0.0
 
     def to_peer(self) -> Peer:
         """Return the router as an entry of the table of peers."""
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -60,6 +60,7 @@
         self, context: RouterContext, store: KeyValueClient, reach: StoreReach
     ) -> None:
         self._context = context
+        self._reach = reach
         self._life = uuid4().hex[:8]
         self._membership = Membership(
             context, store, reach, life=self._life, on_ended=self._forget
@@ -179,6 +180,7 @@
             self._sequence,
             {name: round(units) for name, units in spent.items()},
             {name: (rank, round(units)) for name, (rank, units) in asked.items()},
+            round(self._reach.well_s(now), 1),
         )
 
     def _domain_message(self, now: float) -> DomainMessage:
@@ -275,6 +277,7 @@
         if not self._context.peers.hear(peer, now):
             return False
         self._news_by_name[news.name] = news
+        self._reach.hear_elsewhere(news.store_well_s)
         self._context.allowances.hear(
             _life_of(peer),
             news.spent,
--- a/libs/direct/src/berylwalk/direct/_store_reach.py
+++ b/libs/direct/src/berylwalk/direct/_store_reach.py
@@ -25,6 +25,12 @@
 LAPSE_AFTER_S = 1.0
 """Time that the store has to be away for entries to lapse. What is removed in a
 shorter gap, such as that of a watch that was cut, has left."""
+LAPSE_GAP_S = 2.2
+"""The same without any answer, whether or not a call was seen to fail: more than the
+time between two answers of a store that is well (1.9 s), and less than what entries
+outlast that can't be renewed (two intervals of 1.2 s)."""
+NEWS_KEPT_S = 1.0
+"""Time for which the word of another router on the store counts."""
 LAPSE_MARGIN_S = 0.6
 """Time after the bound of their return for which lapsed entries are looked for."""
 
@@ -43,12 +49,18 @@
     ----------
     away_since : float or None
         Since when calls fail; None while they succeed.
+    well_since : float
+        Since when answers have come without a gap in which entries could lapse.
     """
 
     def __init__(self, context: RouterContext) -> None:
         self._context = context
         self.away_since: float | None = None
+        self.well_since = context.clock()
         self._answered_at = float("-inf")
+        self._answered_before_outage_at = float("-inf")
+        self._elsewhere_well_since = float("inf")
+        self._heard_elsewhere_at = float("-inf")
         self._lapse_ended_at = float("-inf")
         self._returned = Event()
 
@@ -109,9 +121,39 @@
                 self.away_since = now
                 context.log.process("store-lost", purpose=purpose, detail=result.detail)
             return
-        self._answered_at = now
-        if self.away_since is not None:
-            self._note_return(purpose, now)
+        answered_before_at, self._answered_at = self._answered_at, now
+        has_gap = now - answered_before_at >= LAPSE_GAP_S
+        if has_gap:
+            self.well_since = now
+        away_s = self._note_return(purpose, now)
+        if away_s >= LAPSE_AFTER_S or (has_gap and answered_before_at > float("-inf")):
+            self._begin_lapse(now, answered_before_at)
+
+    def well_s(self, now: float) -> float:
+        """Return for how long the store has been well, in seconds."""
+        if now - self._answered_at >= LAPSE_GAP_S:
+            return 0.0
+        return now - self.well_since
+
+    def hear_elsewhere(self, well_s: float) -> None:
+        """Take for how long the store has been well for another router.
+
+        If that is since before an outage here, this router was cut off, and the
+        entries did not lapse: what is removed has left.
+
+        Parameters
+        ----------
+        well_s : float
+            As from `well_s` there, in seconds.
+        """
+        now = self._context.clock()
+        well_since = now - well_s
+        is_old = now - self._heard_elsewhere_at > NEWS_KEPT_S
+        if is_old or well_since <= self._elsewhere_well_since:
+            self._elsewhere_well_since = well_since
+            self._heard_elsewhere_at = now
+        if self._was_cut_off(now):
+            self._context.targets.note_no_lapse(now)
 
     def may_lapse(self, within_s: float) -> bool:
         """Return whether entries that lapsed in an outage may still come back.
@@ -124,18 +166,32 @@
         since_s = self._context.clock() - self._lapse_ended_at
         return since_s < within_s + LAPSE_MARGIN_S
 
-    def _note_return(self, purpose: str, now: float) -> None:
+    def _note_return(self, purpose: str, now: float) -> float:
+        """Note an answer; returns for how long calls had failed, in seconds."""
+        if self.away_since is None:
+            return 0.0
         away_s = now - self.away_since
         self.away_since = None
         self._context.log.process(
             "store-regained", purpose=purpose, away_ms=round(away_s * 1000)
         )
-        if away_s >= LAPSE_AFTER_S:
-            # Before anything is read: removals may be lapses from now on.
-            self._lapse_ended_at = now
-            self._context.targets.note_outage_ended(now)
         returned, self._returned = self._returned, Event()
         returned.set()
+        return away_s
+
+    def _begin_lapse(self, now: float, answered_before_at: float) -> None:
+        """Take removals for lapses for a while, unless this router was cut off."""
+        self._lapse_ended_at = now
+        self._answered_before_outage_at = answered_before_at
+        if not self._was_cut_off(now):
+            self._context.targets.note_outage_ended(now)
+
+    def _was_cut_off(self, now: float) -> bool:
+        """Return whether the store was well elsewhere during the last outage here."""
+        return (
+            now - self._heard_elsewhere_at <= NEWS_KEPT_S
+            and self._elsewhere_well_since < self._answered_before_outage_at
+        )
 
     async def pause(self, failures: int, *, is_probe: bool = False) -> None:
         """Wait before a call that failed is made again.
--- a/libs/direct/tests/test_direct_feeds.py
+++ b/libs/direct/tests/test_direct_feeds.py
@@ -35,6 +35,8 @@
 
 SILENT_AT_S = 12.0
 SILENT_FOR_S = 6.2
+SOUND_FOR_S = 3.0
+"""Time after which a store that is well again has to be believed within the bounds."""
 LEAVES_AFTER_S = 3.1
 """Time from the return of the store to the word of the target that it leaves."""
 
@@ -165,6 +167,33 @@
         assert [step for step in steps if takes_work_too_long(step)] == []
 
 
+class TestRouterThatWasCutOff:
+    """Only this router can't reach the store; meanwhile a target leaves."""
+
+    def test_no_request_some_time_after_the_cut(self):
+        """Another router says that the store was well."""
+
+        def takes_work_too_long(removed_before_s):
+            async def scenario(feeds):
+                store = feeds.store.store
+                store.put(b"op/config", configuration_value(1))
+                store.put(b"servers/i-1", target_value())
+                await until(SILENT_AT_S)
+                async with create_task_group() as tasks:
+                    tasks.start_soon(feeds.store.go_down, SILENT_FOR_S)
+                    await until(SILENT_AT_S + SILENT_FOR_S - removed_before_s)
+                    store.delete(b"servers/i-1")
+                while feeds.clock() < SILENT_AT_S + SILENT_FOR_S + SOUND_FOR_S:
+                    feeds.reach.hear_elsewhere(feeds.clock())
+                    await until(feeds.clock() + 0.25)
+                return feeds.takes_work("i-1")
+
+            return play(scenario)
+
+        steps = [step / 10 for step in range(1, 40)]
+        assert [step for step in steps if takes_work_too_long(step)] == []
+
+
 class TestCalmStore:
     """Nothing changes: calls are paid for."""
 
@@ -230,8 +259,6 @@
 
 EPISODES = 3
 EPISODE_S = 15.0
-SOUND_FOR_S = 3.0
-"""Time after which a store that is well again has to be believed within the bounds."""
 LOOK_S = 0.05
 TENTHS = st.integers(0, 40).map(lambda step: step / 10)
 OFFSETS = st.integers(-20, 70).map(lambda step: step / 10)
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -320,6 +320,26 @@
                 writer.close()
                 tasks.cancel_scope.cancel()
 
+    async def test_state_of_the_store_is_told(self, running, make_settings):
+        """A router that is cut off from it can tell that from an outage."""
+        from anyio import create_memory_object_stream, create_task_group
+
+        from berylwalk.direct import DirectRouter
+
+        async with running(answers("ok")) as fleet:
+            reach = fleet.router._peering._reach
+            second = DirectRouter.from_settings(make_settings(name="edge-2"))
+            _, stops = create_memory_object_stream(1)
+            async with create_task_group() as tasks:
+                tasks.start_soon(second.run, stops)
+                told = second._peering._reach
+                clock = fleet.router._context.clock
+                # The second one started later, and says so.
+                await fleet.until(lambda: reach._heard_elsewhere_at > 0)
+                assert reach._elsewhere_well_since >= told.well_since - 0.1
+                await fleet.until(lambda: reach._elsewhere_well_since < clock() - 0.5)
+                tasks.cancel_scope.cancel()
+
     async def test_only_a_router_that_asks_is_told_the_window(
         self, running, make_settings
     ):
--- a/libs/direct/tests/test_direct_store_reach.py
+++ b/libs/direct/tests/test_direct_store_reach.py
@@ -7,7 +7,7 @@
 
 from berylwalk.direct._metrics import RouterMetrics
 from berylwalk.direct._store_reach import StoreReach
-from berylwalk.dispatch import TargetTable
+from berylwalk.dispatch import TargetEntry, TargetState, TargetTable
 from berylwalk.platform import Lost, Unavailable, UnavailableReason
 
 pytestmark = pytest.mark.anyio
@@ -98,6 +98,73 @@
         assert reach.away_since is not None
 
 
+class TestOutageElsewhere:
+    """Whether the store or only this router was away, by the word of others."""
+
+    @pytest.fixture
+    def lapses(self, targets, clock):
+        """Return a function that tells whether a removed target is kept."""
+        entry = TargetEntry(
+            target_id="a",
+            service="s",
+            host="127.0.0.1",
+            port=1,
+            failure_domain="fd",
+            slots=4,
+            state=TargetState.READY,
+        )
+
+        def is_kept():
+            targets.update(entry, clock())
+            return not targets.remove("a", clock())
+
+        return is_kept
+
+    def outage(self, reach, clock, *, for_s=3.0, is_seen=True):
+        """Let calls fail, or none be made, for some time."""
+        reach.note("list-targets", None, clock())
+        if is_seen:
+            reach.note("list-targets", FAILED, clock())
+        clock.now += for_s
+        reach.note("list-configuration", None, clock())
+
+    def test_own_cut_hides_no_removal(self, reach, clock, lapses):
+        """Whether the others are heard before the return or after it."""
+        reach.hear_elsewhere(500.0)
+        self.outage(reach, clock)
+        assert lapses()
+        reach.hear_elsewhere(500.0)
+        assert not lapses()
+        clock.now += 100.0
+        reach.note("list-targets", FAILED, clock())
+        clock.now += 3.0
+        reach.hear_elsewhere(600.0)
+        reach.note("list-configuration", None, clock())
+        assert not lapses()
+
+    def test_outage_of_all_lets_entries_lapse(self, reach, clock, lapses):
+        """Others say since when the store is well again."""
+        reach.hear_elsewhere(500.0)
+        self.outage(reach, clock)
+        reach.hear_elsewhere(0.3)
+        assert lapses()
+
+    def test_gap_without_a_failure_lets_entries_lapse(self, reach, clock, lapses):
+        """A call that is due in it may not have been made yet."""
+        self.outage(reach, clock, for_s=2.3, is_seen=False)
+        assert lapses()
+        assert reach.well_s(clock()) == 0.0
+
+    def test_well_store(self, reach, clock):
+        """It is told for how long, until answers stay away."""
+        for _ in range(4):
+            reach.note("list-targets", None, clock())
+            clock.now += 1.9
+        assert reach.well_s(clock()) == pytest.approx(7.6)
+        clock.now += 0.4
+        assert reach.well_s(clock()) == 0.0
+
+
 class TestPause:
     """Waits before a call is made again."""
 
--- a/libs/direct/tests/virtual_feeds.py
+++ b/libs/direct/tests/virtual_feeds.py
@@ -67,7 +67,7 @@
             ["http://10.0.0.9:80"], timeout_s=CALL_TIMEOUT_S
         )
         await client.start()
-        reach = StoreReach(self.context)
+        self.reach = reach = StoreReach(self.context)
         async with create_task_group() as tasks:
             tasks.start_soon(ConfigurationFeed(self.context, client, reach).run)
             tasks.start_soon(TargetFeed(self.context, client, reach).run)
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -61,6 +61,10 @@
         """Tell that entries may have lapsed while the store was away."""
         self._lapsed_until = now + self.absence_grace_s
 
+    def note_no_lapse(self, now: float) -> None:
+        """Tell that entries did not lapse: those that are missing have left."""
+        self._lapsed_until = min(self._lapsed_until, now)
+
     def replace(self, entries: Iterable[TargetEntry], now: float) -> list[str]:
         """Take a whole list of targets; returns the ids that are gone.
 
