--- a/libs/direct/src/berylwalk/direct/_configuration_feed.py
+++ b/libs/direct/src/berylwalk/direct/_configuration_feed.py
@@ -93,9 +93,10 @@
             configuration = decode_configuration(item.value)
         except FORMAT_ERRORS as error:
             # It may take keys away: what is in force is not confirmed by it.
-            key = f"{item.key.decode()} at revision {item.mod_revision}"
-            self._findings.note(key, "not-readable", repr(error))
+            detail = f"revision {item.mod_revision}: {error!r}"
+            self._findings.note(item.key.decode(), "not-readable", detail)
             return
+        self._findings.clear(item.key.decode())
         if state.confirm(configuration, asked_at):
             self._context.metrics.configuration_version.set(configuration.version)
             self._context.log.process(
