--- a/libs/direct/tests/conftest.py
+++ b/libs/direct/tests/conftest.py
@@ -86,3 +86,23 @@
                     await target.close()
 
     return run
+
+
+@pytest.fixture
+def beside(make_settings):
+    """Return a context manager that runs further routers beside that of a fleet."""
+
+    @asynccontextmanager
+    async def run(*changes_of_each):
+        routers = [
+            DirectRouter.from_settings(make_settings(**changes))
+            for changes in changes_of_each
+        ]
+        _, stops = create_memory_object_stream(1)
+        async with create_task_group() as tasks:
+            for router in routers:
+                tasks.start_soon(router.run, stops)
+            yield routers
+            tasks.cancel_scope.cancel()
+
+    return run
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -1,13 +1,17 @@
 """What the router does as the platform changes, fails and stops it."""
 
+from asyncio import open_connection
 from json import dumps
 
 import pytest
 from anyio import sleep
+from msgspec import msgpack
 
+from berylwalk.direct._peer_messages import PeerMessage
 from berylwalk.direct._peering import relay_interval_s, tell_interval_s
 from berylwalk.dispatch import AllowanceRules, Knowledge
 from berylwalk.dispatch._peer_view import HEARD_WITHIN_S
+from berylwalk.forwarding import TargetPool
 from direct_fleet import KEY, answers, read_reply
 
 pytestmark = pytest.mark.anyio
@@ -15,8 +19,6 @@
 
 async def readiness(fleet):
     """Return the status of the question whether the router is ready."""
-    from asyncio import open_connection
-
     address = fleet.settings.readiness_address
     reader, writer = await open_connection(address.host, address.port)
     writer.write(b"GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n")
@@ -143,8 +145,6 @@
         self, running, monkeypatch
     ):
         """What is known at the sending counts, not at the placing."""
-        from berylwalk.forwarding import TargetPool
-
         opened = TargetPool.open
 
         async def open_late(self, address):
@@ -286,11 +286,8 @@
             assert intervals[1] == intervals[0]
             assert 2 * intervals[-1] < HEARD_WITHIN_S
 
-    async def test_loads_and_spending_are_shared(self, running, make_settings):
+    async def test_loads_and_spending_are_shared(self, running, beside):
         """Each sees what the other has in flight and has spent."""
-        from anyio import create_memory_object_stream, create_task_group
-
-        from berylwalk.direct import DirectRouter
 
         def limited(fleet):
             fleet.tenants[0].update({"rate-per-s": 1000, "burst": 1000})
@@ -299,65 +296,45 @@
             await sleep(0.5)
             await answers("ok")(request, writer)
 
-        async with running(slow, prepare=limited) as fleet:
-            second = DirectRouter.from_settings(make_settings(name="edge-2"))
-            _, stops = create_memory_object_stream(1)
-            async with create_task_group() as tasks:
-                tasks.start_soon(second.run, stops)
-                peers, clock = second._context.peers, second._context.clock
-                await fleet.until(lambda: peers.heard(clock()) == 2)
-                await fleet.until(lambda: "i-0" in second._context.targets.by_id)
-                _, writer = await fleet.connect()
-                await sleep(0.1)
-                writer.write(fleet.encoded("/idempotent/", X_Api_Key=KEY))
-                target = second._context.targets.by_id["i-0"]
-                await fleet.until(lambda: target.peer_in_flight == 1)
-                spent = second._context.allowances.spent_by_account
-                seen = second._context.allowances._spending_by_account
-                await fleet.until(lambda: seen["t"].spent_by_peer)
-                assert spent() == {}
-                await fleet.until(lambda: target.peer_in_flight == 0)
-                writer.close()
-                tasks.cancel_scope.cancel()
-
-    async def test_state_of_the_store_is_told(self, running, make_settings):
-        """A router that is cut off from it can tell that from an outage."""
-        from anyio import create_memory_object_stream, create_task_group
-
-        from berylwalk.direct import DirectRouter
+        async with (
+            running(slow, prepare=limited) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            peers, clock = second._context.peers, second._context.clock
+            await fleet.until(lambda: peers.heard(clock()) == 2)
+            await fleet.until(lambda: "i-0" in second._context.targets.by_id)
+            _, writer = await fleet.connect()
+            await sleep(0.1)
+            writer.write(fleet.encoded("/idempotent/", X_Api_Key=KEY))
+            target = second._context.targets.by_id["i-0"]
+            await fleet.until(lambda: target.peer_in_flight == 1)
+            spent = second._context.allowances.spent_by_account
+            seen = second._context.allowances._spending_by_account
+            await fleet.until(lambda: seen["t"].spent_by_peer)
+            assert spent() == {}
+            await fleet.until(lambda: target.peer_in_flight == 0)
+            writer.close()
 
-        async with running(answers("ok")) as fleet:
+    async def test_state_of_the_store_is_told(self, running, beside):
+        """A router that is cut off from it can tell that from an outage."""
+        async with (
+            running(answers("ok")) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
             reach = fleet.router._peering._reach
-            second = DirectRouter.from_settings(make_settings(name="edge-2"))
-            _, stops = create_memory_object_stream(1)
-            async with create_task_group() as tasks:
-                tasks.start_soon(second.run, stops)
-                told = second._peering._reach
-                clock = fleet.router._context.clock
-                # The second one started later, and says so.
-                await fleet.until(lambda: reach._heard_elsewhere_at > 0)
-                assert reach._elsewhere_well_since >= told.well_since - 0.1
-                await fleet.until(lambda: reach._elsewhere_well_since < clock() - 0.5)
-                tasks.cancel_scope.cancel()
-
-    async def test_only_a_router_that_asks_is_told_the_window(
-        self, running, make_settings
-    ):
-        """Kilobytes to all peers, from all, would fill the links of small VMs."""
-        from anyio import create_memory_object_stream, create_task_group
-        from msgspec import msgpack
-
-        from berylwalk.direct import DirectRouter
-        from berylwalk.direct._peer_messages import PeerMessage
+            told = second._peering._reach
+            clock = fleet.router._context.clock
+            # The second one started later, and says so.
+            await fleet.until(lambda: reach._heard_elsewhere_at > 0)
+            assert reach._elsewhere_well_since >= told.well_since - 0.1
+            await fleet.until(lambda: reach._elsewhere_well_since < clock() - 0.5)
 
+    async def test_only_a_router_that_asks_is_told_the_window(self, running, beside):
+        """Kilobytes to all peers, from all, would fill the links of small VMs."""
         rules = AllowanceRules(window_s=30.0)
         async with running(answers("ok"), allowances=rules) as fleet:
             elder = fleet.router._context
             elder.allowances.learn({}, Knowledge.ALL, elder.clock())
-            second = DirectRouter.from_settings(
-                make_settings(name="edge-2", allowances=rules)
-            )
-            _, stops = create_memory_object_stream(1)
             sent = []
             transport = fleet.router._peering._transport
             send = transport.sendto
@@ -367,27 +344,21 @@
                 send(data, address)
 
             fleet.router._peering._transport.sendto = noted
-            async with create_task_group() as tasks:
-                tasks.start_soon(second.run, stops)
+            async with beside({"name": "edge-2", "allowances": rules}) as (second,):
                 newcomer = second._context
                 await fleet.until(
                     lambda: newcomer.allowances.knows_window(newcomer.clock())
                 )
                 told = len(sent)
                 await fleet.until(lambda: len(sent) > told + 3)
-                tasks.cancel_scope.cancel()
         answers_sent = [message for message in sent if message.recent is not None]
         assert answers_sent
         assert all(message.recent is None for message in sent[told + 1 :])
 
     async def test_relays_tell_the_other_failure_domains(
-        self, running, make_settings, monkeypatch
+        self, running, beside, monkeypatch
     ):
         """Loads and spending cross, though only relays speak across."""
-        from anyio import create_memory_object_stream, create_task_group
-
-        from berylwalk.direct import DirectRouter
-
         monkeypatch.setattr("berylwalk.dispatch._peer_view.PEERS_OF_ONE_MESH", 0)
 
         def limited(fleet):
@@ -397,37 +368,30 @@
             await sleep(1.0)
             await answers("ok")(request, writer)
 
-        async with running(slow, prepare=limited) as fleet:
-            others = [
-                DirectRouter.from_settings(
-                    make_settings(name=name, failure_domain=domain)
+        async with (
+            running(slow, prepare=limited) as fleet,
+            beside(
+                {"name": "edge-2", "failure_domain": "fd-b"},
+                {"name": "edge-3", "failure_domain": "fd-b"},
+            ) as others,
+        ):
+            for other in others:
+                context = other._context
+                await fleet.until(lambda of=context: of.peers.heard(of.clock()) == 3)
+                await fleet.until(lambda of=context: "i-0" in of.targets.by_id)
+            _, writer = await fleet.connect()
+            writer.write(fleet.encoded("/idempotent/", X_Api_Key=KEY))
+            for other in others:
+                context = other._context
+                target = context.targets.by_id["i-0"]
+                await fleet.until(lambda at=target: at.peer_in_flight == 1)
+                await fleet.until(
+                    lambda of=context: of.allowances.spent_in_window(of.clock())
                 )
-                for name, domain in (("edge-2", "fd-b"), ("edge-3", "fd-b"))
-            ]
-            _, stops = create_memory_object_stream(1)
-            async with create_task_group() as tasks:
-                for other in others:
-                    tasks.start_soon(other.run, stops)
-                for other in others:
-                    context = other._context
-                    await fleet.until(
-                        lambda of=context: of.peers.heard(of.clock()) == 3
-                    )
-                    await fleet.until(lambda of=context: "i-0" in of.targets.by_id)
-                _, writer = await fleet.connect()
-                writer.write(fleet.encoded("/idempotent/", X_Api_Key=KEY))
-                for other in others:
-                    context = other._context
-                    target = context.targets.by_id["i-0"]
-                    await fleet.until(lambda at=target: at.peer_in_flight == 1)
-                    await fleet.until(
-                        lambda of=context: of.allowances.spent_in_window(of.clock())
-                    )
-                writer.close()
-                for other in others:
-                    target = other._context.targets.by_id["i-0"]
-                    await fleet.until(lambda at=target: at.peer_in_flight == 0)
-                tasks.cancel_scope.cancel()
+            writer.close()
+            for other in others:
+                target = other._context.targets.by_id["i-0"]
+                await fleet.until(lambda at=target: at.peer_in_flight == 0)
 
 
 class TestMetrics:
@@ -435,8 +399,6 @@
 
     async def test_counters_and_beliefs(self, running):
         """Ends by kind, rank, status and reason; beliefs by target."""
-        from asyncio import open_connection
-
         async with running(answers("ok")) as fleet:
             await fleet.call("/idempotent/")
             await fleet.call("/nowhere/")
