--- a/libs/replay/src/berylwalk/replay/__init__.py
+++ b/libs/replay/src/berylwalk/replay/__init__.py
@@ -2,6 +2,7 @@
 
 from berylwalk.replay._measures import Measures, measure
 from berylwalk.replay._mechanisms import MECHANISMS, settings_changed
+from berylwalk.replay._outcome import Outcome
 from berylwalk.replay._scenario import (
     Crash,
     EngineKind,
@@ -13,7 +14,7 @@
     read_scenario,
     standard_scenarios,
 )
-from berylwalk.replay._simulation import Outcome, run
+from berylwalk.replay._simulation import run
 
 __all__ = [
     "MECHANISMS",
--- a/libs/replay/src/berylwalk/replay/_measures.py
+++ b/libs/replay/src/berylwalk/replay/_measures.py
@@ -5,7 +5,7 @@
 
 import numpy as np
 
-from berylwalk.replay._simulation import Outcome
+from berylwalk.replay._outcome import Outcome
 
 WINDOW_S = 2.0
 """Length of the spans of which the worst is told, in seconds."""
