--- a/libs/direct/src/berylwalk/direct/_configuration_feed.py
+++ b/libs/direct/src/berylwalk/direct/_configuration_feed.py
@@ -3,7 +3,6 @@
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._entry_findings import EntryFindings
 from berylwalk.direct._mirrored_prefix import (
-    LONGEST_HOLD_S,
     SENDING_S,
     MirroredPrefix,
     MirrorRules,
@@ -52,7 +51,6 @@
         rules = MirrorRules(
             prefix=CONFIGURATION_KEY,
             name="configuration",
-            hold_s=LONGEST_HOLD_S,
             list_gap_s=self._list_gap_s,
             is_probe=True,
         )
--- a/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
+++ b/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
@@ -28,21 +28,21 @@
 """Time between looks whether a list is due."""
 
 
-def hold_s(bound_s: float, gather_s: float) -> float:
+def hold_s(bound_s: float, gathered_s: float = 0.0) -> float:
     """Return for how long a watch may be held back.
 
     The answer of any watch may be lost without a sign. The next one is answered at
-    once, so that what is known is never older than the gathering, the hold and the
-    bound of a call together.
+    once, so that what is known is never older than the gathering before it, the hold
+    and the bound of a call together.
 
     Parameters
     ----------
     bound_s : float
         Time after which what is known must not be used, in seconds.
-    gather_s : float
-        Time between a change and the next watch, in seconds.
+    gathered_s : float
+        Time since the answer before, in seconds.
     """
-    longest_s = bound_s - gather_s - CALL_TIMEOUT_S - SENDING_S
+    longest_s = bound_s - gathered_s - CALL_TIMEOUT_S - SENDING_S
     return min(LONGEST_HOLD_S, max(SHORTEST_HOLD_S, longest_s))
 
 
@@ -56,8 +56,9 @@
         Start of the keys.
     name : str
         What they are, as logs and metrics name the calls.
-    hold_s : float
-        Time that the store holds a watch back, in seconds.
+    bound_s : float or None
+        Time after which what a watch has told must not be used, in seconds; None if
+        lists keep it fresh.
     gather_s : float
         Time for which changes gather at the store before they are asked for again.
     list_gap_s : callable
@@ -68,7 +69,7 @@
 
     prefix: bytes
     name: str
-    hold_s: float
+    bound_s: float | None = None
     gather_s: float = 0.0
     list_gap_s: Callable[[], float | None]
     is_probe: bool = False
@@ -154,16 +155,20 @@
     async def _watch(self) -> None:
         rules = self._rules
         failures = 0
+        gathered_s = 0.0
         while True:
             if not self._is_listed:
                 await sleep(UNLISTED_S)
                 continue
+            held_s = LONGEST_HOLD_S
+            if rules.bound_s is not None:
+                held_s = hold_s(rules.bound_s, gathered_s)
             changes = await self._reach.ask(
                 f"watch-{rules.name}",
                 self._store.changes(
-                    rules.prefix, self._ordered.revision, wait_s=rules.hold_s
+                    rules.prefix, self._ordered.revision, wait_s=held_s
                 ),
-                held_s=rules.hold_s,
+                held_s=held_s,
             )
             if isinstance(changes, Unavailable):
                 failures += 1
@@ -180,5 +185,6 @@
                 self._wanted.set()
             news = self._ordered.take_changes(changes)
             self._on_changes(news)
-            if news:
-                await sleep(rules.gather_s)
+            gathered_s = rules.gather_s if news else 0.0
+            if gathered_s:
+                await sleep(gathered_s)
--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -2,7 +2,7 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._entry_findings import EntryFindings
-from berylwalk.direct._mirrored_prefix import MirroredPrefix, MirrorRules, hold_s
+from berylwalk.direct._mirrored_prefix import MirroredPrefix, MirrorRules
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import TargetEntry
 from berylwalk.platform import (
@@ -51,7 +51,7 @@
         rules = MirrorRules(
             prefix=TARGETS_PREFIX,
             name="targets",
-            hold_s=hold_s(context.settings.drain_s, GATHER_S),
+            bound_s=context.settings.drain_s,
             gather_s=GATHER_S,
             list_gap_s=self._list_gap_s,
         )
