--- a/libs/direct/src/berylwalk/direct/_configuration_feed.py
+++ b/libs/direct/src/berylwalk/direct/_configuration_feed.py
@@ -4,6 +4,7 @@
 from berylwalk.direct._entry_findings import EntryFindings
 from berylwalk.direct._mirrored_prefix import (
     SENDING_S,
+    SHORTEST_HOLD_S,
     MirroredPrefix,
     MirrorRules,
 )
@@ -45,7 +46,9 @@
     ) -> None:
         self._context = context
         bound_s = context.settings.configuration_s
-        self._confirm_s = min(LONGEST_CONFIRM_S, bound_s - SENDING_S)
+        self._confirm_s = min(
+            LONGEST_CONFIRM_S, max(SHORTEST_HOLD_S, bound_s - SENDING_S)
+        )
         self._revision_in_force = 0
         self._findings = EntryFindings(context, "configuration-invalid")
         rules = MirrorRules(
--- a/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
+++ b/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
@@ -46,6 +46,17 @@
     return min(LONGEST_HOLD_S, max(SHORTEST_HOLD_S, longest_s))
 
 
+def oldest_s(bound_s: float, gather_s: float) -> float:
+    """Return how old what is known may be, in seconds; over the bound if it is short.
+
+    Parameters
+    ----------
+    bound_s, gather_s : float
+        As in `hold_s`.
+    """
+    return gather_s + hold_s(bound_s, gather_s) + CALL_TIMEOUT_S + SENDING_S
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MirrorRules:
     """What is mirrored, and how often the store is asked.
--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -2,7 +2,7 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._entry_findings import EntryFindings
-from berylwalk.direct._mirrored_prefix import MirroredPrefix, MirrorRules
+from berylwalk.direct._mirrored_prefix import MirroredPrefix, MirrorRules, oldest_s
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import TargetEntry
 from berylwalk.platform import (
@@ -22,6 +22,7 @@
 GATHER_S = 0.2
 """Time for which changes gather at the store before they are asked for again: a
 replaced target makes several in a row, and each answer is paid for."""
+ROUNDING_S = 1e-6
 NO_START = "the target has told when it started, and this entry does not"
 
 
@@ -66,8 +67,21 @@
 
     async def run(self) -> None:
         """List and watch for ever."""
+        self._tell_bound()
         await self._mirror.run()
 
+    def _tell_bound(self) -> None:
+        """Tell operators of a bound that can't be kept when an answer is lost."""
+        bound_s = self._context.settings.drain_s
+        may_be_s = oldest_s(bound_s, GATHER_S)
+        if may_be_s > bound_s + ROUNDING_S:
+            self._context.log.process(
+                "bound-too-short",
+                setting="drain_s",
+                bound_ms=round(bound_s * 1000),
+                may_be_ms=round(may_be_s * 1000),
+            )
+
     def _list_gap_s(self) -> float | None:
         may_lapse = self._reach.may_lapse(self._context.targets.absence_grace_s)
         return LIST_AFTER_OUTAGE_S if may_lapse else None
--- a/libs/direct/tests/test_direct_feeds.py
+++ b/libs/direct/tests/test_direct_feeds.py
@@ -226,6 +226,16 @@
             longest_s = gathered_s + held_s + CALL_TIMEOUT_S + SENDING_S
             assert longest_s <= bound_s + 1e-9
 
+    @pytest.mark.parametrize(("bound_s", "is_told"), [(2.0, False), (1.2, True)])
+    def test_bound_that_can_not_be_kept_is_told(self, bound_s, is_told):
+        """Once, at the start."""
+
+        async def scenario(feeds):
+            await until(10.0)
+            return [event for _, event, _ in feeds.lines].count("bound-too-short")
+
+        assert play(scenario, drain_s=bound_s) == int(is_told)
+
 
 @dataclass(frozen=True)
 class Change:
--- a/libs/direct/tests/virtual_feeds.py
+++ b/libs/direct/tests/virtual_feeds.py
@@ -30,14 +30,14 @@
         The store.
     """
 
-    def __init__(self, store):
+    def __init__(self, store, *, drain_s=DRAIN_S):
         self.store = store
         self.lines = []
         self.clock = get_running_loop().time
         self.targets = TargetTable()
         self.configuration = ConfigurationState(key_trust_s=4.5)
         self.context = SimpleNamespace(
-            settings=SimpleNamespace(drain_s=DRAIN_S, configuration_s=CONFIGURATION_S),
+            settings=SimpleNamespace(drain_s=drain_s, configuration_s=CONFIGURATION_S),
             targets=self.targets,
             configuration=self.configuration,
             dispatcher=Dispatcher(self.targets, failure_domain="fd-a"),
@@ -73,20 +73,22 @@
             tasks.start_soon(TargetFeed(self.context, client, reach).run)
 
 
-def play(scenario, **options):
+def play(scenario, *, drain_s=DRAIN_S, **options):
     """Play a scenario against running feeds.
 
     Parameters
     ----------
     scenario : callable
         Coroutine function of the feeds; what it returns is returned.
+    drain_s : float
+        Setting of the router.
     options : dict
         Of the store.
     """
     store = VirtualStore(**options)
 
     async def main():
-        feeds = Feeds(store)
+        feeds = Feeds(store, drain_s=drain_s)
         async with create_task_group() as tasks:
             tasks.start_soon(feeds.run)
             result = await scenario(feeds)
