--- a/libs/direct/src/berylwalk/direct/_store_reach.py
+++ b/libs/direct/src/berylwalk/direct/_store_reach.py
@@ -11,7 +11,13 @@
 CALL_TIMEOUT_S = 0.9
 """Bound of one call of the store: four times its answers when it is slow."""
 
-ANSWERS = frozenset({UnavailableReason.NOT_FOUND, UnavailableReason.HISTORY_GONE})
+ANSWERS = frozenset(
+    {
+        UnavailableReason.NOT_FOUND,
+        UnavailableReason.LEASE_NOT_FOUND,
+        UnavailableReason.HISTORY_GONE,
+    }
+)
 """Failures by which the store shows that it is there."""
 FIRST_PAUSE_S = 0.15
 """Bound of the first pause after a failed call."""
--- a/libs/direct/tests/test_direct_store_reach.py
+++ b/libs/direct/tests/test_direct_store_reach.py
@@ -72,7 +72,11 @@
 
     def test_refusals_that_tell_something_are_answers(self, reach):
         """A discarded history shows that the store is there."""
-        for reason in (UnavailableReason.NOT_FOUND, UnavailableReason.HISTORY_GONE):
+        for reason in (
+            UnavailableReason.NOT_FOUND,
+            UnavailableReason.LEASE_NOT_FOUND,
+            UnavailableReason.HISTORY_GONE,
+        ):
             reach.note("watch-targets", Unavailable(reason), ASKED_AT)
         assert reach.away_since is None
 
