Tests of the direct router run on addresses of their own

A run of all tests beside a soak on the same machine had failed in 69 tests, each with an address in use or a stand-in that could not bind: both runs used the same addresses and ports. Traced by the messages; no other test failed.

--- a/libs/direct/tests/direct_fleet.py
+++ b/libs/direct/tests/direct_fleet.py
@@ -3,13 +3,16 @@
 from asyncio import IncompleteReadError, open_connection, start_server
 from dataclasses import dataclass, field
 from json import dumps
+from os import getpid
 
 from anyio import fail_after, sleep
 
 from berylwalk.standins.platform import PlatformStandin
 
-HOST = "127.78.1.1"
-STORE = ("127.78.1.2", 2379)
+RUN = f"{1 + getpid() // 250 % 250}.{1 + getpid() % 250}"
+HOST = f"127.78.{RUN}"
+"""Addresses of this run's own, so that two runs on one machine don't meet."""
+STORE = (f"127.79.{RUN}", 2379)
 GENEROUS_S = 20.0
 KEY = "k1"
 EVENTS = "text/event-stream"
