--- a/libs/direct/tests/test_direct_soak.py
+++ b/libs/direct/tests/test_direct_soak.py
@@ -93,12 +93,17 @@
 
     def restart(self, number, signal):
         """End a process by a signal and start it again."""
+        self.check()
         process = self.processes[number]
-        assert process.poll() is None, "a router ended by itself"
         process.send_signal(signal)
         process.wait()
         self.processes[number] = self._start(self._files[number])
 
+    def check(self):
+        """Fail if a router has ended by itself: it would be waited for in vain."""
+        ended = [process.poll() for process in self.processes]
+        assert ended == [None] * len(ended), "a router ended by itself"
+
     def close(self):
         """End all."""
         for process in self.processes:
@@ -175,6 +180,7 @@
             self.addresses = [address]
             reply = None
             while reply is None or reply.status != 200:
+                self.routers.check()
                 reply = await self.call(f"healed-{len(self.ledger.answers)}")
                 await sleep(0.05)
         self.addresses = every
