Allowances: a lower limit counts from when it is in force; less is kept back

Now: limits are noted with the moment at which they came into force; each counts what was spent since, against the highest from then on, so that the former limit holds in windows that began before and the lower one in later ones. What is kept for the most urgent rank is the most that its demand (mean and one standard deviation) may lack at any moment until the window has moved on, with 0.8 of the account's pace as a bound.

Ruled out: the count of the fleet (it agrees with what was spent), silent peers (share 1.0 throughout), restarts (unknown 0).

Tests: a burst after a calm time fails on the former code; those of lowered limits use a call that it did not have.

--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -1,11 +1,13 @@
 """Allowances of client accounts, shared by all routers."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum
+from itertools import accumulate
 
 from berylwalk.dispatch._configuration import Account
-from berylwalk.dispatch._urgent_demand import UrgentDemand
+from berylwalk.dispatch._urgent_demand import Demand, UrgentDemand
 
 STEP_S = 0.1
 """Resolution of the window, in seconds."""
@@ -29,6 +31,9 @@
 three plays each gave 0.519 and 0.538 for 0.510 and 0.520 on days with one account at
 many times its usual, and 0.858 for 0.875 on a calm day, all within their spread."""
 LOWEST_RANK = 3
+MOST_URGENT_SHARE = 0.8
+"""Part of an account's pace that is left to its most urgent rank at most: where that
+alone asks more than all, the others still get something."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,12 +76,20 @@
     ALL = 2
 
 
+@dataclass(frozen=True, slots=True)
+class _LimitInForce:
+    """A limit, and since when it is in force here."""
+
+    since: float
+    units: float
+
+
 @dataclass(slots=True)
 class _Spending:
     """What one account has spent within the window.
 
     ``before`` holds what is known from before the start, ``noted`` its sum when it
-    was learned.
+    was learned, ``limits`` those that were in force within the window, oldest first.
     """
 
     steps: deque[list[float]] = field(default_factory=deque)
@@ -85,13 +98,26 @@
     spent_by_peer: dict[str, float] = field(default_factory=dict)
     before: list[tuple[float, float]] = field(default_factory=list)
     noted: float = 0.0
+    limits: deque[_LimitInForce] = field(default_factory=deque)
 
     def add(self, units: float, now: float) -> None:
         if not self.steps or now - self.steps[-1][0] >= STEP_S:
-            self.steps.append([now, 0.0])
+            self.begin_step(now)
         self.steps[-1][1] += units
         self.total += units
 
+    def begin_step(self, now: float) -> None:
+        self.steps.append([now, 0.0])
+
+    def since(self, time: float) -> float:
+        """Return what was spent from the step on that began at a time."""
+        units = 0.0
+        for started_at, spent in reversed(self.steps):
+            if started_at < time:
+                break
+            units += spent
+        return units
+
     def drop_before(self, time: float) -> None:
         while self.steps and self.steps[0][0] < time:
             self.total -= self.steps.popleft()[1]
@@ -143,12 +169,28 @@
         self._knowledge = Knowledge.NOTHING
         self._accounts_by_name: dict[str, Account] = {}
         self._share = 1.0
-        self.urgent_demand = UrgentDemand(rules.window_s)
+        self.urgent_demand = UrgentDemand()
 
     def set_share(self, heard: int, known: int) -> None:
         """Tell how many of the known routers, this one included, are heard."""
         self._share = max(1, heard) / max(1, known)
 
+    def set_accounts(self, accounts: Iterable[Account], now: float) -> None:
+        """Take the accounts of a configuration that is in force from now on.
+
+        What an account has spent under a higher limit does not count against a lower
+        one: windows that begin later do. Without that, an account whose limit is
+        lowered would be refused all until the window has moved on.
+        """
+        for account in accounts:
+            if account.rate_per_s <= 0:
+                continue
+            spending = self._spending(account.name)
+            limit = self._rules.limit(account)
+            if not spending.limits or spending.limits[-1].units != limit:
+                spending.limits.append(_LimitInForce(now, limit))
+                spending.begin_step(now)
+
     def take(self, account: Account, cost: float, rank: int, now: float) -> float:
         """Spend a cost; returns 0, or the seconds until it can be spent.
 
@@ -173,27 +215,59 @@
         left = known - state.counted
         reserve = RESERVE_SHARE * min(rank, LOWEST_RANK) * known
         self.urgent_demand.ask(account.name, rank, cost, now)
-        reserve += self.urgent_demand.needed(account.name, rank, now)
+        spending = self._spending(account.name)
+        urgent = self.urgent_demand.above(account.name, rank, now)
+        if urgent is not None:
+            most_per_s = MOST_URGENT_SHARE * state.limit / self._rules.window_s
+            reserve += _reserve_for(
+                urgent.at_most(most_per_s), self._leaving(spending, now)
+            )
         # A request dearer than the whole allowance must not wait for ever.
         needed = min(cost, 0.9 * state.limit * state.share - reserve)
         if left - reserve < needed:
             per_s = state.limit * state.share / self._rules.window_s
             return (needed + reserve - left) / per_s
-        spending = self._spending(account.name)
         spending.add(cost, now)
         spending.spent += cost
         return 0.0
 
     def state(self, account: Account, now: float) -> AllowanceState:
-        """Return what decides about the requests of an account."""
-        limit = self._rules.limit(account)
+        """Return what decides about the requests of an account.
+
+        Of the limits that were in force within the window, the one that leaves least:
+        each counts what was spent since it is in force, against the highest from then
+        on.
+        """
+        spending = self._spending(account.name)
+        limits = self._limits_in_window(account, spending, now)
+        highest = list(accumulate((each.units for each in reversed(limits)), max))
+        counted = [self._counted(spending, now)]
+        counted += [spending.since(each.since) for each in limits[1:]]
+        limit, spent = min(
+            zip(reversed(highest), counted, strict=True),
+            key=lambda pair: pair[0] - pair[1],
+        )
         return AllowanceState(
             limit=limit,
             unknown=self._unknown(account, limit, now),
-            counted=self._counted(self._spending(account.name), now),
+            counted=spent,
             share=self._share,
         )
 
+    def _limits_in_window(
+        self, account: Account, spending: _Spending, now: float
+    ) -> list[_LimitInForce]:
+        limits = spending.limits
+        while len(limits) > 1 and limits[1].since <= now - self._rules.window_s:
+            limits.popleft()
+        return list(limits) or [_LimitInForce(now, self._rules.limit(account))]
+
+    def _leaving(self, spending: _Spending, now: float) -> list[tuple[float, float]]:
+        """Return in how many seconds which units leave the window, soonest first."""
+        window_s = self._rules.window_s + STEP_S
+        spent = [*sorted(spending.before), *spending.steps]
+        return [(time + window_s - now, units) for time, units in spent]
+
     def give_back(self, account: Account, cost: float, now: float) -> None:
         """Return the cost of a request that has surely not run."""
         spending = self._spending_by_account.get(account.name)
@@ -348,3 +422,21 @@
         if spending is None:
             spending = self._spending_by_account[name] = _Spending()
         return spending
+
+
+def _reserve_for(demand: Demand, leaving: Iterable[tuple[float, float]]) -> float:
+    """Return the units that have to be left so that a demand is served at any moment.
+
+    Parameters
+    ----------
+    demand : Demand
+        What is asked.
+    leaving : iterable of (float, float)
+        In how many seconds which units leave the window, soonest first: from then on
+        they may be spent again.
+    """
+    reserve = freed = 0.0
+    for in_s, units in leaving:
+        reserve = max(reserve, demand.most_within(in_s) - freed)
+        freed += units
+    return reserve
--- a/libs/dispatch/src/berylwalk/dispatch/_configuration.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_configuration.py
@@ -205,6 +205,12 @@
             routes_by_host=routes_by_host,
         )
 
+    @property
+    def accounts(self) -> list[Account]:
+        """All client accounts that have a key, each once."""
+        by_name = {each.name: each for each in (self.accounts_by_key or {}).values()}
+        return list(by_name.values())
+
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path."""
         by_prefix = self.routes_by_host.get(_hostname(host))
--- a/libs/dispatch/tests/test_dispatch_allowances.py
+++ b/libs/dispatch/tests/test_dispatch_allowances.py
@@ -147,6 +147,85 @@
         assert sum(router.spent_much(0.1)["a"]) == pytest.approx(0.7 * ALLOWANCE)
 
 
+class TestLoweredLimit:
+    """A configuration that lowers the limit of an account that spends much."""
+
+    LOWER = Account(name="a", keys=frozenset(), rate_per_s=300.0, burst=300.0)
+    LOWER_BOUND = 300.0 * 9 * 1.1 + 1000.0
+
+    def lowered(self, *, lowered_at=4.0):
+        """Return a router whose account spent all it might before it was lowered."""
+        router = allowances()
+        router.set_accounts([ACCOUNT], -50.0)
+        spent = spend_all(router, 0.0)
+        router.set_accounts([self.LOWER], lowered_at)
+        return router, spent
+
+    def test_what_was_spent_under_the_former_limit_is_not_held_against_it(self):
+        """The account gets what the new limit allows from the first moment on."""
+        router, _ = self.lowered()
+        assert router.take(self.LOWER, 100.0, 0, 4.1) > 0
+        router = allowances()
+        router.set_accounts([ACCOUNT], -50.0)
+        for _ in range(60):
+            router.take(ACCOUNT, 100.0, 0, 0.0)
+        router.set_accounts([self.LOWER], 4.0)
+        assert router.take(self.LOWER, 100.0, 0, 4.1) == 0
+
+    @pytest.mark.parametrize("lowered_at", [0.5, 1.0, 4.0, 7.9])
+    def test_both_limits_hold(self, lowered_at):
+        """The former in windows that began before, the lower in later ones."""
+        router, spent = self.lowered(lowered_at=lowered_at)
+        spends = [(0.0, spent)]
+        for tick in range(80):
+            now = lowered_at + 0.01 + tick * 0.25
+            units = 0.0
+            while router.take(self.LOWER, 50.0, 0, now) == 0:
+                units += 50.0
+            spends.append((now, units))
+        for start, _ in spends:
+            inside = sum(units for at, units in spends if start <= at < start + 8.0)
+            assert inside <= (BOUND if start < lowered_at else self.LOWER_BOUND)
+
+    def test_raised_limit_holds_at_once(self):
+        """What was spent under the lower one counts, against the higher one."""
+        router = allowances()
+        router.set_accounts([self.LOWER], -50.0)
+        spent = 0.0
+        while router.take(self.LOWER, 50.0, 0, 0.0) == 0:
+            spent += 50.0
+        router.set_accounts([ACCOUNT], 1.0)
+        spent += spend_all(router, 1.1)
+        assert ALLOWANCE <= spent <= BOUND
+
+    def test_limit_that_goes_down_and_up_again_holds_nobody_up(self):
+        """Only the highest of the limits since then binds."""
+        router, _ = self.lowered(lowered_at=1.0)
+        router.set_accounts([ACCOUNT], 2.0)
+        assert spend_all(router, 8.2) >= 0.9 * ALLOWANCE
+
+    def test_first_configuration_lowers_nothing(self):
+        """A router that has just started has spent nothing under another limit."""
+        router = allowances(started_at=0.0)
+        router.learn({}, Knowledge.ALL, 0.0)
+        router.set_accounts([self.LOWER], 0.1)
+        spent = 0.0
+        while router.take(self.LOWER, 50.0, 0, 0.2) == 0:
+            spent += 50.0
+        assert 300.0 * 9 <= spent <= self.LOWER_BOUND
+
+    def test_what_is_remembered_of_limits_is_bounded(self):
+        """A storm of configurations ends with one of them."""
+        router = allowances()
+        for number in range(100):
+            account = Account(
+                name="a", keys=frozenset(), rate_per_s=1000.0 + number, burst=0.0
+            )
+            router.set_accounts([account], number * 0.3)
+            router.take(account, 1.0, 0, number * 0.3)
+        assert len(router._spending_by_account["a"].limits) <= 8.0 / 0.3 + 2
+
+
 class TestPeers:
     """Several routers."""
 
