Prompts that share parts go to targets that have read them

Cause: the direct router knew nothing of shared prompt parts.

Routers tell each other what they sent where, with their loads; a target that holds the parts counts by the rest of the prompt, at half of its cost, and not dearer in another failure domain. The history of prefixes is that of the product's own fleet, moved into the library affinity.

Ruled out by trials (docs/design/prefixes.md): rendezvous hashing, two kinds; a stronger preference; shorter parts.

Also: the line of a taken request tells what was spent for it, and parts of a prompt that make no sense.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -1,6 +1,6 @@
 """Whether a request is taken, and what is known of it from then on."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import random
 
 from berylwalk.direct._context import RouterContext
@@ -36,6 +36,8 @@
         Units of the account's allowance.
     ends_at : float
         When it has to be answered.
+    spent : Spent or None
+        The allowance that its cost was taken from; None where there is no limit.
     """
 
     request: CallerRequest
@@ -46,6 +48,7 @@
     service: str
     cost: float
     ends_at: float
+    spent: "Spent | None" = None
 
     @property
     def request_id(self) -> bytes:
@@ -85,18 +88,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Spent:
-    """An allowance that does not suffice for a request.
+    """A request and the allowance that pays for it, or that does not suffice.
 
     Parameters
     ----------
     account_name : str
         Who pays.
     route : Route
-        Where the request would go.
+        Where the request goes, or would go.
     cost : float
         Its units.
     state : AllowanceState
-        What decided.
+        What was counted; the cost included if the request was taken.
     """
 
     account_name: str
@@ -119,18 +122,13 @@
     admitted = _admitted(request, facts, access)
     if admitted.account is None:
         return admitted
-    wait_s = context.allowances.take(
-        admitted.account, admitted.cost, admitted.route.priority, now
-    )
+    account, route, cost = admitted.account, admitted.route, admitted.cost
+    wait_s = context.allowances.take(account, cost, route.priority, now)
+    state = context.allowances.state(account, now)
+    spent = Spent(account.name, route, cost, state)
     if wait_s > 0:
-        spent = Spent(
-            admitted.account.name,
-            admitted.route,
-            admitted.cost,
-            context.allowances.state(admitted.account, now),
-        )
         return Refusal(429, "allowance-spent", wait_s, facts.request_id, spent)
-    return admitted
+    return replace(admitted, spent=spent) if account.rate_per_s > 0 else admitted
 
 
 def _admitted(request: CallerRequest, facts: CallFacts, access: Allowed) -> Admitted:
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -63,6 +63,7 @@
             prompt_tokens=admitted.facts.work.prompt_tokens,
             output_tokens=admitted.facts.work.output_tokens,
             ahead_tokens=start.ahead_tokens,
+            own_tokens=start.own_tokens,
             expected_ms=_ms(start.total_s),
             reading_ms=_ms(start.reading_s),
             slot_wait_ms=_ms(start.slot_wait_s),
@@ -140,6 +141,8 @@
             service=admitted.service,
             prompt_tokens=admitted.facts.work.prompt_tokens,
             output_tokens=admitted.facts.work.output_tokens,
+            **_prefix_fields(admitted),
+            **_allowance_fields(admitted.spent),
             objective_ms=_ms(admitted.route.objective_s),
             longest_pause_allowed_ms=_ms(admitted.route.longest_pause_s),
             limit_ms=_ms(admitted.ends_at - admitted.request.arrived_at),
@@ -162,7 +165,18 @@
         )
 
 
+def _prefix_fields(admitted: Admitted) -> dict[str, object]:
+    """Return what is known of the parts of the prompt that others have too."""
+    if admitted.facts.prefix_problem:
+        return {"prefix_problem": admitted.facts.prefix_problem}
+    prefix = admitted.facts.work.shared_prefix
+    if prefix is None:
+        return {}
+    return {"shared_prefix": f"{prefix.key:08x}", "shared_tokens": prefix.tokens}
+
+
 def _spent_fields(spent: Spent | None) -> dict[str, object]:
+    """Return who could not pay for a request that was refused, and why."""
     if spent is None:
         return {}
     return {
@@ -170,6 +184,15 @@
         "route": spent.route.name,
         "kind": spent.route.kind,
         "priority": spent.route.priority,
+        **_allowance_fields(spent),
+    }
+
+
+def _allowance_fields(spent: Spent | None) -> dict[str, object]:
+    """Return what a request costs and what was counted of its account."""
+    if spent is None:
+        return {}
+    return {
         "cost": round(spent.cost),
         "limit": round(spent.state.limit),
         "unknown": round(spent.state.unknown),
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -10,6 +10,9 @@
 Loads = dict[str, tuple[int, int]]
 """Requests in flight and waiting prompt tokens by the life of a target."""
 
+Reads = list[tuple[int, str]]
+"""Hashes of prompt prefixes, and the lives of the targets that they were sent to."""
+
 
 class MemberEntry(Struct):
     """How a router registers itself."""
@@ -80,12 +83,15 @@
     recent : dict or None
         Units that all routers spent in the window, by account and bin of time: the
         answer to one that asked.
+    reads : list of (int, str)
+        What the sender sent where since its last message.
     """
 
     news: RouterNews
     loads: Loads
     asks: str | None = None
     recent: dict[str, list[float]] | None = None
+    reads: Reads = field(default_factory=list)
 
 
 class DomainMessage(Struct, array_like=True, tag=2):
@@ -102,12 +108,15 @@
     is_passed_on : bool
         Whether it comes from a router of the receiver's own failure domain, which
         passes it on to all there.
+    reads : list of (int, str)
+        What they sent where since the relay's last message.
     """
 
     failure_domain: str
     routers: list[RouterNews]
     loads: Loads
     is_passed_on: bool = False
+    reads: Reads = field(default_factory=list)
 
 
 class PeerSocket(DatagramProtocol):
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -7,6 +7,7 @@
 """
 
 from asyncio import DatagramTransport, get_running_loop
+from collections import deque
 from collections.abc import Iterable
 from random import choice
 from uuid import uuid4
@@ -24,7 +25,7 @@
     RouterNews,
 )
 from berylwalk.direct._store_reach import StoreReach
-from berylwalk.dispatch import PEERS_OF_ONE_MESH, Knowledge, Peer
+from berylwalk.dispatch import PEERS_OF_ONE_MESH, Knowledge, Peer, Read
 from berylwalk.platform import KeyValueClient
 
 TELL_S = 0.05
@@ -39,6 +40,8 @@
 """Time between two messages of a relay to those of the other failure domains, where few
 routers are near it. Against 0.25, worth rose from 0.233 to 0.316 on one play of a burst
 on 21 routers; in replays older loads keep fewer of the most urgent in time."""
+MOST_READS_RELAYED = 512
+"""Bound of the sent prefixes that a relay has not told yet; the oldest are dropped."""
 DOMAIN_SOURCE = "failure-domain "
 """Start of the name under which the loads of a whole failure domain are counted."""
 
@@ -71,6 +74,7 @@
         self._told: tuple[object, object] | None = None
         self._told_at = float("-inf")
         self._news_by_name: dict[str, RouterNews] = {}
+        self._reads_to_relay: deque[Read] = deque(maxlen=MOST_READS_RELAYED)
         self._decoder = msgpack.Decoder(PeerMessage | DomainMessage)
 
     async def start(self) -> None:
@@ -118,6 +122,8 @@
             far_domains = peers.far_domains()
             if far_domains and peers.is_relay(now):
                 self._tell_domains(far_domains, now)
+            else:
+                self._reads_to_relay.clear()
 
     def _tell_domains(self, far_domains: set[str], now: float) -> None:
         data = msgpack.encode(self._domain_message(now))
@@ -156,12 +162,14 @@
         spent = context.allowances.spent_by_account()
         now = context.clock()
         asks = self._peer_to_ask(now)
-        is_unchanged = self._told == (loads, spent) and asks is None
+        reads = context.dispatcher.prefix_reads.take_news()
+        self._reads_to_relay.extend(reads)
+        is_unchanged = self._told == (loads, spent) and asks is None and not reads
         if is_unchanged and now - self._told_at < TELL_UNCHANGED_S:
             return
         self._told = (loads, spent)
         self._told_at = now
-        message = PeerMessage(self._own_news(now), loads, asks)
+        message = PeerMessage(self._own_news(now), loads, asks, reads=reads)
         self._send(msgpack.encode(message), context.peers.near())
 
     def _own_news(self, now: float) -> RouterNews:
@@ -194,8 +202,14 @@
             context.settings.failure_domain,
             [self._own_news(now), *news],
             context.targets.loads_with(heard),
+            reads=self._take_reads_to_relay(),
         )
 
+    def _take_reads_to_relay(self) -> list[Read]:
+        reads = list(self._reads_to_relay)
+        self._reads_to_relay.clear()
+        return reads
+
     def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
         for peer in peers:
             self._transport.sendto(data, (peer.host, peer.port))
@@ -252,6 +266,8 @@
             return
         if context.peers.is_near(sender):
             context.targets.hear_loads(sender.name, message.loads)
+            context.dispatcher.prefix_reads.hear(message.reads)
+            self._reads_to_relay.extend(message.reads)
         if message.asks == context.settings.name:
             self._tell_newcomer(sender, now)
         if message.recent is not None:
@@ -267,6 +283,7 @@
         if message.failure_domain in context.peers.far_domains():
             source = DOMAIN_SOURCE + message.failure_domain
             context.targets.hear_loads(source, message.loads)
+        context.dispatcher.prefix_reads.hear(message.reads)
         if not message.is_passed_on:
             data = msgpack.encode(replace(message, is_passed_on=True))
             self._send(data, context.peers.near())
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -86,7 +86,11 @@
 
     def _attempt(self, target: Target, sent_at: float) -> Attempt:
         work = self._admitted.facts.work
-        start = expected_start(target, work)
+        life_id = target.entry.life_id
+        prefix_reads = self._context.dispatcher.prefix_reads
+        held_tokens = prefix_reads.held_tokens(work).get(life_id, 0)
+        start = expected_start(target, work, held_tokens=held_tokens)
+        prefix_reads.note_sent(work, life_id)
         self._log.tell_placed(self._admitted, target, start)
 
         def on_first_event() -> None:
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -7,7 +7,7 @@
 from anyio import sleep
 from msgspec import msgpack
 
-from berylwalk.direct._peer_messages import PeerMessage
+from berylwalk.direct._peer_messages import DomainMessage, PeerMessage, RouterNews
 from berylwalk.direct._peering import relay_interval_s, tell_interval_s
 from berylwalk.dispatch import AllowanceRules, Knowledge
 from berylwalk.dispatch._peer_view import HEARD_WITHIN_S
@@ -394,6 +394,162 @@
                 await fleet.until(lambda at=target: at.peer_in_flight == 0)
 
 
+class TestAllowances:
+    """Limits of accounts as the configuration has them."""
+
+    async def test_line_of_a_taken_request_tells_what_it_cost(self, running):
+        """And what was counted of its account, itself included."""
+
+        def limited(fleet):
+            fleet.tenants[0].update({"rate-per-s": 1000, "burst": 1000})
+
+        rules = AllowanceRules(window_s=30.0)
+        async with running(answers("ok"), prepare=limited, allowances=rules) as fleet:
+            context = fleet.router._context
+            context.allowances.learn({}, Knowledge.ALL, context.clock())
+            told = []
+            context.log.request = lambda event, request_id, **each: told.append(each)
+            await fleet.call("/idempotent/")
+            await fleet.call("/idempotent/")
+        ended = [each for each in told if each.get("reason") == "answered"]
+        assert [(each["cost"], each["counted"]) for each in ended] == [(1, 1), (1, 2)]
+        assert {(each["limit"], each["share"]) for each in ended} == {(32550, 1.0)}
+
+    async def test_lowered_limit_counts_from_when_it_is_in_force(self, running):
+        """What was spent before, lawfully, is not held against the account."""
+
+        def limited(fleet):
+            fleet.tenants[0].update({"rate-per-s": 1, "burst": 30})
+
+        rules = AllowanceRules(window_s=30.0)
+        async with running(answers("ok"), prepare=limited, allowances=rules) as fleet:
+            context = fleet.router._context
+            context.allowances.learn({}, Knowledge.ALL, context.clock())
+            for _ in range(20):
+                assert (await fleet.call("/idempotent/")).status == 200
+            fleet.tenants[0].update({"rate-per-s": 0.1, "burst": 5})
+            fleet.put_configuration()
+            await fleet.until_ready()
+            statuses = [(await fleet.call("/idempotent/")).status for _ in range(9)]
+        assert statuses == [200] * 8 + [429]
+
+
+class TestPrefixes:
+    """Prompts that share parts, at several routers."""
+
+    PARTS = "a:60,b:6000,own:90"
+    SIZES = "6150,10"
+
+    @staticmethod
+    async def until_told(fleet, router):
+        """Wait until a router knows where the one prompt was read."""
+        history = router._context.dispatcher.prefix_reads._history
+        await fleet.until(lambda: len(history) == 1)
+
+    async def read_by(self, fleet, others):
+        """Send a prompt, then have all routers told; return the target's number."""
+        await fleet.call(
+            "/idempotent/", Prompt_Prefix=self.PARTS, Token_Count=self.SIZES
+        )
+        for other in others:
+            await self.until_told(fleet, other)
+        return [len(target.received) for target in fleet.targets].index(1)
+
+    async def test_all_routers_send_them_where_they_were_read(self, running, beside):
+        """Each router sees a part of the requests."""
+        async with (
+            running(answers("ok"), answers("ok"), answers("ok")) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            peers = second._context.peers
+            await fleet.until(lambda: peers.heard(second._context.clock()) == 2)
+            await fleet.until(lambda: len(second._context.targets.by_id) == 3)
+            number = await self.read_by(fleet, [second])
+            fleet.settings = second._context.settings
+            for _ in range(5):
+                await fleet.call(
+                    "/idempotent/", Prompt_Prefix=self.PARTS, Token_Count=self.SIZES
+                )
+            assert len(fleet.targets[number].received) == 6
+
+    async def test_relays_tell_the_other_failure_domains(
+        self, running, beside, monkeypatch
+    ):
+        """Also a router that is no relay is told there."""
+        monkeypatch.setattr("berylwalk.dispatch._peer_view.PEERS_OF_ONE_MESH", 0)
+        async with (
+            running(answers("ok"), answers("ok")) as fleet,
+            beside(
+                {"name": "edge-2", "failure_domain": "fd-b"},
+                {"name": "edge-3", "failure_domain": "fd-b"},
+            ) as others,
+        ):
+            for other in others:
+                context = other._context
+                await fleet.until(lambda of=context: of.peers.heard(of.clock()) == 3)
+            await self.read_by(fleet, others)
+
+    async def test_router_that_is_no_relay_keeps_nothing_to_relay(
+        self, running, beside, monkeypatch
+    ):
+        """What it is told would grow old until it is one."""
+        monkeypatch.setattr("berylwalk.dispatch._peer_view.PEERS_OF_ONE_MESH", 0)
+        async with (
+            running(answers("ok"), name="edge-0") as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            context = second._context
+            await fleet.until(lambda: context.peers.heard(context.clock()) == 2)
+            await self.read_by(fleet, [second])
+            await fleet.until(lambda: not second._peering._reads_to_relay)
+
+    async def test_parts_that_make_no_sense_are_told(self, running):
+        """The request is served, and its line in the log says so."""
+        async with running(answers("ok")) as fleet:
+            told = []
+            log = fleet.router._context.log
+            log.request = lambda event, request_id, **fields: told.append(fields)
+            reply = await fleet.call("/idempotent/", Prompt_Prefix="a,b")
+        assert reply.status == 200
+        assert "not a part of a prompt" in told[-1]["prefix_problem"]
+
+
+class TestVersionsSideBySide:
+    """Messages of routers of an earlier or a later version of the program."""
+
+    NEWS = RouterNews("r", "127.0.0.1", 1, "life", "fd-a", 1.0, 1, {})
+
+    def test_message_without_later_fields_is_understood(self):
+        """A fleet is replaced router by router."""
+        message = msgpack.decode(msgpack.encode(PeerMessage(self.NEWS, {})))
+        former = msgpack.encode(message[:5])
+        assert msgpack.decode(former, type=PeerMessage).reads == []
+
+    @pytest.mark.parametrize(
+        "message",
+        [PeerMessage(NEWS, {}), DomainMessage("fd-a", [NEWS], {})],
+    )
+    def test_fields_of_a_later_version_are_passed_over(self, message):
+        """What is known is taken."""
+        later = msgpack.encode([*msgpack.decode(msgpack.encode(message)), 1, {"a": 2}])
+        decoded = msgpack.decode(later, type=PeerMessage | DomainMessage)
+        assert decoded == message
+
+    @pytest.mark.parametrize("cut", [0, 1, 10, 40])
+    async def test_message_that_is_cut_changes_nothing(self, running, cut):
+        """It is told in the log, and the router goes on."""
+        async with running(answers("ok")) as fleet:
+            peering = fleet.router._peering
+            told = []
+            fleet.router._context.log.process = lambda event, **_: told.append(event)
+            message = PeerMessage(self.NEWS, {"i-0": (5, 5)}, reads=[(1, "i-0")])
+            peering._hear(msgpack.encode(message)[:cut])
+            peering._hear(msgpack.encode([9, "of another version"]))
+            assert told.count("peer-message-invalid") == 2
+            assert fleet.router._context.peers.by_name == {}
+            assert (await fleet.call("/idempotent/")).status == 200
+
+
 class TestMetrics:
     """What the metrics address serves."""
 
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -31,6 +31,7 @@
 from berylwalk.dispatch._peer_view import PEERS_OF_ONE_MESH, Peer, PeerTable
 from berylwalk.dispatch._place_limits import place_limit
 from berylwalk.dispatch._placing import PlaceRequest, choose_target, expected_start
+from berylwalk.dispatch._prefix_reads import PrefixReads, Read
 from berylwalk.dispatch._retries import WindowedRetryBudget
 from berylwalk.dispatch._return_times import return_time_s
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
@@ -38,6 +39,7 @@
 from berylwalk.dispatch._target import ExpectedStart, Target, TargetSpeed
 from berylwalk.dispatch._target_entries import (
     Obstacle,
+    SharedPrefix,
     TargetEntry,
     TargetState,
     Work,
@@ -67,11 +69,14 @@
     "Peer",
     "PeerTable",
     "PlaceRequest",
+    "PrefixReads",
+    "Read",
     "Route",
     "RouteKind",
     "RouterSettings",
     "Service",
     "ServiceShare",
+    "SharedPrefix",
     "SocketAddress",
     "StartModel",
     "Target",
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -11,6 +11,7 @@
     choose_target,
     targets_too_late,
 )
+from berylwalk.dispatch._prefix_reads import PrefixReads
 from berylwalk.dispatch._target import Target
 from berylwalk.dispatch._target_entries import Obstacle
 from berylwalk.dispatch._target_table import TargetTable
@@ -31,6 +32,11 @@
         Where this router runs.
     draw : callable
         Draws from 0 up to 1.
+
+    Attributes
+    ----------
+    prefix_reads : PrefixReads
+        Which targets have read what prompts share.
     """
 
     def __init__(
@@ -40,6 +46,7 @@
         failure_domain: str,
         draw: Callable[[], float] = random,
     ) -> None:
+        self.prefix_reads = PrefixReads()
         self._targets = targets
         self._failure_domain = failure_domain
         self._draw = draw
@@ -153,6 +160,7 @@
         return PlaceRequest(
             work=ticket.work,
             excluded=ticket.excluded,
+            held_tokens=self.prefix_reads.held_tokens(ticket.work),
             is_most_urgent=self._is_most_urgent(ticket, now),
             left_s=ticket.ends_at - now,
             start_within_s=ticket.start_by - now,
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -5,8 +5,8 @@
 too late, and holds up the streams beside it while it is read.
 """
 
-from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass, field
 from random import random
 
 from berylwalk.dispatch._place_limits import obstacle_for
@@ -41,12 +41,20 @@
 BUSY_SHARE = 0.5
 """Part of a target's slots from which it gets only requests that begin in time. Below,
 a late answer takes nothing from others."""
+HELD_FACTOR = 0.5
+"""How much cheaper a target counts that has read what the prompt shares with others,
+besides the time that this saves the request: it saves the others there as much. Bytes
+between failure domains cost less than reading again."""
 ERROR_FACTOR = 4.0
 """How much dearer a target counts that fails every answer."""
 
 
 def expected_start(
-    target: Target, work: Work, *, typical_token_s: float = UNKNOWN_TOKEN_S
+    target: Target,
+    work: Work,
+    *,
+    held_tokens: int = 0,
+    typical_token_s: float = UNKNOWN_TOKEN_S,
 ) -> ExpectedStart:
     """Return when a request that is added should bring its first event.
 
@@ -56,6 +64,8 @@
         Where it is added.
     work : Work
         The request.
+    held_tokens : int
+        Tokens of its prompt that the target has read before.
     typical_token_s : float
         Time for an output token of a target of which nothing is known, in seconds.
     """
@@ -63,12 +73,13 @@
     model = target.start_model
     fixed_s = model.fixed_s if target.fixed_s is None else target.fixed_s
     ahead_tokens = target.unread_tokens
-    reading_s = model.reading_s(token_s, ahead_tokens, work.prompt_tokens)
+    own_tokens = work.prompt_tokens - held_tokens
+    reading_s = model.reading_s(token_s, ahead_tokens, own_tokens)
     over = target.total_in_flight + 1 - target.entry.slots
     slot_wait_s = 0.0
     if over > 0 and target.slot_s is not None:
         slot_wait_s = over * target.slot_s / max(1, target.entry.slots)
-    return ExpectedStart(fixed_s, reading_s, slot_wait_s, ahead_tokens)
+    return ExpectedStart(fixed_s, reading_s, slot_wait_s, ahead_tokens, own_tokens)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +92,8 @@
         Its size.
     excluded : collection of str
         Ids of the targets that were tried for it.
+    held_tokens : mapping of str to int
+        Tokens of its prompt that targets have read before, by their lives.
     is_most_urgent : bool
         Whether no request of a higher rank goes to the same targets.
     left_s : float
@@ -94,6 +107,7 @@
 
     work: Work
     excluded: Collection[str] = ()
+    held_tokens: Mapping[str, int] = field(default_factory=dict)
     is_most_urgent: bool = True
     left_s: float = float("inf")
     start_within_s: float = float("inf")
@@ -141,11 +155,19 @@
     best = None
     best_cost = float("inf")
     for target in free:
-        start = expected_start(target, request.work, typical_token_s=typical_token_s)
+        held_tokens = request.held_tokens.get(target.entry.life_id, 0)
+        start = expected_start(
+            target,
+            request.work,
+            held_tokens=held_tokens,
+            typical_token_s=typical_token_s,
+        )
         if _starts_too_late(target, start, within_s):
             continue
         cost = _cost_s(target, request, start, typical_token_s) * (1 + 0.02 * draw())
-        if target.entry.failure_domain != failure_domain:
+        if held_tokens:
+            cost *= HELD_FACTOR
+        elif target.entry.failure_domain != failure_domain:
             cost *= remote_factor
         if cost < best_cost:
             best, best_cost = target, cost
@@ -163,7 +185,12 @@
         for target in targets
         if _starts_too_late(
             target,
-            expected_start(target, request.work, typical_token_s=typical_token_s),
+            expected_start(
+                target,
+                request.work,
+                held_tokens=request.held_tokens.get(target.entry.life_id, 0),
+                typical_token_s=typical_token_s,
+            ),
             within_s,
         )
     }
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -64,12 +64,15 @@
         Wait for a slot, in seconds.
     ahead_tokens : int
         Prompt tokens ahead of it.
+    own_tokens : int
+        Prompt tokens of its own that the target has to read.
     """
 
     fixed_s: float
     reading_s: float
     slot_wait_s: float
     ahead_tokens: int
+    own_tokens: int
 
     @property
     def total_s(self) -> float:
@@ -237,7 +240,7 @@
         had_free_slot = start.slot_wait_s == 0
         if had_free_slot and self.output_token_s is not None:
             self.start_model.note(
-                self.output_token_s, start.ahead_tokens, work.prompt_tokens, taken_s
+                self.output_token_s, start.ahead_tokens, start.own_tokens, taken_s
             )
         weight = SPEED_WEIGHT if had_free_slot else WAITED_WEIGHT
         self.fixed_s = _moved(self.fixed_s, sample, weight)
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -78,6 +78,22 @@
         return f"{self.target_id}~{self.started_ms % LIFE_MARKS:x}"
 
 
+@dataclass(frozen=True, slots=True)
+class SharedPrefix:
+    """Start of a prompt that other requests have too.
+
+    Parameters
+    ----------
+    key : int
+        Hash of its parts, 32 bits.
+    tokens : int
+        Its length.
+    """
+
+    key: int
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class Work:
     """Size of one request.
@@ -88,7 +104,10 @@
         Tokens to be read before the first event; 0 for a plain call.
     output_tokens : int
         Tokens that the answer is expected to have, or its most.
+    shared_prefix : SharedPrefix or None
+        Start of the prompt that other requests have too.
     """
 
     prompt_tokens: int = 0
     output_tokens: int = 0
+    shared_prefix: SharedPrefix | None = None
--- a/libs/placement/src/berylwalk/placement/__init__.py
+++ b/libs/placement/src/berylwalk/placement/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of a router about where a request goes; pure, without I/O."""
 
+from berylwalk.affinity import PlacementHistory
 from berylwalk.placement._affinity import covered_tokens, home_agent, is_shared
 from berylwalk.placement._candidates import (
     Candidate,
@@ -15,7 +16,6 @@
     power_of_two,
     round_robin,
 )
-from berylwalk.placement._history import PlacementHistory
 from berylwalk.placement._prefixes import prefix_hashes
 from berylwalk.placement._rendezvous import rendezvous_order, router_order, subset
 from berylwalk.placement._retry_budget import RetryBudget
--- a/libs/placement/src/berylwalk/placement/_affinity.py
+++ b/libs/placement/src/berylwalk/placement/_affinity.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 
+from berylwalk.affinity import PlacementHistory
 from berylwalk.placement._candidates import Candidate, Work
-from berylwalk.placement._history import PlacementHistory
 from berylwalk.placement._prefixes import TOKENS_PER_BLOCK
 from berylwalk.placement._rendezvous import rendezvous_weight
 
--- a/libs/placement/src/berylwalk/placement/_choosers.py
+++ b/libs/placement/src/berylwalk/placement/_choosers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
+from berylwalk.affinity import PlacementHistory
 from berylwalk.placement._affinity import (
     cached_within_bound,
     covered_tokens,
@@ -14,7 +15,6 @@
     decode_s,
     prefill_s,
 )
-from berylwalk.placement._history import PlacementHistory
 
 Chooser = Callable[[Work, Sequence[Candidate]], Candidate]
 """Chooses one of at least one candidate."""
--- a/libs/placement/tests/test_placement_state.py
+++ b/libs/placement/tests/test_placement_state.py
@@ -1,7 +1,6 @@
-"""Prefix hashes, placement history, subsets and retry budget."""
+"""Prefix hashes, subsets and retry budget."""
 
 from berylwalk.placement import (
-    PlacementHistory,
     RetryBudget,
     prefix_hashes,
     subset,
@@ -24,26 +23,6 @@
         assert prefix_hashes(b"short") == ()
 
 
-class TestPlacementHistory:
-    def test_longest_known_prefix_counts(self):
-        """Each agent is credited with its longest run of blocks."""
-        history = PlacementHistory()
-        history.record((1, 2), "a")
-        history.record((1, 2, 3), "b")
-        assert history.covered_blocks((1, 2, 3, 4)) == {"b": 3, "a": 2}
-        history.forget("b")
-        assert history.covered_blocks((1, 2, 3, 4)) == {"a": 2}
-
-    def test_memory_is_bounded_and_short_prefixes_stay_longest(self):
-        """A shared prefix outlives the tails of old prompts."""
-        history = PlacementHistory(size=3)
-        history.record((1, 2), "a")
-        history.record((1, 9), "b")
-        history.record((1, 8), "b")
-        assert len(history) == 3
-        assert history.covered_blocks((1, 2)) == {"b": 1, "a": 1}
-
-
 class TestSubset:
     def test_change_of_one_agent_changes_one_place(self):
         """Connections survive changes of the fleet."""
--- a/tests/platform/test_platform_formats.py
+++ b/tests/platform/test_platform_formats.py
@@ -7,7 +7,14 @@
 from hypothesis import strategies as st
 from msgspec import ValidationError
 
-from berylwalk.dispatch import RouteKind, TargetEntry, TargetState, Work
+from berylwalk.affinity import parts_hash
+from berylwalk.dispatch import (
+    RouteKind,
+    SharedPrefix,
+    TargetEntry,
+    TargetState,
+    Work,
+)
 from berylwalk.platform import (
     BadHeaders,
     EntryProblem,
@@ -82,6 +89,8 @@
     (b"Prompt-Prefix", b"5c1e:800,91bd:410,e440:250"),
     (b"X-Api-Key", b"k1"),
 ]
+PARTS_HASH = parts_hash([b"5c1e", b"91bd"])
+NO_PARTS = [each for each in CALL if each[0] != b"Prompt-Prefix"]
 
 
 TARGET = {
@@ -309,7 +318,57 @@
         facts = read_call(CALL)
         assert (facts.request_id, facts.key, facts.time_limit_s) == (b"a1", "k1", 1.5)
         assert facts.tokens == 1540
+        assert facts.work == Work(1460, 80, SharedPrefix(PARTS_HASH, 1210))
+        assert facts.prefix_problem == ""
+
+    @pytest.mark.parametrize(
+        ("value", "tokens"),
+        [
+            (b"a:60,b:600,own:9", 660),
+            (b" a:60 , b:600 ,own:9", 660),
+            (b"session:900", 900),
+            (b"a:1," * 63 + b"own:9", 63),
+        ],
+    )
+    def test_shared_parts_of_a_prompt(self, value, tokens):
+        """All but the last one, which is the request's own, unless it is alone."""
+        facts = read_call([*NO_PARTS, (b"Prompt-Prefix", value)])
+        assert facts.work.shared_prefix.tokens == tokens
+        assert facts.prefix_problem == ""
+
+    def test_same_parts_have_the_same_hash(self):
+        """Whatever the request's own part is; other parts have another one."""
+
+        def prefix_of(value):
+            return read_call([*NO_PARTS, (b"Prompt-Prefix", value)]).work.shared_prefix
+
+        assert prefix_of(b"a:60,b:600,x:9") == prefix_of(b"a:60,b:600,y:5")
+        assert prefix_of(b"a:60,b:600,x:9").key != prefix_of(b"a:60,c:600,x:9").key
+        assert prefix_of(b"a:60,b:600,x:9").key != prefix_of(b"b:60,a:600,x:9").key
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"a:60,b,own:9",
+            b"a:-60,own:9",
+            b":60,own:9",
+            b"a:x,own:9",
+            b",,",
+            b"a:1," * 10_000 + b"own:9",
+            bytes(range(128, 256)) + b",own:9",
+        ],
+    )
+    def test_parts_that_make_no_sense_are_told_and_passed_over(self, value):
+        """The request is placed without regard to them: its target judges them."""
+        facts = read_call([*NO_PARTS, (b"Prompt-Prefix", value)])
+        assert facts.work == Work(1460, 80)
+        assert facts.prefix_problem
+
+    def test_request_without_parts_shares_none(self):
+        """Most plain calls."""
+        facts = read_call(NO_PARTS)
         assert facts.work == Work(1460, 80)
+        assert facts.prefix_problem == ""
 
     @pytest.mark.parametrize(
         "header",
