One reading of the store for many routers

The first router of each failure domain that is heard reads; the others ask it each 0.4 s and date its word by their own question, so that delay, loss, pauses and clocks can only make it look older. Too old: another domain's reader, then the store itself. OrderedItems moved into the new library reading. A router alone at its start lists again after 1 s in place of 4 s.

--- a/libs/direct/src/berylwalk/direct/_configuration_feed.py
+++ b/libs/direct/src/berylwalk/direct/_configuration_feed.py
@@ -5,8 +5,11 @@
 from berylwalk.direct._mirrored_prefix import (
     SENDING_S,
     SHORTEST_HOLD_S,
+    TELLING_S,
     MirroredPrefix,
     MirrorRules,
+    ReadingRole,
+    lean_s,
 )
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.platform import (
@@ -24,8 +27,9 @@
 one before this router asks for no new callers."""
 ABSENT_S = 0.15
 """Time between reads while there is no configuration yet."""
-UNCONFIRMED = float("-inf")
-"""What a watch tells may be late: it confirms nothing."""
+OLDEST_S = 2.9
+"""Age that it should never have while the store is well: this router would ask for no
+new callers soon after."""
 
 
 class ConfigurationFeed:
@@ -39,51 +43,71 @@
         The platform's store.
     reach : StoreReach
         Notes how calls end.
+    role : ReadingRole
+        Whether this router reads the store for itself only.
+
+    Attributes
+    ----------
+    mirror : MirroredPrefix
+        What is known of the configuration.
     """
 
     def __init__(
-        self, context: RouterContext, store: KeyValueClient, reach: StoreReach
+        self,
+        context: RouterContext,
+        store: KeyValueClient,
+        reach: StoreReach,
+        role: ReadingRole,
     ) -> None:
         self._context = context
+        self._role = role
         bound_s = context.settings.configuration_s
         self._confirm_s = min(
             LONGEST_CONFIRM_S, max(SHORTEST_HOLD_S, bound_s - SENDING_S)
         )
+        self._lean_s = lean_s(min(bound_s, OLDEST_S))
         self._revision_in_force = 0
         self._findings = EntryFindings(context, "configuration-invalid")
         rules = MirrorRules(
             prefix=CONFIGURATION_KEY,
             name="configuration",
             list_gap_s=self._list_gap_s,
+            lean_s=self._lean_s,
             is_probe=True,
         )
-        self._mirror = MirroredPrefix(
+        self.mirror = MirroredPrefix(
             store,
             reach,
             rules,
             clock=context.clock,
             on_list=self._take_read,
             on_changes=self._take_changes,
+            on_known=self._take_known,
+            role=role,
         )
 
     async def run(self) -> None:
         """Read and watch for ever."""
-        await self._mirror.run()
+        await self.mirror.run()
 
     def _list_gap_s(self) -> float:
-        is_known = self._context.configuration.current is not None
-        return self._confirm_s if is_known else ABSENT_S
+        if self._context.configuration.current is None:
+            return ABSENT_S
+        if self._role.reads_for_others():
+            return max(SHORTEST_HOLD_S, min(self._confirm_s, self._lean_s) - TELLING_S)
+        return self._confirm_s
 
     def _take_read(self, items: list[KeyValue], revision: int, asked_at: float) -> None:
+        self._take_known(items, asked_at)
+
+    def _take_known(self, items: list[KeyValue], known_at: float) -> None:
         for item in items:
             if item.key == CONFIGURATION_KEY:
-                self._take(item, asked_at)
+                self._take(item, known_at)
 
-    def _take_changes(self, events: list[WatchEvent]) -> None:
-        for event in events:
-            is_own = event.key_value.key == CONFIGURATION_KEY
-            if is_own and event.kind is EventKind.PUT:
-                self._take(event.key_value, UNCONFIRMED)
+    def _take_changes(self, events: list[WatchEvent], known_at: float) -> None:
+        puts = [event.key_value for event in events if event.kind is EventKind.PUT]
+        self._take_known(puts, known_at)
 
     def _take(self, item: KeyValue, asked_at: float) -> None:
         state = self._context.configuration
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -15,6 +15,7 @@
 from berylwalk.direct._gauges import refresh_gauges
 from berylwalk.direct._listeners import Listener
 from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.direct._mirrored_prefix import ReadingRole
 from berylwalk.direct._peering import Peering
 from berylwalk.direct._speed_note import SpeedNote
 from berylwalk.direct._spending_note import SpendingNote
@@ -68,8 +69,14 @@
         self._peering = Peering(context, store, reach)
         self._spending_note = SpendingNote(context, store, reach)
         self._speed_note = SpeedNote(context, store, reach)
-        self._configuration_feed = ConfigurationFeed(context, store, reach)
-        self._target_feed = TargetFeed(context, store, reach)
+        reading = self._peering.reading
+        role = ReadingRole(
+            leans=reading.leans, reads_for_others=reading.reads_for_others
+        )
+        self._configuration_feed = ConfigurationFeed(context, store, reach, role)
+        self._target_feed = TargetFeed(context, store, reach, role)
+        for feed in (self._configuration_feed, self._target_feed):
+            reading.add(feed.mirror)
         self._exchanges_by_connection: dict[CallerConnection, Exchange] = {}
         self._tasks: TaskGroup | None = None
         self._stopping_since: float | None = None
--- a/libs/direct/src/berylwalk/direct/_membership.py
+++ b/libs/direct/src/berylwalk/direct/_membership.py
@@ -8,17 +8,21 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._entry_findings import EntryFindings
-from berylwalk.direct._ordered_items import OrderedItems
 from berylwalk.direct._peer_messages import MemberEntry
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import Peer
 from berylwalk.platform import KeyValue, KeyValueClient, Lost, Unavailable
+from berylwalk.reading import OrderedItems
 
 MEMBERS_PREFIX = b"berylwalk/routers/"
 LEASE_S = 6.0
 """Time after which a router that is gone is no longer counted."""
 RENEW_S = 2.0
 LIST_S = 4.0
+FIRST_LIST_S = 1.0
+"""Time to the second list of a router that found no other one: routers that start at
+the same moment enter the list within less, and until it knows them it reads all of the
+store itself."""
 
 
 class Membership:
@@ -128,8 +132,10 @@
             # A cheap list may be older than the one before.
             if self._ordered.take_list(listing):
                 self._take(self._ordered.items)
-            is_first = self._context.peers.known() == 1
-            await sleep(LIST_S)
+            is_alone = self._context.peers.known() == 1
+            gap_s = FIRST_LIST_S if is_first and is_alone else LIST_S
+            is_first = is_alone
+            await sleep(gap_s)
 
     def _take(self, items: list[KeyValue]) -> None:
         listed = []
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -66,6 +66,17 @@
             ("purpose", "outcome"),
             registry=registry,
         )
+        self.words = Counter(
+            "berylwalk_store_words",
+            "What other routers told of the store, by items and outcome.",
+            ("items", "outcome"),
+            registry=registry,
+        )
+        self.reads_store = self._gauge(
+            "reads_store",
+            "Whether this router reads the store (1), also for others (2), or goes by "
+            "the word of others (0).",
+        )
         self.unusable_items = Counter(
             "berylwalk_unusable_items",
             "Times that an item of the store could not be used, by kind and problem.",
--- a/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
+++ b/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
@@ -5,7 +5,6 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
-from berylwalk.direct._ordered_items import OrderedItems
 from berylwalk.direct._store_reach import CALL_TIMEOUT_S, StoreReach
 from berylwalk.platform import (
     KeyValue,
@@ -14,6 +13,7 @@
     UnavailableReason,
     WatchEvent,
 )
+from berylwalk.reading import OrderedItems, Word
 
 LONGEST_HOLD_S = 8.0
 """Longest time that the store holds a watch back: each answer is paid for."""
@@ -26,6 +26,26 @@
 """Time between looks for a first list."""
 LOOK_S = 0.3
 """Time between looks whether a list is due."""
+LEAST_SLEEP_S = 0.01
+"""Bound from below of a sleep until something is due: what is left may be a rounding
+error of the clock."""
+TELLING_S = 0.6
+"""Time from an answer of the store to the moment at which a router that asks another
+one each 0.4 s knows of it; it may lie behind the other one's next question."""
+
+
+def lean_s(bound_s: float, gather_s: float = 0.0) -> float:
+    """Return the age up to which the word of other routers is enough.
+
+    From then on the store is asked. If the first answer is lost, the second one still
+    comes within the bound.
+
+    Parameters
+    ----------
+    bound_s, gather_s : float
+        As in `hold_s`.
+    """
+    return max(0.0, bound_s - gather_s - CALL_TIMEOUT_S - SENDING_S)
 
 
 def hold_s(bound_s: float, gathered_s: float = 0.0) -> float:
@@ -74,6 +94,9 @@
         Time for which changes gather at the store before they are asked for again.
     list_gap_s : callable
         Returns the time between two lists now, in seconds; None if a watch is enough.
+    lean_s : float
+        Age up to which the word of other routers is enough, in seconds: a call of the
+        store whose answer is lost then still fits into the bound.
     is_probe : bool
         Whether its lists find out when the store is back after an outage.
     """
@@ -83,9 +106,26 @@
     bound_s: float | None = None
     gather_s: float = 0.0
     list_gap_s: Callable[[], float | None]
+    lean_s: float = 0.0
     is_probe: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReadingRole:
+    """Whether a router reads the store for itself only.
+
+    Parameters
+    ----------
+    leans : callable
+        Returns whether it takes the word of others in place of own calls.
+    reads_for_others : callable
+        Returns whether others take its word: what it knows has to be fresher then.
+    """
+
+    leans: Callable[[], bool] = lambda: False
+    reads_for_others: Callable[[], bool] = lambda: False
+
+
 class MirroredPrefix:
     """Lists and watches the items under a prefix.
 
@@ -102,7 +142,12 @@
     on_list : callable
         Called with all items, the revision of the list, and when it was asked for.
     on_changes : callable
-        Called with what a watch told that is news, maybe nothing.
+        Called with news of a watch or of another router, and when the store was
+        surely at that state.
+    on_known : callable
+        Called likewise with that moment when there is no news.
+    role : ReadingRole
+        Whether this router reads the store for itself only.
     """
 
     def __init__(
@@ -113,7 +158,9 @@
         *,
         clock: Callable[[], float],
         on_list: Callable[[list[KeyValue], int, float], None],
-        on_changes: Callable[[list[WatchEvent]], None],
+        on_changes: Callable[[list[WatchEvent], float], None],
+        on_known: Callable[[list[KeyValue], float], None],
+        role: ReadingRole,
     ) -> None:
         self._store = store
         self._reach = reach
@@ -121,10 +168,66 @@
         self._clock = clock
         self._on_list = on_list
         self._on_changes = on_changes
+        self._on_known = on_known
+        self._role = role
         self._ordered = OrderedItems()
         self._is_listed = False
         self._wanted = Event()
 
+    @property
+    def name(self) -> str:
+        """What is mirrored."""
+        return self._rules.name
+
+    @property
+    def revision(self) -> int:
+        """Up to which revision of the store all changes are known."""
+        return self._ordered.revision
+
+    def age_s(self) -> float:
+        """Return the time since the store was known to be at that revision."""
+        return self._clock() - self._ordered.known_at
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the word of others would be enough in place of a call."""
+        return self._is_listed and self.age_s() < self._rules.lean_s
+
+    def word(self, since: int) -> Word | None:
+        """Return what is known, for a router that knows all up to a revision."""
+        if not self._is_listed:
+            return None
+        return self._ordered.word(self.name, since, self._clock())
+
+    def take_word(self, word: Word, asked_at: float) -> bool:
+        """Take what another router knows; returns whether that is all that it knows.
+
+        Parameters
+        ----------
+        word : Word
+            What it told.
+        asked_at : float
+            When it was asked.
+        """
+        if not self._is_listed:
+            return False
+        news = self._ordered.take_word(word, asked_at)
+        if news is None:
+            self._wanted.set()
+            return False
+        self._tell(news)
+        return True
+
+    def _tell(self, news: list[WatchEvent]) -> None:
+        if news:
+            self._on_changes(news, self._ordered.known_at)
+        else:
+            self._on_known(self._ordered.items, self._ordered.known_at)
+
+    @property
+    def _is_told(self) -> bool:
+        return self._role.leans() and self.is_fresh
+
     async def run(self) -> None:
         """List and watch for ever."""
         async with create_task_group() as tasks:
@@ -145,7 +248,7 @@
                 continue
             failures = 0
             self._wanted = Event()
-            if self._ordered.take_list(listing):
+            if self._ordered.take_list(listing, known_at=asked_at):
                 self._on_list(self._ordered.items, listing.revision, asked_at)
             self._is_listed = True
             await self._until_due()
@@ -156,7 +259,7 @@
         while not self._wanted.is_set():
             gap_s = self._rules.list_gap_s()
             left_s = LOOK_S
-            if gap_s is not None:
+            if gap_s is not None and not self._is_told:
                 left_s = min(LOOK_S, listed_at + gap_s - self._clock())
             if left_s <= 0:
                 return
@@ -171,9 +274,16 @@
             if not self._is_listed:
                 await sleep(UNLISTED_S)
                 continue
-            held_s = LONGEST_HOLD_S
-            if rules.bound_s is not None:
-                held_s = hold_s(rules.bound_s, gathered_s)
+            held_s = self._hold_s(gathered_s)
+            if gathered_s and self._role.reads_for_others():
+                # When the changes came can't be told from their answer, so that others
+                # would take it for as old as its call.
+                held_s = 0.0
+            if self._is_told:
+                await self._until_not_told()
+                # What changed meanwhile has to be known at once.
+                held_s = 0.0
+            asked_at = self._clock()
             changes = await self._reach.ask(
                 f"watch-{rules.name}",
                 self._store.changes(
@@ -194,8 +304,25 @@
             if changes.unreadable:
                 # Which keys changed can't be told: a list shows what is left.
                 self._wanted.set()
-            news = self._ordered.take_changes(changes)
-            self._on_changes(news)
+            # An answer without changes was held back for the whole time.
+            is_calm = not changes.events and not changes.unreadable
+            known_at = asked_at + (held_s if is_calm else 0.0)
+            news = self._ordered.take_changes(changes, known_at=known_at)
+            self._tell(news)
             gathered_s = rules.gather_s if news else 0.0
             if gathered_s:
                 await sleep(gathered_s)
+
+    def _hold_s(self, gathered_s: float) -> float:
+        rules = self._rules
+        if rules.bound_s is None:
+            return LONGEST_HOLD_S
+        bound_s = rules.bound_s
+        if self._role.reads_for_others():
+            bound_s -= TELLING_S
+        return hold_s(bound_s, gathered_s)
+
+    async def _until_not_told(self) -> None:
+        while self._is_told:
+            left_s = self._rules.lean_s - self.age_s()
+            await sleep(min(LOOK_S, max(LEAST_SLEEP_S, left_s)))
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -24,9 +24,11 @@
     PeerSocket,
     RouterNews,
 )
+from berylwalk.direct._shared_reading import SharedReading
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import PEERS_OF_ONE_MESH, Knowledge, Peer, Read
 from berylwalk.platform import KeyValueClient
+from berylwalk.reading import ReadingAsk, ReadingTell
 
 TELL_S = 0.05
 """Time between two messages: half of a typical time to a first event."""
@@ -57,6 +59,11 @@
         The platform's store.
     reach : StoreReach
         Paces calls of it that failed.
+
+    Attributes
+    ----------
+    reading : SharedReading
+        What the routers ask each other about the store.
     """
 
     def __init__(
@@ -64,6 +71,7 @@
     ) -> None:
         self._context = context
         self._reach = reach
+        self.reading = SharedReading(context, reach, self._send)
         self._life = uuid4().hex[:8]
         self._membership = Membership(
             context, store, reach, life=self._life, on_ended=self._forget
@@ -75,7 +83,9 @@
         self._told_at = float("-inf")
         self._news_by_name: dict[str, RouterNews] = {}
         self._reads_to_relay: deque[Read] = deque(maxlen=MOST_READS_RELAYED)
-        self._decoder = msgpack.Decoder(PeerMessage | DomainMessage)
+        self._decoder = msgpack.Decoder(
+            PeerMessage | DomainMessage | ReadingAsk | ReadingTell
+        )
 
     async def start(self) -> None:
         """Open the socket.
@@ -106,6 +116,7 @@
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._tell)
             tasks.start_soon(self._relay)
+            tasks.start_soon(self.reading.run)
 
     # Telling.
 
@@ -253,10 +264,17 @@
             self._context.log.process("peer-message-invalid", detail=repr(error))
             return
         now = self._context.clock()
-        if isinstance(message, PeerMessage):
-            self._hear_peer(message, now)
-        else:
-            self._hear_domain(message, now)
+        match message:
+            case ReadingAsk():
+                self.reading.hear_ask(message)
+                return
+            case ReadingTell():
+                self.reading.hear_tell(message)
+                return
+            case PeerMessage():
+                self._hear_peer(message, now)
+            case DomainMessage():
+                self._hear_domain(message, now)
         self._context.dispatcher.pump_all(now)
 
     def _hear_peer(self, message: PeerMessage, now: float) -> None:
--- a/libs/direct/src/berylwalk/direct/_store_reach.py
+++ b/libs/direct/src/berylwalk/direct/_store_reach.py
@@ -71,6 +71,7 @@
         self._harmless_gap_s = outlasted_s - INTERVALS_MARGIN_S
         self._outage_gap_s = max(self._harmless_gap_s, LONGEST_CALM_GAP_S)
         self._answered_at = float("-inf")
+        self._answered_others_at = float("-inf")
         self._answered_before_outage_at = float("-inf")
         self._elsewhere_well_since = float("inf")
         self._heard_elsewhere_at = float("-inf")
@@ -134,7 +135,8 @@
                 self.away_since = now
                 context.log.process("store-lost", purpose=purpose, detail=result.detail)
             return
-        answered_before_at, self._answered_at = self._answered_at, now
+        answered_before_at = max(self._answered_at, self._answered_others_at)
+        self._answered_at = now
         gap_s = now - answered_before_at
         if gap_s >= self._harmless_gap_s:
             self.well_since = now
@@ -170,6 +172,32 @@
         if self._was_cut_off(now):
             self._context.targets.note_no_lapse(now)
 
+    def hear_answer(self, known_at: float) -> None:
+        """Note that the store answered another router at some moment.
+
+        A router that goes by the word of others calls it seldom itself: the time
+        between its own calls is no outage.
+
+        Parameters
+        ----------
+        known_at : float
+            A moment before that answer, on the own clock.
+        """
+        self._answered_others_at = max(self._answered_others_at, known_at)
+
+    def trusts_others(self) -> bool:
+        """Return whether what others say of the store can be taken for its state.
+
+        After an outage of the store, removed entries may be such that lapsed, and
+        every router has to see by itself when that is over. A router that the store
+        has turned away alone goes by the word of the others.
+        """
+        now = self._context.clock()
+        if self.away_since is not None:
+            return self._is_well_elsewhere(now, since=self._answered_at)
+        is_over = not self.may_lapse(self._context.targets.absence_grace_s)
+        return is_over or self._was_cut_off(now)
+
     def may_lapse(self, within_s: float) -> bool:
         """Return whether entries that lapsed in an outage may still come back.
 
@@ -203,10 +231,12 @@
 
     def _was_cut_off(self, now: float) -> bool:
         """Return whether the store was well elsewhere during the last outage here."""
-        return (
-            now - self._heard_elsewhere_at <= NEWS_KEPT_S
-            and self._elsewhere_well_since < self._answered_before_outage_at
-        )
+        return self._is_well_elsewhere(now, since=self._answered_before_outage_at)
+
+    def _is_well_elsewhere(self, now: float, *, since: float) -> bool:
+        """Return whether the store has been well for another router since a moment."""
+        is_recent = now - self._heard_elsewhere_at <= NEWS_KEPT_S
+        return is_recent and self._elsewhere_well_since < since
 
     async def pause(self, failures: int, *, is_probe: bool = False) -> None:
         """Wait before a call that failed is made again.
--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -2,7 +2,13 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._entry_findings import EntryFindings
-from berylwalk.direct._mirrored_prefix import MirroredPrefix, MirrorRules, oldest_s
+from berylwalk.direct._mirrored_prefix import (
+    MirroredPrefix,
+    MirrorRules,
+    ReadingRole,
+    lean_s,
+    oldest_s,
+)
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import TargetEntry
 from berylwalk.platform import (
@@ -40,10 +46,21 @@
         The platform's store.
     reach : StoreReach
         Notes how calls end.
+    role : ReadingRole
+        Whether this router reads the store for itself only.
+
+    Attributes
+    ----------
+    mirror : MirroredPrefix
+        What is known of the entries.
     """
 
     def __init__(
-        self, context: RouterContext, store: KeyValueClient, reach: StoreReach
+        self,
+        context: RouterContext,
+        store: KeyValueClient,
+        reach: StoreReach,
+        role: ReadingRole,
     ) -> None:
         self._context = context
         self._reach = reach
@@ -55,20 +72,23 @@
             bound_s=context.settings.drain_s,
             gather_s=GATHER_S,
             list_gap_s=self._list_gap_s,
+            lean_s=lean_s(context.settings.drain_s, GATHER_S),
         )
-        self._mirror = MirroredPrefix(
+        self.mirror = MirroredPrefix(
             store,
             reach,
             rules,
             clock=context.clock,
             on_list=self._take_all,
             on_changes=self._take_changes,
+            on_known=self._note_known,
+            role=role,
         )
 
     async def run(self) -> None:
         """List and watch for ever."""
         self._tell_bound()
-        await self._mirror.run()
+        await self.mirror.run()
 
     def _tell_bound(self) -> None:
         """Tell operators of a bound that can't be kept when an answer is lost."""
@@ -102,9 +122,11 @@
         self._note_ended_lives(revision)
         context.dispatcher.pump_all(now)
 
-    def _take_changes(self, events: list[WatchEvent]) -> None:
-        context = self._context
-        context.targets.note_confirmed(context.clock())
+    def _note_known(self, items: list[KeyValue], known_at: float) -> None:
+        self._context.targets.note_confirmed(known_at)
+
+    def _take_changes(self, events: list[WatchEvent], known_at: float) -> None:
+        self._context.targets.note_confirmed(known_at)
         for event in events:
             if event.kind is EventKind.PUT:
                 self._take_one(event.key_value)
--- a/libs/direct/tests/test_direct_store_reach.py
+++ b/libs/direct/tests/test_direct_store_reach.py
@@ -190,6 +190,42 @@
         assert reach.well_s(clock()) == 0.0
 
 
+class TestWordOfOthers:
+    """A router that goes by the word of others calls the store seldom."""
+
+    def test_time_between_its_calls_is_no_outage(self, reach, clock, targets):
+        """While the others were answered."""
+        reach.note("renew-membership", None, clock.now)
+        for _ in range(10):
+            clock.now += 0.4
+            reach.hear_answer(clock.now - 1.0)
+        reach.note("renew-membership", None, clock.now)
+        assert not reach.may_lapse(targets.absence_grace_s)
+        assert reach.trusts_others()
+
+    def test_outage_is_seen_in_the_age_of_their_word(self, reach, clock, targets):
+        """They say when the store answered last."""
+        reach.note("renew-membership", None, clock.now)
+        answered_at = clock.now
+        for _ in range(10):
+            clock.now += 0.4
+            reach.hear_answer(answered_at)
+        reach.note("renew-membership", None, clock.now)
+        assert reach.may_lapse(targets.absence_grace_s)
+        assert not reach.trusts_others()
+
+    def test_cut_is_seen_though_others_are_answered(self, reach, clock):
+        """By own calls, which fail; their word is trusted."""
+        reach.note("renew-membership", None, clock.now)
+        clock.now += 2.0
+        reach.hear_answer(clock.now - 0.1)
+        reach.note("renew-membership", FAILED, clock.now - 0.9)
+        assert reach.away_since == clock.now
+        assert not reach.trusts_others()
+        reach.hear_elsewhere(20.0)
+        assert reach.trusts_others()
+
+
 class TestPause:
     """Waits before a call is made again."""
 
--- a/libs/direct/tests/virtual_feeds.py
+++ b/libs/direct/tests/virtual_feeds.py
@@ -8,9 +8,16 @@
 
 from berylwalk.direct._configuration_feed import ConfigurationFeed
 from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.direct._mirrored_prefix import ReadingRole
 from berylwalk.direct._store_reach import CALL_TIMEOUT_S, StoreReach
 from berylwalk.direct._target_feed import TargetFeed
-from berylwalk.dispatch import ConfigurationState, Dispatcher, TargetTable
+from berylwalk.dispatch import (
+    AllowanceRules,
+    Allowances,
+    ConfigurationState,
+    Dispatcher,
+    TargetTable,
+)
 from berylwalk.platform import KeyValueClient
 from virtual_store import VirtualStore
 from virtual_time import VirtualLoop
@@ -42,6 +49,7 @@
             ),
             targets=self.targets,
             configuration=self.configuration,
+            allowances=Allowances(AllowanceRules(), started_at=self.clock()),
             dispatcher=Dispatcher(self.targets, failure_domain="fd-a"),
             pool=SimpleNamespace(keep_only=lambda life_ids: None),
             metrics=RouterMetrics(),
@@ -70,9 +78,10 @@
         )
         await client.start()
         self.reach = reach = StoreReach(self.context)
+        role = ReadingRole()
         async with create_task_group() as tasks:
-            tasks.start_soon(ConfigurationFeed(self.context, client, reach).run)
-            tasks.start_soon(TargetFeed(self.context, client, reach).run)
+            tasks.start_soon(ConfigurationFeed(self.context, client, reach, role).run)
+            tasks.start_soon(TargetFeed(self.context, client, reach, role).run)
 
 
 def play(scenario, *, drain_s=DRAIN_S, **options):
--- a/libs/direct/tests/virtual_time.py
+++ b/libs/direct/tests/virtual_time.py
@@ -44,16 +44,20 @@
     async def create_connection(self, protocol_factory, host=None, port=None, **_):
         """Open a simulated connection, whatever the address."""
         protocol = protocol_factory()
-        transport = SimulatedTransport(self, protocol, self._server)
+        transport = SimulatedTransport(self, protocol, self._server, host)
         await self._server.accept(transport)
         protocol.connection_made(transport)
         return transport, protocol
 
 
 class SimulatedTransport:
-    """The client's end of a simulated connection."""
+    """The client's end of a simulated connection.
 
-    def __init__(self, loop, protocol, server):
+    ``host`` is the address that the client named, by which a test tells clients apart.
+    """
+
+    def __init__(self, loop, protocol, server, host=None):
+        self.host = host
         self._loop = loop
         self._protocol = protocol
         self._server = server
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_view.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_view.py
@@ -89,8 +89,13 @@
 
     def is_relay(self, now: float) -> bool:
         """Return whether it is for this router to speak for its failure domain."""
-        heard = [peer.name for peer in self.near() if self.is_heard(peer, now)]
-        return self._own_name <= min(heard, default=self._own_name)
+        first = self.first_near(now)
+        return first is None or self._own_name <= first.name
+
+    def first_near(self, now: float) -> Peer | None:
+        """Return the first of the near peers that are heard, or None."""
+        heard = [peer for peer in self.near() if self.is_heard(peer, now)]
+        return min(heard, key=lambda peer: peer.name, default=None)
 
     def is_first(self, now: float) -> bool:
         """Return whether it is for this router to do what one does for all."""
--- a/libs/direct/tests/test_direct_ordered_items.py
+++ b/libs/reading/tests/test_reading_ordered_items.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from berylwalk.direct._ordered_items import OrderedItems
 from berylwalk.platform import Changes, EventKind, KeyValue, Listing, WatchEvent
+from berylwalk.reading import OrderedItems
 
 
 def put(key, revision):
