--- a/libs/dispatch/src/berylwalk/dispatch/_allowances.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_allowances.py
@@ -266,7 +266,7 @@
         """Return in how many seconds which units leave the window, soonest first."""
         window_s = self._rules.window_s + STEP_S
         spent = [*sorted(spending.before), *spending.steps]
-        return [(time + window_s - now, units) for time, units in spent]
+        return [(max(0.0, time + window_s - now), units) for time, units in spent]
 
     def give_back(self, account: Account, cost: float, now: float) -> None:
         """Return the cost of a request that has surely not run."""
--- a/libs/dispatch/tests/test_dispatch_urgent_demand.py
+++ b/libs/dispatch/tests/test_dispatch_urgent_demand.py
@@ -101,6 +101,15 @@
             assert allowances.take(ACCOUNT, urgent_cost, URGENT, now) == 0
             assert allowances.take(ACCOUNT, other_cost, LESS_URGENT, now) == 0
 
+    def test_step_that_is_just_leaving_the_window(self):
+        """What is left of its time may be a rounding error below nothing."""
+        for start in range(400):
+            allowances = Allowances(RULES, started_at=-100.0)
+            began_at, ended_at = start * 0.05, (start + 162) * 0.05
+            allowances.take(ACCOUNT, 100.0, URGENT, began_at)
+            allowances.take(ACCOUNT, 100.0, URGENT, ended_at)
+            assert allowances.take(ACCOUNT, 100.0, LESS_URGENT, ended_at) == 0
+
     def test_other_ranks_get_something_where_the_urgent_asks_more_than_all(self):
         """They are not starved for as long as that lasts."""
         allowances = Allowances(RULES, started_at=-100.0)
