--- a/libs/direct/tests/test_direct_feeds.py
+++ b/libs/direct/tests/test_direct_feeds.py
@@ -32,6 +32,7 @@
 from berylwalk.direct._target_feed import GATHER_S
 from virtual_feeds import CONFIGURATION_S, DRAIN_S, play
 from virtual_store import ANSWER_S, configuration_value, target_value, until
+from written_truths import Truths
 
 SILENT_AT_S = 12.0
 SILENT_FOR_S = 6.2
@@ -303,8 +304,6 @@
         self.forgets = forgets
         self.draws = Random(seed)
         self.findings = []
-        self.truths = {}
-        self.version = 1
 
     def fate(self, call):
         """Return when an answer arrives; slow ones overtake each other."""
@@ -322,9 +321,9 @@
     async def run(self, feeds):
         """Play all and return what did not hold."""
         self.feeds = feeds
-        self._write("configuration", "")
-        for target_id in ("i-1", "i-2"):
-            self._write(target_id, "ready")
+        self.truths = Truths(feeds.store.store, feeds.clock)
+        for name in ("configuration", "i-1", "i-2"):
+            self.truths.write(name, "ready")
         async with create_task_group() as tasks:
             tasks.start_soon(self._trouble)
             tasks.start_soon(self._change)
@@ -350,26 +349,12 @@
         for change in self.changes:
             await until(change.at_s)
             if not self.feeds.store.is_down:
-                self._write(change.name, change.state)
+                self.truths.write(change.name, change.state)
 
     async def _forget(self, at_s):
         await until(at_s)
         self.feeds.store.store.compact()
 
-    def _write(self, name, state):
-        store = self.feeds.store.store
-        if name == "configuration":
-            store.put(b"op/config", configuration_value(self.version))
-            truth = self.version
-            self.version += 1
-        elif state == "gone":
-            store.delete(b"servers/" + name.encode())
-            truth = False
-        else:
-            store.put(b"servers/" + name.encode(), target_value(state=state))
-            truth = state == "ready"
-        self.truths.setdefault(name, []).append((self.feeds.clock(), truth))
-
     def _look(self):
         now = self.feeds.clock()
         for name, bound_s in (
@@ -384,15 +369,12 @@
                 continue
             is_version = name == "configuration"
             believed = self.feeds.version if is_version else self.feeds.takes_work(name)
-            allowed = self._truths_since(name, now - bound_s)
+            allowed = self.truths.since(name, now - bound_s)
+            if not is_version:
+                allowed = [state == "ready" for state in allowed]
             if now > bound_s and believed not in allowed:
                 self.findings.append((now, name, believed, allowed))
 
-    def _truths_since(self, name, since):
-        history = self.truths[name]
-        before = [truth for at, truth in history if at <= since][-1:]
-        return before + [truth for at, truth in history if at > since]
-
 
 class TestBeliefs:
     """Any changes, outages, late, reordered and lost answers, forgotten history."""
--- a/libs/direct/tests/test_direct_shared_reading.py
+++ b/libs/direct/tests/test_direct_shared_reading.py
@@ -16,6 +16,7 @@
 from berylwalk.reading import OrderedItems, Word
 from virtual_fleet import DOMAINS_BY_NAME, Network, play_fleet
 from virtual_store import ANSWER_S, configuration_value, target_value, until
+from written_truths import Truths
 
 DRAIN_S = 4.0
 CONFIGURATION_S = 2.0
@@ -76,8 +77,6 @@
     def __init__(self, seed):
         self.draws = Random(seed)
         self.troubles = [self._drawn(kind) for kind in self._kinds()]
-        self.truths = {}
-        self.version = 1
         self.findings = []
 
     def _kinds(self):
@@ -137,9 +136,9 @@
     async def run(self, fleet):
         """Play all; return what did not hold."""
         self.fleet = fleet
-        self._write("configuration", None)
-        for target_id in TARGETS:
-            self._write(target_id, "ready")
+        self.truths = Truths(fleet.store.store, fleet.clock)
+        for name in ("configuration", *TARGETS):
+            self.truths.write(name, "ready")
         async with create_task_group() as tasks:
             for trouble in self.troubles:
                 tasks.start_soon(self._trouble, trouble)
@@ -167,22 +166,10 @@
             name = self.draws.choice([*TARGETS, *TARGETS, "configuration"])
             state = self.draws.choice(["ready", "ready", "draining", "gone"])
             if not self.fleet.store.is_down:
-                self._write(name, state)
+                self.truths.write(name, state)
             if self.draws.random() < 0.05:
                 self.fleet.store.store.compact()
 
-    def _write(self, name, state):
-        store = self.fleet.store.store
-        if name == "configuration":
-            store.put(b"op/config", configuration_value(self.version))
-            state = self.version
-            self.version += 1
-        elif state == "gone":
-            store.delete(b"servers/" + name.encode())
-        else:
-            store.put(b"servers/" + name.encode(), target_value(state=state))
-        self.truths.setdefault(name, []).append((self.fleet.clock(), state))
-
     def _look(self, router):
         now = self.fleet.clock()
         if not hasattr(router, "mirrors_by_name"):
@@ -227,13 +214,13 @@
 
     def _expect(self, router, what, name, believed, within_s):
         """Note a belief that was true at no time within some seconds."""
-        since = self.fleet.clock() - within_s
-        history = self.truths[name]
-        before = [truth for at, truth in history if at <= since][-1:]
-        truths = before + [truth for at, truth in history if at > since]
-        if truths and believed not in truths and before:
-            found = (round(self.fleet.clock(), 2), router.name, what, name, believed)
-            self.findings.append((*found, truths))
+        now = self.fleet.clock()
+        if not self.truths.began_before(name, now - within_s):
+            return
+        truths = self.truths.since(name, now - within_s)
+        if believed not in truths:
+            found = (round(now, 2), router.name, what, name, believed, truths)
+            self.findings.append(found)
 
 
 def findings_of(seed):
--- a/libs/dispatch/tests/test_dispatch_prefix_reads.py
+++ b/libs/dispatch/tests/test_dispatch_prefix_reads.py
@@ -1,13 +1,12 @@
 """Prompts that share parts go where those have been read."""
 
 import pytest
+from listed_targets import entry
 
 from berylwalk.dispatch import (
     Dispatcher,
     PrefixReads,
     SharedPrefix,
-    TargetEntry,
-    TargetState,
     TargetTable,
     Ticket,
     Work,
@@ -20,20 +19,6 @@
 OTHER = Work(6_000, 100, SharedPrefix(8, 5_000))
 
 
-def entry(target_id, **changes):
-    """Return an entry of a ready target."""
-    values = {
-        "target_id": target_id,
-        "service": "s",
-        "host": "127.0.0.1",
-        "port": 1,
-        "failure_domain": "fd-a",
-        "slots": 4,
-        "state": TargetState.READY,
-    }
-    return TargetEntry(**{**values, **changes})
-
-
 def dispatcher(*entries):
     """Return a dispatcher of a router in one failure domain, and its targets."""
     targets = TargetTable()
--- a/libs/dispatch/tests/test_dispatch_speeds.py
+++ b/libs/dispatch/tests/test_dispatch_speeds.py
@@ -2,10 +2,10 @@
 
 from dataclasses import replace
 
+from listed_targets import entry
+
 from berylwalk.dispatch import (
     Target,
-    TargetEntry,
-    TargetState,
     TargetTable,
     Work,
     expected_start,
@@ -13,23 +13,10 @@
 )
 
 
-def entry(target_id):
-    """Return an entry of a ready target."""
-    return TargetEntry(
-        target_id=target_id,
-        service="s",
-        host="127.0.0.1",
-        port=1,
-        failure_domain="fd-a",
-        slots=8,
-        state=TargetState.READY,
-    )
-
-
 def learned():
     """Return what a table has learned of a slow target, and of starts."""
     targets = TargetTable()
-    targets.replace([entry("slow")], 0.0)
+    targets.replace([entry("slow", slots=8)], 0.0)
     slow = targets.by_id["slow"]
     slow.note_output(1_000, 100, 9.0)
     for _ in range(30):
@@ -46,21 +33,21 @@
         """Whether the target is listed before or after that."""
         speeds_by_id, start_models = learned()
         before, after = TargetTable(), TargetTable()
-        before.replace([entry("slow")], 0.0)
+        before.replace([entry("slow", slots=8)], 0.0)
         before.adopt(speeds_by_id, start_models)
         after.adopt(speeds_by_id, start_models)
-        after.replace([entry("slow")], 0.0)
+        after.replace([entry("slow", slots=8)], 0.0)
         for targets in (before, after):
             target = targets.by_id["slow"]
             assert target.output_token_s == speeds_by_id["slow"].output_token_s
             start = expected_start(target, Work(4_000, 1))
-            unknown = expected_start(Target(entry("slow")), Work(4_000, 1))
+            unknown = expected_start(Target(entry("slow", slots=8)), Work(4_000, 1))
             assert abs(start.total_s - 0.5) < abs(unknown.total_s - 0.5)
 
     def test_times_of_nothing_are_sound(self):
         """An answer that came all at once, and its rounded note."""
         targets = TargetTable()
-        targets.replace([entry("a"), entry("b")], 0.0)
+        targets.replace([entry("a", slots=8), entry("b", slots=8)], 0.0)
         quick, noted = targets.by_id["a"], targets.by_id["b"]
         quick.note_slot_time(0.0)
         speed = replace(quick.speed(), slot_s=0.0, output_token_s=0.0)
@@ -73,7 +60,7 @@
         """A note is older than what was seen since the start."""
         speeds_by_id, start_models = learned()
         targets = TargetTable()
-        targets.replace([entry("slow")], 0.0)
+        targets.replace([entry("slow", slots=8)], 0.0)
         targets.by_id["slow"].note_output(1_000, 100, 2.0)
         targets.adopt(speeds_by_id, start_models)
         assert targets.by_id["slow"].output_token_s == 0.002
--- a/libs/dispatch/tests/test_dispatch_targets.py
+++ b/libs/dispatch/tests/test_dispatch_targets.py
@@ -1,12 +1,12 @@
 """Beliefs about targets, and what they decide."""
 
 import pytest
+from listed_targets import entry
 
 from berylwalk.dispatch import (
     Dispatcher,
     Obstacle,
     PlaceRequest,
-    TargetEntry,
     TargetState,
     TargetTable,
     Ticket,
@@ -18,20 +18,6 @@
 NOW = 100.0
 
 
-def entry(target_id, **changes):
-    """Return an entry of a ready target."""
-    values = {
-        "target_id": target_id,
-        "service": "s",
-        "host": "127.0.0.1",
-        "port": 1,
-        "failure_domain": "fd-a",
-        "slots": 4,
-        "state": TargetState.READY,
-    }
-    return TargetEntry(**{**values, **changes})
-
-
 def table(*entries):
     """Return a table with targets."""
     targets = TargetTable()
