An item that came and went between two lists is no longer kept by who saw it come

Equal lists show that nothing changed only for a single item that is never removed (the configuration).

--- a/libs/direct/src/berylwalk/direct/_configuration_feed.py
+++ b/libs/direct/src/berylwalk/direct/_configuration_feed.py
@@ -74,6 +74,7 @@
             list_gap_s=self._list_gap_s,
             lean_s=self._lean_s,
             is_probe=True,
+            is_one_key=True,
         )
         self.mirror = MirroredPrefix(
             store,
--- a/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
+++ b/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
@@ -99,6 +99,8 @@
         store whose answer is lost then still fits into the bound.
     is_probe : bool
         Whether its lists find out when the store is back after an outage.
+    is_one_key : bool
+        As in `OrderedItems`.
     """
 
     prefix: bytes
@@ -108,6 +110,7 @@
     list_gap_s: Callable[[], float | None]
     lean_s: float = 0.0
     is_probe: bool = False
+    is_one_key: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -170,7 +173,7 @@
         self._on_changes = on_changes
         self._on_known = on_known
         self._role = role
-        self._ordered = OrderedItems()
+        self._ordered = OrderedItems(is_one_key=rules.is_one_key)
         self._is_listed = False
         self._wanted = Event()
 
--- a/libs/direct/tests/test_direct_shared_reading.py
+++ b/libs/direct/tests/test_direct_shared_reading.py
@@ -245,6 +245,14 @@
         assert {seed: each for seed, each in found.items() if each} == {}
 
 
+class TestItemThatCameAndWent:
+    """A reader that lists sees no sign of it, while others have seen it come."""
+
+    def test_it_is_not_kept(self):
+        """The seed that showed it."""
+        assert findings_of(1563) == []
+
+
 def no_age(monkeypatch):
     """Tell all as if the store had said it just now."""
     word = OrderedItems.word
--- a/libs/reading/src/berylwalk/reading/_ordered_items.py
+++ b/libs/reading/src/berylwalk/reading/_ordered_items.py
@@ -20,6 +20,12 @@
     tells counts by the revision at which the store gave it: an older answer changes
     nothing, and of a newer one only what is newer is taken.
 
+    Parameters
+    ----------
+    is_one_key : bool
+        Whether there is a single item that is never removed: if it is the same in two
+        lists, nothing changed between them.
+
     Attributes
     ----------
     revision : int
@@ -31,7 +37,8 @@
         Revision up to which there may have been changes; none is known after it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_one_key: bool = False) -> None:
+        self._is_one_key = is_one_key
         self.revision = 0
         self.known_at = float("-inf")
         self.changed_at = 0
@@ -64,8 +71,11 @@
             listed = items_by_key.get(key)
             if known.mod_revision > _revision_of(listed, listing.revision):
                 items_by_key[key] = known
-        if _revisions(items_by_key) != _revisions(self._items_by_key):
-            # What led here is not known change by change.
+        is_same = _revisions(items_by_key) == _revisions(self._items_by_key)
+        is_later = listing.revision > self.revision
+        if not is_same or (is_later and not self._is_one_key):
+            # What led here is not known change by change. Also if the items are the
+            # same, another one may have come and gone, and others know that it came.
             newest = max(_revisions(items_by_key).values(), default=0)
             self.changed_at = max(self.changed_at, listing.revision, newest)
             self._recent.clear()
