Logs name what a request has in common with its returns

Cause: the logs of the incident tell account, route and sizes, which are alike by chance; the three hypotheses can't be told apart by them. request-ended now has the identity: a hash of caller, method, path with query, and body. Headers are left out, since ids and limits change from one return to the next. The body is hashed as it comes.

Ruled out: an identity by headers or host (a service may have several hosts).

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -7,6 +7,7 @@
 from berylwalk.dispatch import Account, AllowanceState, Allowed, Denied, Route
 from berylwalk.forwarding import CallerRequest
 from berylwalk.platform import BadHeaders, CallFacts, read_call
+from berylwalk.quarantine import Identity, request_identity
 
 TIMEOUT_MARGIN_S = 0.03
 """Time before the end of a caller's limit at which an answer is sent."""
@@ -36,6 +37,8 @@
         Units of the account's allowance.
     ends_at : float
         When it has to be answered.
+    identity : bytes
+        What it has in common with its returns.
     spent : Spent or None
         The allowance that its cost was taken from; None where there is no limit.
     """
@@ -48,6 +51,7 @@
     service: str
     cost: float
     ends_at: float
+    identity: Identity
     spent: "Spent | None" = None
 
     @property
@@ -145,6 +149,12 @@
         service=route.service_for(random()),
         cost=_cost(access.account, facts),
         ends_at=request.arrived_at + limit_s,
+        identity=request_identity(
+            None if access.account is None else access.account.name,
+            request.method,
+            request.target,
+            request.body_digest,
+        ),
     )
 
 
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -138,6 +138,7 @@
             kind=kind,
             rank=admitted.rank,
             account=admitted.account_name,
+            identity=admitted.identity.hex(),
             service=admitted.service,
             prompt_tokens=admitted.facts.work.prompt_tokens,
             output_tokens=admitted.facts.work.output_tokens,
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -9,6 +9,7 @@
 import httptools
 
 from berylwalk.forwarding._heads import Headers, answer_head, header_value
+from berylwalk.quarantine import BodyHash
 
 QUEUED_REQUESTS = 4
 """Requests sent ahead on one connection from which it isn't read further."""
@@ -38,6 +39,8 @@
         As sent, trailers left out.
     body : bytes
         Without its framing.
+    body_digest : bytes
+        Its hash.
     arrived_at : float
         Time of the loop when its last byte was read.
     keep_alive : bool
@@ -48,6 +51,7 @@
     target: bytes
     headers: Headers
     body: bytes
+    body_digest: bytes
     arrived_at: float
     keep_alive: bool
     http_1_0: bool = False
@@ -61,6 +65,7 @@
     target: bytearray = field(default_factory=bytearray)
     headers: Headers = field(default_factory=list)
     body: list[bytes] = field(default_factory=list)
+    body_hash: BodyHash = field(default_factory=BodyHash)
     body_bytes: int = 0
     head_done: bool = False
     http_1_0: bool = False
@@ -223,6 +228,7 @@
         if reading.body_bytes > self._limits().max_body_bytes:
             raise _InvalidRequestError(413)
         reading.body.append(data)
+        reading.body_hash.add(data)
 
     def on_message_complete(self) -> None:
         """Queue the whole request."""
@@ -234,6 +240,7 @@
                 target=bytes(reading.target),
                 headers=reading.headers,
                 body=b"".join(reading.body),
+                body_digest=reading.body_hash.digest(),
                 arrived_at=self._clock(),
                 keep_alive=self._parser.should_keep_alive(),
                 http_1_0=self._parser.get_http_version() == "1.0",
