--- a/libs/direct/tests/test_direct_quarantine.py
+++ b/libs/direct/tests/test_direct_quarantine.py
@@ -2,10 +2,10 @@
 
 One request of a client account came again and again, each time under a new id and
 mostly at another router, and each target that began to run it ended some 0.1 s later,
-with up to a dozen other requests. Within 15 s it had ended 19 targets of a service that has
-nine. Nothing tied the ends together: the bound of attempts and the budget of repeats
-count the sends of one attempt, and each return was a first one. On routes that may be
-repeated a router took it to the next target by itself.
+with up to a dozen other requests. Within 15 s it had ended 19 targets of a service that
+has nine. Nothing tied the ends together: the bound of attempts and the budget of
+repeats count the sends of one attempt, and each return was a first one. On routes that
+may be repeated a router took it to the next target by itself.
 
 Three of the fourteen ends, as the routers logged them (route, account and sizes of the
 prompt and of the output in tokens; all other requests of these targets differ):
