--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -7,10 +7,12 @@
 from berylwalk.dispatch import Account, AllowanceState, Allowed, Denied, Route
 from berylwalk.forwarding import CallerRequest
 from berylwalk.platform import BadHeaders, CallFacts, read_call
-from berylwalk.quarantine import Identity, request_identity
+from berylwalk.quarantine import Identity, Standing, request_identity
 
 TIMEOUT_MARGIN_S = 0.03
 """Time before the end of a caller's limit at which an answer is sent."""
+HELD_BACK = "targets-ended-under-it"
+"""Reason, in logs and metrics, for a request that is held back."""
 RETRY_AFTER_UNREADY_S = 1.0
 """When a request should come back that came while no configuration may be used."""
 
@@ -39,6 +41,8 @@
         When it has to be answered.
     identity : bytes
         What it has in common with its returns.
+    is_trial : bool
+        Whether it is held back unless a trial is permitted.
     spent : Spent or None
         The allowance that its cost was taken from; None where there is no limit.
     """
@@ -52,6 +56,7 @@
     cost: float
     ends_at: float
     identity: Identity
+    is_trial: bool = False
     spent: "Spent | None" = None
 
     @property
@@ -81,6 +86,8 @@
         Empty if the request has none.
     spent : Spent or None
         The allowance that does not suffice, if that is why.
+    identity : bytes or None
+        Of a request that is held back for the targets that ended under it.
     """
 
     status: int
@@ -88,6 +95,7 @@
     retry_after_s: float | None
     request_id: bytes
     spent: "Spent | None" = None
+    identity: Identity | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +132,11 @@
         retry_after_s = RETRY_AFTER_UNREADY_S if access.status == 503 else None
         return Refusal(access.status, access.reason, retry_after_s, facts.request_id)
     admitted = _admitted(request, facts, access)
+    match context.quarantine.standing(admitted.identity, now):
+        case Standing.BLAMED:
+            return held_back(context, admitted)
+        case Standing.TRIAL:
+            admitted = replace(admitted, is_trial=True)
     if admitted.account is None:
         return admitted
     account, route, cost = admitted.account, admitted.route, admitted.cost
@@ -135,6 +148,23 @@
     return replace(admitted, spent=spent) if account.rate_per_s > 0 else admitted
 
 
+def held_back(context: RouterContext, admitted: Admitted) -> Refusal:
+    """Return the refusal of a request under which targets ended.
+
+    It has not run and never will under this id. A status by which clients don't come
+    back would say that the request is not proper, which a router can't tell.
+    """
+    now = context.clock()
+    retry_after_s = context.quarantine.retry_after_s(admitted.identity, now)
+    return Refusal(
+        503,
+        HELD_BACK,
+        retry_after_s,
+        admitted.request_id,
+        identity=admitted.identity,
+    )
+
+
 def _admitted(request: CallerRequest, facts: CallFacts, access: Allowed) -> Admitted:
     route = access.route
     limit_s = route.timeout_s
--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -45,6 +45,8 @@
         How it ended.
     by_target : bool
         Whether it was given up since the target seems not to be there.
+    target_ended : bool
+        Whether the target seems to have ended while it ran the request.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.end: AttemptEnd | None = None
         self.detail = ""
         self.by_target = False
+        self.target_ended = False
         self.events = 0
         self.longest_pause_s = 0.0
         self.first_event_at: float | None = None
@@ -141,6 +144,7 @@
         """Take the end of the answer."""
         if self.end is not None:
             return
+        self.target_ended = end is AnswerEnd.CLOSED
         if end is not AnswerEnd.COMPLETE:
             self._finish(AttemptEnd.BROKEN, f"{end}: {detail}")
         elif self._splitter is not None:
@@ -158,6 +162,12 @@
         self.first_event_at = self._clock()
         self._on_first_event()
 
+    def note_target_ended(self, detail: str) -> None:
+        """End it, for the target has ended."""
+        if self.end is None:
+            self.target_ended = True
+            self._finish(AttemptEnd.BROKEN, detail)
+
     def give_up(self, end: AttemptEnd, detail: str, *, by_target: bool = False) -> None:
         """End it without waiting for the target.
 
--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -15,6 +15,7 @@
     WindowedRetryBudget,
 )
 from berylwalk.forwarding import TargetPool
+from berylwalk.quarantine import Quarantine
 
 
 @dataclass(slots=True, kw_only=True)
@@ -35,6 +36,8 @@
         What client accounts may spend.
     retries : WindowedRetryBudget
         What may be sent again.
+    quarantine : Quarantine
+        Requests that end the targets that run them.
     peers : PeerTable
         The other routers.
     pool : TargetPool
@@ -53,6 +56,7 @@
     dispatcher: Dispatcher
     allowances: Allowances
     retries: WindowedRetryBudget
+    quarantine: Quarantine
     peers: PeerTable
     pool: TargetPool
     log: DecisionLog
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -17,6 +17,7 @@
 from berylwalk.direct._metrics import RouterMetrics
 from berylwalk.direct._mirrored_prefix import ReadingRole
 from berylwalk.direct._peering import Peering
+from berylwalk.direct._quarantine_note import QuarantineNote
 from berylwalk.direct._speed_note import SpeedNote
 from berylwalk.direct._spending_note import SpendingNote
 from berylwalk.direct._store_reach import CALL_TIMEOUT_S, StoreReach
@@ -34,6 +35,7 @@
 )
 from berylwalk.forwarding import CallerConnection, CallerRequest, TargetPool
 from berylwalk.platform import REQUEST_ID_HEADER, KeyValueClient
+from berylwalk.quarantine import Change, Quarantine
 
 KEY_TRUST_MARGIN_S = 0.5
 """Time before the bound on revoked keys at which they are no longer trusted."""
@@ -69,6 +71,9 @@
         self._peering = Peering(context, store, reach)
         self._spending_note = SpendingNote(context, store, reach)
         self._speed_note = SpeedNote(context, store, reach)
+        self._quarantine_note = QuarantineNote(context, store, reach)
+        context.quarantine.on_news = self._peering.tell_soon
+        context.quarantine.on_change = self._note_quarantine_change
         reading = self._peering.reading
         role = ReadingRole(
             leans=reading.leans, reads_for_others=reading.reads_for_others
@@ -129,6 +134,7 @@
                 slack=settings.retry_slack,
                 window_s=settings.retry_window_s,
             ),
+            quarantine=Quarantine(),
             peers=PeerTable(settings.name, settings.failure_domain),
             pool=TargetPool(
                 loop,
@@ -167,6 +173,7 @@
                 self._peering.run,
                 self._spending_note.run,
                 self._speed_note.run,
+                self._quarantine_note.run,
                 self._sweep,
             ):
                 tasks.start_soon(run)
@@ -216,7 +223,12 @@
         self._context.log.process("reloaded")
 
     def _serve(self, connection: CallerConnection, request: CallerRequest) -> None:
-        exchange = Exchange(self._context, connection, request)
+        exchange = Exchange(
+            self._context,
+            connection,
+            request,
+            take_trial=self._quarantine_note.take_trial,
+        )
         self._exchanges_by_connection[connection] = exchange
         self._tasks.start_soon(self._run_exchange, connection, exchange)
 
@@ -238,6 +250,14 @@
             if self._exchanges_by_connection.get(connection) is exchange:
                 del self._exchanges_by_connection[connection]
 
+    def _note_quarantine_change(self, change: Change) -> None:
+        self._context.log.process(
+            f"request-{change.kind}",
+            identity=change.identity.hex(),
+            ended=list(change.ended),
+        )
+        self._quarantine_note.wake()
+
     def _caller_left(self, connection: CallerConnection) -> None:
         exchange = self._exchanges_by_connection.get(connection)
         if exchange is not None:
@@ -275,4 +295,5 @@
                 listener.sweep()
             self._context.pool.sweep()
             self._context.dispatcher.pump_all(self._context.clock())
+            self._context.quarantine.sweep(self._context.clock())
             self._context.log.flush()
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -1,10 +1,10 @@
 """The life of one request: check, place, send, relay, repeat, answer."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from anyio import CancelScope, Event, move_on_after
 
-from berylwalk.direct._admission import Admitted, Refusal, admit
+from berylwalk.direct._admission import HELD_BACK, Admitted, Refusal, admit
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._exchange_log import ExchangeLog
@@ -22,7 +22,10 @@
 )
 from berylwalk.forwarding import CallerConnection, CallerRequest
 from berylwalk.platform import refusal_headers
+from berylwalk.quarantine import Identity, Standing
 
+TakeTrial = Callable[[Identity], Awaitable[bool]]
+"""Asks for the permit to send a request once under which targets ended."""
 NO_ANSWER = 0
 """Logged in place of a status where the caller got no whole answer."""
 
@@ -38,6 +41,8 @@
         Where the answer goes.
     request : CallerRequest
         The whole request.
+    take_trial : callable
+        Asks for the permit of a trial.
     """
 
     def __init__(
@@ -45,10 +50,13 @@
         context: RouterContext,
         connection: CallerConnection,
         request: CallerRequest,
+        *,
+        take_trial: TakeTrial,
     ) -> None:
         self._context = context
         self._connection = connection
         self._request = request
+        self._take_trial = take_trial
         self._scope = CancelScope()
         self._log = ExchangeLog(context, request.arrived_at)
 
@@ -65,7 +73,11 @@
             self._connection.respond(admitted.status, headers, b"")
             return
         lifecycle = RequestLifecycle(
-            self._context, self._connection, admitted, self._log
+            self._context,
+            self._connection,
+            admitted,
+            self._log,
+            take_trial=self._take_trial,
         )
         with self._scope:
             await lifecycle.run()
@@ -86,6 +98,8 @@
         The request.
     log : ExchangeLog
         Tells of it.
+    take_trial : callable
+        Asks for the permit of a trial.
     """
 
     def __init__(
@@ -94,11 +108,14 @@
         connection: CallerConnection,
         admitted: Admitted,
         log: ExchangeLog,
+        *,
+        take_trial: TakeTrial,
     ) -> None:
         self._context = context
         self._connection = connection
         self._admitted = admitted
         self._log = log
+        self._take_trial = take_trial
         self._attempts = Attempts()
         self._excluded: set[str] = set()
         self._relay = Relay(connection, last_event_id=admitted.facts.last_event_id)
@@ -110,6 +127,9 @@
     async def run(self) -> None:
         """Try targets until one answers or none may be tried any more."""
         context, admitted = self._context, self._admitted
+        if admitted.is_trial and not await self._take_trial(admitted.identity):
+            self._give_up(AttemptEnd.NOT_SENT, HELD_BACK)
+            return
         context.retries.record_request(admitted.service, context.clock())
         patience = patience_at_arrival(
             admitted.request.arrived_at, admitted.route.objective_s, admitted.ends_at
@@ -140,12 +160,19 @@
             return "timeout"
         if not self._attempts.may_repeat(self._admitted.route, attempt.end):
             return f"attempt-{attempt.end}"
+        if self._is_held_back(now):
+            return HELD_BACK
         if attempt.end is AttemptEnd.NOT_SENT:
             return ""
         if not self._context.retries.take(self._admitted.service, now):
             return "retry-budget"
         return ""
 
+    def _is_held_back(self, now: float) -> bool:
+        """Return whether it is known by now to end the targets that run it."""
+        standing = self._context.quarantine.standing(self._admitted.identity, now)
+        return standing.is_held_back
+
     async def _place(self, patience: Patience) -> Target | None:
         """Return a target at which the request is counted, or None."""
         context, admitted = self._context, self._admitted
@@ -191,9 +218,17 @@
             longest_pause_s=admitted.route.longest_pause_s,
             on_place=on_place,
             excluded=self._excluded,
+            runs_apart=self._runs_apart(),
             arrived_at=admitted.request.arrived_at,
         )
 
+    def _runs_apart(self) -> bool:
+        """Return whether its target may end under it, with all others there."""
+        admitted = self._admitted
+        now = self._context.clock()
+        standing = self._context.quarantine.standing(admitted.identity, now)
+        return admitted.is_trial or standing is Standing.SUSPECTED
+
     def _complete(self, attempt: Attempt) -> None:
         if attempt.is_stream:
             self._relay.end(attempt.status, attempt.headers)
@@ -217,16 +252,18 @@
         status = self._attempts.final_status(end)
         retry_after_s = None
         if status == 503:
-            retry_after_s = self._not_run()
+            retry_after_s = self._not_run(reason)
         headers = refusal_headers(self._admitted.request_id, retry_after_s)
         self._connection.respond(status, headers, b"")
         self._settle(status, reason)
 
-    def _not_run(self) -> float:
+    def _not_run(self, reason: str) -> float:
         """Give the cost back; returns when the caller should come back, in seconds."""
         admitted, now = self._admitted, self._context.clock()
         if admitted.account is not None:
             self._context.allowances.give_back(admitted.account, admitted.cost, now)
+        if reason == HELD_BACK:
+            return self._context.quarantine.retry_after_s(admitted.identity, now)
         return return_time_s(admitted.ends_at - now)
 
     def _settle(self, status: int, reason: str) -> None:
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -6,6 +6,7 @@
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
 from berylwalk.dispatch import ExpectedStart, Target, Ticket
+from berylwalk.quarantine import Identity
 
 UNKNOWN_KIND = "unknown"
 """Kind of a request that no route was found for."""
@@ -118,8 +119,43 @@
             status=refusal.status,
             reason=refusal.reason,
             **_spent_fields(refusal.spent),
+            **self._held_back_fields(refusal.identity),
         )
 
+    def tell_target_ended(self, admitted: Admitted, target: Target) -> None:
+        """Tell that a target seems to have ended while it ran the request."""
+        self.context.metrics.ends_under_requests.labels(admitted.service).inc()
+        self.context.log.request(
+            "target-ended-under-request",
+            admitted.request_id,
+            target=target.entry.target_id,
+            identity=admitted.identity.hex(),
+            ended=self.context.quarantine.ended(admitted.identity),
+        )
+
+    def tell_cleared(self, admitted: Admitted, target: Target) -> None:
+        """Tell that the request has run, and that its target goes on."""
+        self.context.log.request(
+            "request-cleared",
+            admitted.request_id,
+            target=target.entry.target_id,
+            identity=admitted.identity.hex(),
+        )
+
+    def _held_back_fields(self, identity: Identity | None) -> dict[str, object]:
+        """Return why a request is held back: the targets that ended under it."""
+        if identity is None:
+            return {}
+        blame = self.context.quarantine.blames.get(identity)
+        fields: dict[str, object] = {
+            "identity": identity.hex(),
+            "ended": self.context.quarantine.ended(identity),
+        }
+        if blame is not None:
+            fields["blamed_ms_ago"] = _ms(self.context.clock() - blame.since)
+            fields["trials"] = blame.trials
+        return fields
+
     def tell_ended(self, admitted: Admitted, status: int, reason: str) -> None:
         """Tell how it ended; status 0 if the caller got no whole answer."""
         metrics = self.context.metrics
--- a/libs/direct/src/berylwalk/direct/_gauges.py
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -26,6 +26,10 @@
         metrics.target_heard_age_s.labels(target_id).set(heard_s)
     for name, spent in context.allowances.spent_in_window(now).items():
         metrics.allowance_spent.labels(name).set(spent)
+    quarantine = context.quarantine
+    metrics.quarantine.labels("known").set(len(quarantine))
+    metrics.quarantine.labels("suspected").set(len(set(quarantine.suspected)))
+    metrics.quarantine.labels("blamed").set(len(quarantine.blames))
     metrics.peers_heard.set(context.peers.heard(now))
     metrics.peers_known.set(context.peers.known())
     metrics.log_lines_dropped.set(context.log.dropped)
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -50,6 +50,12 @@
             ("service", "end"),
             registry=registry,
         )
+        self.ends_under_requests = Counter(
+            "berylwalk_target_ends_under_requests",
+            "Requests that ran at a target when it seemed to end.",
+            ("service",),
+            registry=registry,
+        )
         self.exchanges_failed = Counter(
             "berylwalk_exchanges_failed",
             "Requests that were cut by a fault of the router itself.",
@@ -117,6 +123,11 @@
         self.allowance_spent = self._gauge(
             "allowance_spent", "Units spent in the window, all routers.", "account"
         )
+        self.quarantine = self._gauge(
+            "quarantined_requests",
+            "Requests under which targets ended: known, suspected, blamed.",
+            "standing",
+        )
         self.peers_heard = self._gauge("routers_heard", "Routers heard, with this one.")
         self.peers_known = self._gauge("routers_known", "Routers known, with this one.")
         self.log_lines_dropped = self._gauge(
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -6,6 +6,7 @@
 from msgspec import Struct, field
 
 from berylwalk.dispatch import Peer
+from berylwalk.quarantine import QuarantineNews
 
 Loads = dict[str, tuple[int, int]]
 """Requests in flight and waiting prompt tokens by the life of a target."""
@@ -85,6 +86,8 @@
         answer to one that asked.
     reads : list of (int, str)
         What the sender sent where since its last message.
+    quarantine : QuarantineNews
+        What is new of requests under which targets ended.
     """
 
     news: RouterNews
@@ -92,6 +95,7 @@
     asks: str | None = None
     recent: dict[str, list[float]] | None = None
     reads: Reads = field(default_factory=list)
+    quarantine: QuarantineNews = field(default_factory=QuarantineNews)
 
 
 class DomainMessage(Struct, array_like=True, tag=2):
@@ -110,6 +114,8 @@
         passes it on to all there.
     reads : list of (int, str)
         What they sent where since the relay's last message.
+    quarantine : QuarantineNews
+        What is new of requests under which targets ended.
     """
 
     failure_domain: str
@@ -117,6 +123,7 @@
     loads: Loads
     is_passed_on: bool = False
     reads: Reads = field(default_factory=list)
+    quarantine: QuarantineNews = field(default_factory=QuarantineNews)
 
 
 class PeerSocket(DatagramProtocol):
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -12,7 +12,7 @@
 from random import choice
 from uuid import uuid4
 
-from anyio import create_task_group, sleep
+from anyio import Event, create_task_group, move_on_after, sleep
 from msgspec import DecodeError, ValidationError, msgpack
 from msgspec.structs import replace
 
@@ -83,6 +83,7 @@
         self._told_at = float("-inf")
         self._news_by_name: dict[str, RouterNews] = {}
         self._reads_to_relay: deque[Read] = deque(maxlen=MOST_READS_RELAYED)
+        self._urgent = Event()
         self._decoder = msgpack.Decoder(
             PeerMessage | DomainMessage | ReadingAsk | ReadingTell
         )
@@ -120,9 +121,15 @@
 
     # Telling.
 
+    def tell_soon(self) -> None:
+        """Tell the peers nearby at once, and not when it is due."""
+        self._urgent.set()
+
     async def _tell(self) -> None:
         while True:
-            await sleep(tell_interval_s(len(self._context.peers.near())))
+            with move_on_after(tell_interval_s(len(self._context.peers.near()))):
+                await self._urgent.wait()
+            self._urgent = Event()
             self._leave_to_silent_peers()
             self._send_if_due()
 
@@ -135,6 +142,7 @@
                 self._tell_domains(far_domains, now)
             else:
                 self._reads_to_relay.clear()
+                self._context.quarantine.far.clear()
 
     def _tell_domains(self, far_domains: set[str], now: float) -> None:
         data = msgpack.encode(self._domain_message(now))
@@ -175,12 +183,15 @@
         asks = self._peer_to_ask(now)
         reads = context.dispatcher.prefix_reads.take_news()
         self._reads_to_relay.extend(reads)
+        quarantine = context.quarantine.news(context.quarantine.near, now)
         is_unchanged = self._told == (loads, spent) and asks is None and not reads
-        if is_unchanged and now - self._told_at < TELL_UNCHANGED_S:
+        if is_unchanged and not quarantine and now - self._told_at < TELL_UNCHANGED_S:
             return
         self._told = (loads, spent)
         self._told_at = now
-        message = PeerMessage(self._own_news(now), loads, asks, reads=reads)
+        message = PeerMessage(
+            self._own_news(now), loads, asks, reads=reads, quarantine=quarantine
+        )
         self._send(msgpack.encode(message), context.peers.near())
 
     def _own_news(self, now: float) -> RouterNews:
@@ -214,6 +225,7 @@
             [self._own_news(now), *news],
             context.targets.loads_with(heard),
             reads=self._take_reads_to_relay(),
+            quarantine=context.quarantine.news(context.quarantine.far, now),
         )
 
     def _take_reads_to_relay(self) -> list[Read]:
@@ -286,6 +298,7 @@
             context.targets.hear_loads(sender.name, message.loads)
             context.dispatcher.prefix_reads.hear(message.reads)
             self._reads_to_relay.extend(message.reads)
+            context.quarantine.hear(message.quarantine, now, is_near=True)
         if message.asks == context.settings.name:
             self._tell_newcomer(sender, now)
         if message.recent is not None:
@@ -302,6 +315,7 @@
             source = DOMAIN_SOURCE + message.failure_domain
             context.targets.hear_loads(source, message.loads)
         context.dispatcher.prefix_reads.hear(message.reads)
+        context.quarantine.hear(message.quarantine, now, is_near=False)
         if not message.is_passed_on:
             data = msgpack.encode(replace(message, is_passed_on=True))
             self._send(data, context.peers.near())
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_quarantine_note.py
@@ -0,0 +1,283 @@
+"""What the store keeps of requests that are to blame, and the permits of their trials.
+
+The records outlive all routers. A trial is a write under a condition: however many
+routers want one, and however they are cut from each other, one of them gets it, and
+none does that does not reach the store. An operator lets a request through by deleting
+its record.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from time import time
+
+from anyio import Event, move_on_after
+from msgspec import DecodeError, json, structs
+
+from berylwalk.direct._context import RouterContext
+from berylwalk.direct._store_reach import StoreReach
+from berylwalk.platform import (
+    Conflict,
+    KeyValue,
+    KeyValueClient,
+    Lost,
+    Swapped,
+    Unavailable,
+)
+from berylwalk.quarantine import ENDS_TO_BLAME, Identity, Record, Standing
+
+RECORDS_PREFIX = b"berylwalk/quarantine/"
+LOOK_S = 15.0
+"""Time between two looks at the records while there are any: an operator who lets a
+request through waits no longer."""
+TURN_S = 0.5
+"""Time between two looks at what is to be written."""
+OTHERS_WRITE_AFTER_S = 2.0
+"""Time after which a router writes what the first one should have written."""
+FORGOTTEN_AFTER_S = 86_400.0
+"""Age by the time of day at which a record is deleted: a request that still ends
+targets then is known again after three of them."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """A record, and the store's revision of it; 0 if it is not there."""
+
+    record: Record
+    revision: int
+
+
+class QuarantineNote:
+    """Reads the records at the start, and keeps them in step with what is believed.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's state.
+    store : KeyValueClient
+        The platform's store.
+    reach : StoreReach
+        Paces calls of it that failed.
+    wall_clock : callable
+        Time of day, in seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        context: RouterContext,
+        store: KeyValueClient,
+        reach: StoreReach,
+        *,
+        wall_clock: Callable[[], float] = time,
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._reach = reach
+        self._wall_clock = wall_clock
+        self._known: dict[Identity, _Known] = {}
+        self._due_since: dict[Identity, float] = {}
+        self._looked_at = context.clock()
+        self._woken = Event()
+
+    def wake(self) -> None:
+        """Look at once at what is to be written."""
+        self._woken.set()
+
+    async def run(self) -> None:
+        """Read all records, then write and look for ever."""
+        failures = 0
+        while not await self._read_all("read-quarantine"):
+            failures += 1
+            await self._reach.pause(failures)
+        if self._known:
+            self._context.log.process("quarantine-read", records=len(self._known))
+        while True:
+            with move_on_after(TURN_S):
+                await self._woken.wait()
+            self._woken = Event()
+            await self._turn()
+
+    async def take_trial(self, identity: Identity) -> bool:
+        """Return whether a request that is to blame may be sent once.
+
+        Parameters
+        ----------
+        identity : bytes
+            Which request.
+        """
+        context = self._context
+        item = await self._reach.ask("read-trial", self._store.get(_key(identity)))
+        if isinstance(item, Unavailable):
+            return False
+        if item is None:
+            if context.quarantine.noted.get(identity):
+                self._release(identity)
+                return True
+            known = _Known(self._record_of(identity), 0)
+        else:
+            known = self._take(identity, item)
+            if known is None:
+                return False
+        if context.quarantine.standing(identity, context.clock()) is not Standing.TRIAL:
+            return False
+        trials = known.record.trials + 1
+        record = structs.replace(known.record, trials=trials)
+        if not await self._write(identity, record, known.revision):
+            return False
+        context.quarantine.note_trial(identity, trials, context.clock())
+        context.log.process("trial-permitted", identity=identity.hex(), trials=trials)
+        return True
+
+    async def _turn(self) -> None:
+        now = self._context.clock()
+        is_first = self._context.peers.is_first(now)
+        for identity in self._due(now, is_first=is_first):
+            if not await self._write_evidence(identity):
+                return
+        if is_first:
+            await self._delete_settled()
+        has_records = bool(self._known or self._context.quarantine.blames)
+        if is_first and has_records and now - self._looked_at >= LOOK_S:
+            await self._look()
+
+    def _due(self, now: float, *, is_first: bool) -> list[Identity]:
+        """Return the requests whose ends the store does not have."""
+        quarantine = self._context.quarantine
+        wanting = [
+            identity
+            for identity in (*quarantine.blames, *quarantine.suspected)
+            if quarantine.noted.get(identity, 0)
+            < min(ENDS_TO_BLAME, len(quarantine.ended(identity)))
+        ]
+        self._due_since = {
+            identity: self._due_since.get(identity, now) for identity in wanting
+        }
+        return [
+            identity
+            for identity, since in self._due_since.items()
+            if is_first or now - since >= OTHERS_WRITE_AFTER_S
+        ]
+
+    async def _write_evidence(self, identity: Identity) -> bool:
+        """Write the ends under a request; False if the store can't be reached."""
+        known = self._known.get(identity)
+        revision = 0 if known is None else known.revision
+        return await self._write(identity, self._record_of(identity), revision)
+
+    def _record_of(self, identity: Identity) -> Record:
+        known = self._known.get(identity)
+        ended = set(self._context.quarantine.ended(identity))
+        if known is None:
+            return Record(sorted(ended), noted_s=round(self._wall_clock()))
+        return structs.replace(known.record, ended=sorted(ended))
+
+    async def _write(self, identity: Identity, record: Record, revision: int) -> bool:
+        """Write a record under the condition of its revision; True if that was met."""
+        value = json.encode(record)
+        result = await self._reach.ask(
+            "note-quarantine",
+            self._store.compare_and_swap(_key(identity), value, revision),
+        )
+        match result:
+            case Swapped():
+                self._known[identity] = _Known(record, result.mod_revision)
+                self._context.quarantine.note_recorded(identity, len(record.ended))
+                return True
+            case Conflict(current=None):
+                # Deleted since it was read.
+                self._release(identity)
+            case Conflict():
+                self._take(identity, result.current)
+            case Lost() | Unavailable():
+                await self._reach.pause(1)
+        return False
+
+    async def _read_all(self, purpose: str) -> bool:
+        items = await self._reach.ask(purpose, self._store.get_prefix(RECORDS_PREFIX))
+        if isinstance(items, Unavailable):
+            return False
+        listed = {
+            identity: item
+            for item in items
+            if (identity := self._identity_of(item)) is not None
+        }
+        for identity in list(self._known):
+            if identity not in listed:
+                self._release(identity)
+        for identity, item in listed.items():
+            self._take(identity, item)
+        return True
+
+    async def _look(self) -> None:
+        """See what operators deleted, and delete what is too old."""
+        self._looked_at = self._context.clock()
+        if not await self._read_all("look-quarantine"):
+            return
+        now_s = self._wall_clock()
+        old = [
+            identity
+            for identity, known in self._known.items()
+            if now_s - known.record.noted_s > FORGOTTEN_AFTER_S
+        ]
+        for identity in old:
+            if await self._delete(identity):
+                self._release(identity)
+
+    async def _delete_settled(self) -> None:
+        """Delete the records of requests that are neither blamed nor suspected."""
+        quarantine, now = self._context.quarantine, self._context.clock()
+        for identity in list(self._known):
+            if quarantine.standing(identity, now) is Standing.FREE:
+                await self._delete(identity)
+
+    async def _delete(self, identity: Identity) -> bool:
+        known = self._known[identity]
+        result = await self._reach.ask(
+            "end-quarantine",
+            self._store.delete_if(_key(identity), known.revision),
+        )
+        if isinstance(result, Unavailable | Lost):
+            return False
+        if isinstance(result, Conflict) and result.current is not None:
+            self._known[identity] = replace(known, revision=result.current.mod_revision)
+            return False
+        del self._known[identity]
+        return True
+
+    def _take(self, identity: Identity, item: KeyValue) -> _Known | None:
+        """Take a record as the store has it; None if it can't be read."""
+        try:
+            record = json.decode(item.value, type=Record)
+        except (DecodeError, ValueError, RecursionError) as error:
+            self._context.log.process(
+                "quarantine-record-invalid",
+                key=item.key.decode("latin-1"),
+                detail=repr(error),
+            )
+            return None
+        known = self._known[identity] = _Known(record, item.mod_revision)
+        quarantine = self._context.quarantine
+        quarantine.learn(identity, record.ended, record.trials, self._context.clock())
+        quarantine.note_recorded(identity, len(record.ended))
+        return known
+
+    def _release(self, identity: Identity) -> None:
+        """Let a request through whose record is gone."""
+        self._known.pop(identity, None)
+        context = self._context
+        if context.quarantine.note_answered(identity, context.clock()):
+            context.log.process("request-released", identity=identity.hex())
+
+    def _identity_of(self, item: KeyValue) -> Identity | None:
+        try:
+            return bytes.fromhex(item.key[len(RECORDS_PREFIX) :].decode("ascii"))
+        except ValueError as error:
+            self._context.log.process(
+                "quarantine-record-invalid",
+                key=item.key.decode("latin-1"),
+                detail=repr(error),
+            )
+            return None
+
+
+def _key(identity: Identity) -> bytes:
+    return RECORDS_PREFIX + identity.hex().encode()
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -94,7 +94,9 @@
         self._log.tell_placed(self._admitted, target, start)
 
         def on_first_event() -> None:
-            target.note_first_event(work, start, self._context.clock() - sent_at)
+            now = self._context.clock()
+            target.note_first_event(work, start, now - sent_at)
+            self._context.quarantine.note_alive(life_id, sent_at, now)
 
         def on_output(events: int, taken_s: float) -> None:
             tokens = self._tokens_per_event() * events
@@ -115,7 +117,16 @@
         is_keyed = self._admitted.account is not None
         if is_keyed and not configuration.trusts_keys(self._context.clock()):
             return False
+        # While it waited, others may have ended under it.
+        quarantine, now = self._context.quarantine, self._context.clock()
+        standing = quarantine.standing(self._admitted.identity, now)
+        if standing.is_held_back and not self._admitted.is_trial:
+            return False
         # While the connection was opened, the target may have said that it leaves.
+        return self._is_in_use(target)
+
+    def _is_in_use(self, target: Target) -> bool:
+        """Return whether a target is there and has not said that it leaves."""
         is_known = self._context.targets.by_id.get(target.entry.target_id) is target
         return is_known and target.entry.state is TargetState.READY
 
@@ -129,7 +140,7 @@
                 connection.pause()
 
         def on_life_ended() -> None:
-            attempt.give_up(AttemptEnd.BROKEN, "the target started again")
+            attempt.note_target_ended("the target started again")
 
         self._relay.when_writable(on_writable)
         connection.send(self._encoded(target), self._admitted.request_id, attempt)
@@ -200,8 +211,22 @@
         )
         context.dispatcher.pump(admitted.service, context.clock())
 
+    def _learn_of_ends(self, target: Target, attempt: Attempt, sent_at: float) -> None:
+        """Note whether the target ended under the request, or outlived it."""
+        quarantine, now = self._context.quarantine, self._context.clock()
+        identity, life_id = self._admitted.identity, target.entry.life_id
+        if attempt.target_ended and self._is_in_use(target):
+            # One that leaves ends by itself while it still has requests.
+            if quarantine.note_ended(identity, life_id, now):
+                self._log.tell_target_ended(self._admitted, target)
+        elif attempt.end in WHOLE_ENDS and attempt.end is not AttemptEnd.REFUSED:
+            quarantine.note_alive(life_id, sent_at, now)
+            if quarantine.note_answered(identity, now):
+                self._log.tell_cleared(self._admitted, target)
+
     def _learn(self, target: Target, attempt: Attempt, sent_at: float) -> None:
         now = self._context.clock()
+        self._learn_of_ends(target, attempt, sent_at)
         if attempt.by_target:
             target.note_unreachable(now)
         match attempt.end:
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -103,6 +103,9 @@
         is expected later are passed over.
     longest_pause_s : float
         Longest pause of a stream that is on time, in seconds; 0 if there is no bound.
+    runs_apart : bool
+        Whether it goes to the target with the fewest requests: should the target end,
+        it takes the fewest along.
     """
 
     work: Work
@@ -112,6 +115,7 @@
     left_s: float = float("inf")
     start_within_s: float = float("inf")
     longest_pause_s: float = 0.0
+    runs_apart: bool = False
 
 
 def choose_target(
@@ -153,7 +157,7 @@
     typical_token_s = _typical_token_s(targets)
     within_s = _start_bound_s(targets, request, typical_token_s, now)
     best = None
-    best_cost = float("inf")
+    best_cost = (float("inf"), float("inf"))
     for target in free:
         held_tokens = request.held_tokens.get(target.entry.life_id, 0)
         start = expected_start(
@@ -169,8 +173,9 @@
             cost *= HELD_FACTOR
         elif target.entry.failure_domain != failure_domain:
             cost *= remote_factor
-        if cost < best_cost:
-            best, best_cost = target, cost
+        beside = target.total_in_flight if request.runs_apart else 0
+        if (beside, cost) < best_cost:
+            best, best_cost = target, (beside, cost)
     return best
 
 
--- a/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
@@ -41,6 +41,8 @@
         unless it returns the target.
     excluded : set of str
         Targets that it must not go to.
+    runs_apart : bool
+        Whether it is to run where it takes the fewest along, should the target end.
     arrived_at : float
         When it arrived.
     """
@@ -53,6 +55,7 @@
     start_by: float = float("inf")
     longest_pause_s: float = 0.0
     excluded: set[str] = field(default_factory=set)
+    runs_apart: bool = False
     arrived_at: float = 0.0
     number: int = 0
 
--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -23,7 +23,9 @@
 
     COMPLETE = "complete"
     CLOSED = "closed"
-    """The connection ended before the answer did."""
+    """The target, or its VM, ended the connection before the answer did."""
+    UNREACHABLE = "unreachable"
+    """The network gave the connection up: nothing is known of the target."""
     INVALID = "invalid"
     """Bytes that are no answer, or none to this request."""
 
@@ -158,7 +160,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell that an answer won't be completed."""
         self._transport = None
-        self._end(AnswerEnd.CLOSED, repr(exc) if exc else "closed")
+        by_target = exc is None or isinstance(exc, ConnectionError)
+        end = AnswerEnd.CLOSED if by_target else AnswerEnd.UNREACHABLE
+        self._end(end, repr(exc) if exc else "closed")
 
     # The answer, as the parser sees it.
 
--- a/libs/quarantine/src/berylwalk/quarantine/__init__.py
+++ b/libs/quarantine/src/berylwalk/quarantine/__init__.py
@@ -6,5 +6,34 @@
     account_part,
     request_identity,
 )
+from berylwalk.quarantine._judgement import ENDS_TO_BLAME, Judgement, judge
+from berylwalk.quarantine._messages import QuarantineNews, Record, SuspectNews
+from berylwalk.quarantine._outbox import Outbox
+from berylwalk.quarantine._quarantine import (
+    TRIAL_AFTER_S,
+    Blame,
+    Change,
+    ChangeKind,
+    Quarantine,
+    Standing,
+)
 
-__all__ = ["BodyHash", "Identity", "account_part", "request_identity"]
+__all__ = [
+    "ENDS_TO_BLAME",
+    "TRIAL_AFTER_S",
+    "Blame",
+    "BodyHash",
+    "Change",
+    "ChangeKind",
+    "Identity",
+    "Judgement",
+    "Outbox",
+    "Quarantine",
+    "QuarantineNews",
+    "Record",
+    "Standing",
+    "SuspectNews",
+    "account_part",
+    "judge",
+    "request_identity",
+]
--- /dev/null
+++ b/libs/quarantine/src/berylwalk/quarantine/_evidence.py
@@ -0,0 +1,157 @@
+"""Which requests targets were running when they ended, as all routers saw it.
+
+All that is known only grows: ends under a request, ends of which it was cleared, and
+lives that turned out to go on. So it comes out the same in whatever order, and however
+often, routers hear of it.
+"""
+
+from collections import Counter, OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from berylwalk.quarantine._identity import Identity, account_part
+
+MOST_OF_ACCOUNT = 256
+"""Requests of one account that are remembered: a few ends of full targets."""
+MOST_IN_ALL = 4096
+"""The same of all accounts: about two megabytes."""
+MOST_LIVES = 8
+"""Ends that are remembered of one request; three blame it."""
+MOST_CLEARED = 16
+"""Ends of which one request is remembered to be cleared."""
+MOST_ALIVE = 256
+"""Lives that are remembered to have gone on."""
+KEPT_S = 3600.0
+"""Time for which an end counts, in seconds: a request may come again after minutes, and
+a harmless one is answered long before."""
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """Ends under one request, and those of which it was cleared, with their times."""
+
+    ended: dict[str, float] = field(default_factory=dict)
+    cleared: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def weight(self) -> tuple[int, float]:
+        """What counts for keeping it: the ends, then how new they are."""
+        return len(self.ended), max(self.ended.values(), default=float("-inf"))
+
+    def forget_before(self, time: float) -> bool:
+        """Drop what is older; returns whether that was an end."""
+        old = [life_id for life_id, at in self.ended.items() if at < time]
+        for life_id in old:
+            del self.ended[life_id]
+        for life_id in [each for each, at in self.cleared.items() if at < time]:
+            del self.cleared[life_id]
+        return bool(old)
+
+
+class Evidence:
+    """Ends of targets by the requests that they ran.
+
+    What one account fills is bounded, and takes no place of another one: where there
+    is no room, the account that has most loses the request that is least suspect.
+    """
+
+    def __init__(self) -> None:
+        self._suspects: dict[Identity, _Suspect] = {}
+        self._numbers_by_account: Counter[bytes] = Counter()
+        self._ended_at_by_life: dict[str, float] = {}
+        self._alive: OrderedDict[str, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._suspects)
+
+    def add(self, identity: Identity, life_id: str, ended_at: float) -> bool:
+        """Take an end under a request; returns whether it is new."""
+        if life_id in self._alive:
+            return False
+        suspect = self._suspect(identity)
+        is_known = life_id in suspect.cleared or life_id in suspect.ended
+        if is_known or len(suspect.ended) >= MOST_LIVES:
+            return False
+        suspect.ended[life_id] = ended_at
+        newest_at = self._ended_at_by_life.get(life_id, ended_at)
+        self._ended_at_by_life[life_id] = max(newest_at, ended_at)
+        return True
+
+    def clear(self, identity: Identity, life_ids: Iterable[str], now: float) -> bool:
+        """Take that a request did not cause some ends; returns whether that is new."""
+        suspect = self._suspect(identity)
+        new = [life_id for life_id in life_ids if life_id not in suspect.cleared]
+        for life_id in new:
+            suspect.ended.pop(life_id, None)
+            suspect.cleared[life_id] = now
+        for life_id in list(suspect.cleared)[:-MOST_CLEARED]:
+            del suspect.cleared[life_id]
+        return bool(new)
+
+    def ended_at(self, life_id: str) -> float | None:
+        """Return when a life was last seen to end; None if it was not."""
+        return self._ended_at_by_life.get(life_id)
+
+    def note_alive(self, life_id: str) -> bool:
+        """Take that a life goes on; returns whether that is new."""
+        if life_id in self._alive:
+            return False
+        self._alive[life_id] = None
+        while len(self._alive) > MOST_ALIVE:
+            self._alive.popitem(last=False)
+        self._ended_at_by_life.pop(life_id, None)
+        for suspect in self._suspects.values():
+            suspect.ended.pop(life_id, None)
+        return True
+
+    def forget_old(self, now: float) -> bool:
+        """Drop what is too old to count; returns whether an end was."""
+        dropped = False
+        for identity, suspect in list(self._suspects.items()):
+            dropped |= suspect.forget_before(now - KEPT_S)
+            if not suspect.ended and not suspect.cleared:
+                self._drop(identity)
+        counted = {
+            life for suspect in self._suspects.values() for life in suspect.ended
+        }
+        for life_id in list(self._ended_at_by_life):
+            if life_id not in counted:
+                del self._ended_at_by_life[life_id]
+        return dropped
+
+    def ended(self, identity: Identity) -> dict[str, float]:
+        """Return the lives that ended under a request, with the times of their ends."""
+        suspect = self._suspects.get(identity)
+        return {} if suspect is None else suspect.ended
+
+    def cleared(self, identity: Identity) -> list[str]:
+        """Return the lives of whose ends a request was cleared."""
+        suspect = self._suspects.get(identity)
+        return [] if suspect is None else list(suspect.cleared)
+
+    def ended_by_identity(self) -> dict[Identity, dict[str, float]]:
+        """Return the same as `ended` of all requests."""
+        return {each: suspect.ended for each, suspect in self._suspects.items()}
+
+    def _suspect(self, identity: Identity) -> _Suspect:
+        suspect = self._suspects.get(identity)
+        if suspect is None:
+            self._make_room(account_part(identity))
+            suspect = self._suspects[identity] = _Suspect()
+            self._numbers_by_account[account_part(identity)] += 1
+        return suspect
+
+    def _make_room(self, account: bytes) -> None:
+        if self._numbers_by_account[account] >= MOST_OF_ACCOUNT:
+            self._drop_least(account)
+        elif len(self._suspects) >= MOST_IN_ALL:
+            ((largest, _),) = self._numbers_by_account.most_common(1)
+            self._drop_least(largest)
+
+    def _drop_least(self, account: bytes) -> None:
+        own = (each for each in self._suspects if account_part(each) == account)
+        self._drop(min(own, key=lambda each: self._suspects[each].weight))
+
+    def _drop(self, identity: Identity) -> None:
+        del self._suspects[identity]
+        self._numbers_by_account[account_part(identity)] -= 1
--- /dev/null
+++ b/libs/quarantine/src/berylwalk/quarantine/_judgement.py
@@ -0,0 +1,71 @@
+"""Who is to blame for targets that ended: the fewest requests that explain the ends."""
+
+from collections.abc import Collection, Mapping, Set
+from dataclasses import dataclass
+
+from berylwalk.quarantine._identity import Identity
+
+ENDS_TO_BLAME = 3
+"""Ends that no other request explains, from which a request is to blame. Of what is
+harmless, one in ten thousand meets three ends before it is answered where each target
+ends every twenty seconds and an answer takes a second."""
+ENDS_TO_SUSPECT = 2
+"""Ends from which a request runs apart from others: it may be the cause."""
+
+
+@dataclass(frozen=True, slots=True)
+class Judgement:
+    """What follows from the ends that are known.
+
+    Parameters
+    ----------
+    blamed : dict
+        Lives that ended under each request that is to blame.
+    suspected : set
+        Requests that may be the cause of some ends, and are not blamed.
+    """
+
+    blamed: dict[Identity, frozenset[str]]
+    suspected: Set[Identity]
+
+
+NOBODY = Judgement({}, frozenset())
+
+
+def judge(lives_by_identity: Mapping[Identity, Collection[str]]) -> Judgement:
+    """Return who is to blame.
+
+    A target that ends takes all along that it runs, so that what is harmless is found
+    under several ends too, where a request that ends targets is about. The request
+    under which most targets ended explains those ends; what is left of the others'
+    counts for the next. Requests that can't be told apart are blamed together: their
+    trials tell them apart.
+
+    Parameters
+    ----------
+    lives_by_identity : mapping
+        Lives of targets that ended while they ran each request.
+    """
+    left_by_identity = {
+        identity: set(lives)
+        for identity, lives in lives_by_identity.items()
+        if len(lives) >= ENDS_TO_SUSPECT
+    }
+    blamed: dict[Identity, frozenset[str]] = {}
+    while left_by_identity:
+        most = max(map(len, left_by_identity.values()))
+        if most < ENDS_TO_BLAME:
+            break
+        worst = [each for each, lives in left_by_identity.items() if len(lives) == most]
+        explained: set[str] = set()
+        for identity in worst:
+            explained |= left_by_identity.pop(identity)
+            blamed[identity] = frozenset(lives_by_identity[identity])
+        for lives in left_by_identity.values():
+            lives -= explained
+    suspected = {
+        identity
+        for identity, lives in left_by_identity.items()
+        if len(lives) >= ENDS_TO_SUSPECT
+    }
+    return Judgement(blamed, suspected)
--- /dev/null
+++ b/libs/quarantine/src/berylwalk/quarantine/_messages.py
@@ -0,0 +1,76 @@
+"""What routers tell each other of suspects, and what the store keeps of them."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
+
+from berylwalk.quarantine._identity import ACCOUNT_BYTES, CONTENT_BYTES
+
+IDENTITY_BYTES = ACCOUNT_BYTES + CONTENT_BYTES
+MOST_TOLD = 12
+"""Requests in one message at most: with their ends they fit in a datagram."""
+MOST_LIVES_TOLD = 8
+
+IdentityField = Annotated[
+    bytes, Meta(min_length=IDENTITY_BYTES, max_length=IDENTITY_BYTES)
+]
+LifeField = Annotated[str, Meta(max_length=200)]
+AgeField = Annotated[float, Meta(ge=0, le=1e6)]
+
+
+class SuspectNews(Struct, array_like=True):
+    """What is known of one request.
+
+    Parameters
+    ----------
+    identity : bytes
+        Which request.
+    ages_s : dict
+        For how long each target that ended under it has been gone, in seconds, by the
+        life of the target.
+    cleared : list of str
+        Ends of which it was cleared.
+    noted : int
+        Number of ends that the store has.
+    """
+
+    identity: IdentityField
+    ages_s: dict[LifeField, AgeField] = field(default_factory=dict)
+    cleared: list[LifeField] = field(default_factory=list)
+    noted: Annotated[int, Meta(ge=0, le=1000)] = 0
+
+
+class QuarantineNews(Struct, array_like=True):
+    """What is new of suspects.
+
+    Parameters
+    ----------
+    suspects : list of SuspectNews
+        Requests under which targets ended.
+    alive : list of str
+        Lives of targets that were taken to have ended, and go on.
+    """
+
+    suspects: list[SuspectNews] = field(default_factory=list)
+    alive: list[LifeField] = field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.suspects or self.alive)
+
+
+class Record(Struct, forbid_unknown_fields=False):
+    """What the store keeps of a request, under its identity.
+
+    Parameters
+    ----------
+    ended : list of str
+        Lives of targets that ended under it.
+    trials : int
+        Trials that were given to it, by all routers.
+    noted_s : float
+        Time of day at which it was first written, in seconds since the epoch.
+    """
+
+    ended: Annotated[list[LifeField], Meta(max_length=64)]
+    trials: Annotated[int, Meta(ge=0, le=1000)] = 0
+    noted_s: float = 0.0
--- /dev/null
+++ b/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
@@ -0,0 +1,315 @@
+"""Whether a request may be sent to targets, by what ended under it before.
+
+A request is noted while it runs, and held back if those that ran it ended: the way in
+which databases and queues treat a "query of death" or a poison message. What differs is
+that a target runs many requests at once, so that an end accuses all of them, and that
+many routers have to agree without a common log.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from berylwalk.quarantine._evidence import Evidence
+from berylwalk.quarantine._identity import Identity
+from berylwalk.quarantine._judgement import NOBODY, Judgement, judge
+from berylwalk.quarantine._messages import (
+    MOST_LIVES_TOLD,
+    MOST_TOLD,
+    QuarantineNews,
+    SuspectNews,
+)
+from berylwalk.quarantine._outbox import Outbox
+
+TRIAL_AFTER_S = (60.0, 600.0)
+"""Time from the blame, and from the trial before, to each trial, in seconds: a fleet
+that was mended is noticed within a minute, and one that was not loses two targets.
+Three sends may be made in all; the third is left to those that are on their way."""
+TOLD_AGAIN_S = 1.0
+"""Time between two tellings of who is blamed: a third of the time after which a router
+that was cut off counts as being in touch again."""
+SWEEP_S = 10.0
+"""Time between two looks for what is too old to count."""
+
+
+class Standing(StrEnum):
+    """How a request is treated."""
+
+    FREE = "free"
+    SUSPECTED = "suspected"
+    """It runs where it takes the fewest along."""
+    BLAMED = "blamed"
+    """It is not sent."""
+    TRIAL = "trial"
+    """It is not sent without a permit for one trial."""
+
+    @property
+    def is_held_back(self) -> bool:
+        """Whether it must not be sent as others are."""
+        return self in (Standing.BLAMED, Standing.TRIAL)
+
+
+class ChangeKind(StrEnum):
+    """What became of a request."""
+
+    BLAMED = "blamed"
+    NO_LONGER_BLAMED = "no-longer-blamed"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A change of what is believed of a request.
+
+    Parameters
+    ----------
+    kind : ChangeKind
+        What became of it.
+    identity : bytes
+        Which request.
+    ended : collection of str
+        Lives of targets that ended under it, as far as they count.
+    """
+
+    kind: ChangeKind
+    identity: Identity
+    ended: Collection[str]
+
+
+@dataclass(slots=True)
+class Blame:
+    """What is known of a request that is to blame.
+
+    Attributes
+    ----------
+    since : float
+        Since when, in seconds.
+    trials : int
+        Trials that were given to it, as far as is known.
+    next_trial_at : float or None
+        When the next one may be given; None if there is none.
+    """
+
+    since: float
+    trials: int = 0
+    next_trial_at: float | None = None
+
+
+class Quarantine:
+    """The suspects of one router, and what it has to tell of them.
+
+    Attributes
+    ----------
+    near, far : Outbox
+        What the routers nearby, and those of other failure domains, are to be told.
+    blames : dict
+        Requests that are to blame.
+    noted : dict
+        Number of ends that the store is known to have, by request.
+    on_change : callable
+        Called with each `Change`.
+    on_news : callable
+        Called when there is something to tell at once.
+    """
+
+    def __init__(self) -> None:
+        self._evidence = Evidence()
+        self._judgement: Judgement = NOBODY
+        self._told_again_at = float("-inf")
+        self._swept_at = float("-inf")
+        self.blames: dict[Identity, Blame] = {}
+        self.noted: dict[Identity, int] = {}
+        self.on_change: Callable[[Change], None] = lambda _: None
+        self.on_news: Callable[[], None] = lambda: None
+        self.near = Outbox()
+        self.far = Outbox()
+
+    def __len__(self) -> int:
+        return len(self._evidence)
+
+    # What is asked.
+
+    def standing(self, identity: Identity, now: float) -> Standing:
+        """Return how a request is treated."""
+        blame = self.blames.get(identity)
+        if blame is not None:
+            due_at = blame.next_trial_at
+            is_due = due_at is not None and now >= due_at
+            return Standing.TRIAL if is_due else Standing.BLAMED
+        if identity in self._judgement.suspected:
+            return Standing.SUSPECTED
+        return Standing.FREE
+
+    def retry_after_s(self, identity: Identity, now: float) -> float:
+        """Return when a request that is held back may be tried again, in seconds."""
+        blame = self.blames.get(identity)
+        if blame is None or blame.next_trial_at is None:
+            return TRIAL_AFTER_S[-1]
+        return max(TOLD_AGAIN_S, blame.next_trial_at - now)
+
+    def ended(self, identity: Identity) -> list[str]:
+        """Return the lives of targets that ended under a request."""
+        return sorted(self._evidence.ended(identity))
+
+    @property
+    def suspected(self) -> Iterable[Identity]:
+        """The requests that may be to blame, and are not."""
+        return self._judgement.suspected
+
+    # What is observed here.
+
+    def note_ended(self, identity: Identity, life_id: str, now: float) -> bool:
+        """Take that a target ended while it ran a request; True if it is news."""
+        is_new = self._evidence.add(identity, life_id, now)
+        if is_new:
+            self._tell(identity)
+            self._judge(now)
+        return is_new
+
+    def note_answered(self, identity: Identity, now: float) -> bool:
+        """Take that a target ran a request and went on; True if that clears it."""
+        lives = list(self._evidence.ended(identity))
+        if not lives or not self._evidence.clear(identity, lives, now):
+            return False
+        self._tell(identity)
+        self._judge(now)
+        return True
+
+    def note_alive(self, life_id: str, sent_at: float, now: float) -> bool:
+        """Take that a target answered a request; True if it was taken for ended.
+
+        Parameters
+        ----------
+        life_id : str
+            The life of the target.
+        sent_at : float
+            When that request was sent, in seconds: only an answer to what was sent
+            after its end shows that it has not ended.
+        now : float
+            Time in seconds.
+        """
+        ended_at = self._evidence.ended_at(life_id)
+        if ended_at is None or sent_at <= ended_at:
+            return False
+        self._evidence.note_alive(life_id)
+        self.near.add_alive(life_id)
+        self.far.add_alive(life_id)
+        self._judge(now)
+        self.on_news()
+        return True
+
+    def sweep(self, now: float) -> None:
+        """Forget what is too old, now and then."""
+        if now - self._swept_at < SWEEP_S:
+            return
+        self._swept_at = now
+        for identity in list(self.noted):
+            if not self._evidence.ended(identity):
+                del self.noted[identity]
+        if self._evidence.forget_old(now):
+            self._judge(now)
+
+    # What others tell.
+
+    def hear(self, news: QuarantineNews, now: float, *, is_near: bool) -> bool:
+        """Take what another router told; returns whether any of it was new.
+
+        Parameters
+        ----------
+        news : QuarantineNews
+            What it told.
+        now : float
+            Time in seconds.
+        is_near : bool
+            Whether other failure domains have to be told of it from here.
+        """
+        alive = [each for each in news.alive if self._evidence.note_alive(each)]
+        suspects = [each for each in news.suspects if self._hear_suspect(each, now)]
+        if is_near:
+            for life_id in alive:
+                self.far.add_alive(life_id)
+            for suspect in suspects:
+                self.far.add(suspect.identity)
+        is_new = bool(alive or suspects)
+        if is_new:
+            self._judge(now)
+        return is_new
+
+    def learn(
+        self, identity: Identity, ended: Iterable[str], trials: int, now: float
+    ) -> None:
+        """Take what the store keeps of a request."""
+        for life_id in ended:
+            self._evidence.add(identity, life_id, now)
+        self._judge(now)
+        blame = self.blames.get(identity)
+        if blame is not None and trials > blame.trials:
+            _set_trials(blame, trials, now)
+
+    def note_recorded(self, identity: Identity, ends: int) -> None:
+        """Take that the store has so many ends under a request."""
+        if self._evidence.ended(identity) and ends > self.noted.get(identity, 0):
+            self.noted[identity] = ends
+            self._tell(identity)
+
+    def note_trial(self, identity: Identity, trials: int, now: float) -> None:
+        """Take that a request was given so many trials."""
+        blame = self.blames.get(identity)
+        if blame is not None:
+            _set_trials(blame, trials, now)
+
+    # What is told.
+
+    def news(self, outbox: Outbox, now: float) -> QuarantineNews:
+        """Return what is to be told now; each thing is told a few times."""
+        if now - self._told_again_at >= TOLD_AGAIN_S:
+            self._told_again_at = now
+            for identity in self.blames:
+                self.near.add_once(identity)
+                self.far.add_once(identity)
+        return QuarantineNews(
+            [self._news_of(each, now) for each in outbox.take(MOST_TOLD)],
+            outbox.take_alive(MOST_TOLD),
+        )
+
+    def _tell(self, identity: Identity) -> None:
+        self.near.add(identity)
+        self.far.add(identity)
+        self.on_news()
+
+    def _news_of(self, identity: Identity, now: float) -> SuspectNews:
+        ended = list(self._evidence.ended(identity).items())[:MOST_LIVES_TOLD]
+        return SuspectNews(
+            identity,
+            {life_id: round(max(0.0, now - at), 2) for life_id, at in ended},
+            self._evidence.cleared(identity)[-MOST_LIVES_TOLD:],
+            self.noted.get(identity, 0),
+        )
+
+    def _hear_suspect(self, suspect: SuspectNews, now: float) -> bool:
+        is_new = False
+        if suspect.cleared:
+            is_new = self._evidence.clear(suspect.identity, suspect.cleared, now)
+        for life_id, age_s in suspect.ages_s.items():
+            is_new |= self._evidence.add(suspect.identity, life_id, now - age_s)
+        if suspect.noted > self.noted.get(suspect.identity, 0):
+            self.noted[suspect.identity] = suspect.noted
+            is_new = True
+        return is_new
+
+    def _judge(self, now: float) -> None:
+        self._judgement = judge(self._evidence.ended_by_identity())
+        for identity in list(self.blames):
+            if identity not in self._judgement.blamed:
+                del self.blames[identity]
+                self.on_change(Change(ChangeKind.NO_LONGER_BLAMED, identity, ()))
+        for identity, ended in self._judgement.blamed.items():
+            if identity not in self.blames:
+                blame = self.blames[identity] = Blame(now)
+                _set_trials(blame, 0, now)
+                self.on_change(Change(ChangeKind.BLAMED, identity, sorted(ended)))
+
+
+def _set_trials(blame: Blame, trials: int, now: float) -> None:
+    blame.trials = trials
+    has_more = trials < len(TRIAL_AFTER_S)
+    blame.next_trial_at = now + TRIAL_AFTER_S[trials] if has_more else None
