--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -218,7 +218,7 @@
             longest_pause_s=admitted.route.longest_pause_s,
             on_place=on_place,
             excluded=self._excluded,
-            runs_apart=self._runs_apart(),
+            apart_as=admitted.identity if self._runs_apart() else b"",
             arrived_at=admitted.request.arrived_at,
         )
 
--- a/libs/direct/src/berylwalk/direct/_quarantine_note.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_note.py
@@ -223,10 +223,13 @@
                 self._release(identity)
 
     async def _delete_settled(self) -> None:
-        """Delete the records of requests that are neither blamed nor suspected."""
-        quarantine, now = self._context.quarantine, self._context.clock()
+        """Delete the records of requests that were cleared.
+
+        Not of those whose ends others explain for now: to all routers a record that is
+        gone means that the request is let through.
+        """
         for identity in list(self._known):
-            if quarantine.standing(identity, now) is Standing.FREE:
+            if not self._context.quarantine.ended(identity):
                 await self._delete(identity)
 
     async def _delete(self, identity: Identity) -> bool:
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -165,5 +165,5 @@
             left_s=ticket.ends_at - now,
             start_within_s=ticket.start_by - now,
             longest_pause_s=ticket.longest_pause_s,
-            runs_apart=ticket.runs_apart,
+            apart_as=ticket.apart_as,
         )
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from random import random
 
+from berylwalk.affinity import parts_hash
 from berylwalk.dispatch._place_limits import obstacle_for
 from berylwalk.dispatch._target import UNKNOWN_TOKEN_S, ExpectedStart, Target
 from berylwalk.dispatch._target_entries import Work
@@ -45,6 +46,11 @@
 """How much cheaper a target counts that has read what the prompt shares with others,
 besides the time that this saves the request: it saves the others there as much. Bytes
 between failure domains cost less than reading again."""
+APART_PART = 3
+"""Requests that may end their targets go to one of the emptiest; which part of all
+targets that is, as its divisor."""
+LEAST_APART = 2
+"""Targets that such a request is spread over at least."""
 ERROR_FACTOR = 4.0
 """How much dearer a target counts that fails every answer."""
 
@@ -103,9 +109,9 @@
         is expected later are passed over.
     longest_pause_s : float
         Longest pause of a stream that is on time, in seconds; 0 if there is no bound.
-    runs_apart : bool
-        Whether it goes to the target with the fewest requests: should the target end,
-        it takes the fewest along.
+    apart_as : bytes
+        What tells a request from others that is to run apart from them, for its target
+        may end under it; empty for all that need not.
     """
 
     work: Work
@@ -115,7 +121,7 @@
     left_s: float = float("inf")
     start_within_s: float = float("inf")
     longest_pause_s: float = 0.0
-    runs_apart: bool = False
+    apart_as: bytes = b""
 
 
 def choose_target(
@@ -154,10 +160,12 @@
     ]
     if not free:
         return None
+    if request.apart_as:
+        return _apart(free, request.apart_as)
     typical_token_s = _typical_token_s(targets)
     within_s = _start_bound_s(targets, request, typical_token_s, now)
     best = None
-    best_cost = (float("inf"), float("inf"))
+    best_cost = float("inf")
     for target in free:
         held_tokens = request.held_tokens.get(target.entry.life_id, 0)
         start = expected_start(
@@ -173,12 +181,25 @@
             cost *= HELD_FACTOR
         elif target.entry.failure_domain != failure_domain:
             cost *= remote_factor
-        beside = target.total_in_flight if request.runs_apart else 0
-        if (beside, cost) < best_cost:
-            best, best_cost = target, (beside, cost)
+        if cost < best_cost:
+            best, best_cost = target, cost
     return best
 
 
+def _apart(free: Sequence[Target], apart_as: bytes) -> Target:
+    """Return the target for a request that may end it.
+
+    One of those with the fewest requests, since it takes them along; which one is the
+    request's own, so that two such requests seldom meet and can be told apart.
+    """
+    by_load = sorted(free, key=lambda target: target.total_in_flight)
+    emptiest = by_load[: max(LEAST_APART, len(by_load) // APART_PART)]
+    return max(
+        emptiest,
+        key=lambda target: parts_hash([apart_as, target.entry.life_id.encode()]),
+    )
+
+
 def targets_too_late(
     targets: Sequence[Target], request: PlaceRequest, now: float
 ) -> set[str]:
--- a/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
@@ -41,8 +41,9 @@
         unless it returns the target.
     excluded : set of str
         Targets that it must not go to.
-    runs_apart : bool
-        Whether it is to run where it takes the fewest along, should the target end.
+    apart_as : bytes
+        What tells a request from others that is to run apart from them, for its target
+        may end under it; empty for all that need not.
     arrived_at : float
         When it arrived.
     """
@@ -55,7 +56,7 @@
     start_by: float = float("inf")
     longest_pause_s: float = 0.0
     excluded: set[str] = field(default_factory=set)
-    runs_apart: bool = False
+    apart_as: bytes = b""
     arrived_at: float = 0.0
     number: int = 0
 
--- a/libs/quarantine/src/berylwalk/quarantine/_evidence.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_evidence.py
@@ -1,8 +1,8 @@
 """Which requests targets were running when they ended, as all routers saw it.
 
 All that is known only grows: ends under a request, ends of which it was cleared, and
-lives that turned out to go on. So it comes out the same in whatever order, and however
-often, routers hear of it.
+until when lives have surely gone on. So it comes out the same in whatever order, and
+however often, routers hear of it.
 """
 
 from collections import Counter, OrderedDict
@@ -15,8 +15,8 @@
 """Requests of one account that are remembered: a few ends of full targets."""
 MOST_IN_ALL = 4096
 """The same of all accounts: about two megabytes."""
-MOST_LIVES = 8
-"""Ends that are remembered of one request; three blame it."""
+MOST_LIVES = 16
+"""Ends that are remembered of one request, the newest; three blame it."""
 MOST_CLEARED = 16
 """Ends of which one request is remembered to be cleared."""
 MOST_ALIVE = 256
@@ -59,20 +59,25 @@
         self._suspects: dict[Identity, _Suspect] = {}
         self._numbers_by_account: Counter[bytes] = Counter()
         self._ended_at_by_life: dict[str, float] = {}
-        self._alive: OrderedDict[str, None] = OrderedDict()
+        self._alive_at_by_life: OrderedDict[str, float] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._suspects)
 
     def add(self, identity: Identity, life_id: str, ended_at: float) -> bool:
         """Take an end under a request; returns whether it is new."""
-        if life_id in self._alive:
+        if ended_at < self._alive_at_by_life.get(life_id, float("-inf")):
             return False
         suspect = self._suspect(identity)
-        is_known = life_id in suspect.cleared or life_id in suspect.ended
-        if is_known or len(suspect.ended) >= MOST_LIVES:
+        if life_id in suspect.cleared:
+            return False
+        if life_id in suspect.ended:
+            suspect.ended[life_id] = max(ended_at, suspect.ended[life_id])
             return False
         suspect.ended[life_id] = ended_at
+        if len(suspect.ended) > MOST_LIVES:
+            # Others may explain all the old ones: it must not be safe behind them.
+            del suspect.ended[min(suspect.ended, key=suspect.ended.__getitem__)]
         newest_at = self._ended_at_by_life.get(life_id, ended_at)
         self._ended_at_by_life[life_id] = max(newest_at, ended_at)
         return True
@@ -92,17 +97,29 @@
         """Return when a life was last seen to end; None if it was not."""
         return self._ended_at_by_life.get(life_id)
 
-    def note_alive(self, life_id: str) -> bool:
-        """Take that a life goes on; returns whether that is new."""
-        if life_id in self._alive:
+    def note_alive(self, life_id: str, alive_at: float) -> bool:
+        """Take that a life had not ended by some time; returns whether ends are gone.
+
+        It may have ended after it.
+        """
+        if alive_at <= self._alive_at_by_life.get(life_id, float("-inf")):
             return False
-        self._alive[life_id] = None
-        while len(self._alive) > MOST_ALIVE:
-            self._alive.popitem(last=False)
-        self._ended_at_by_life.pop(life_id, None)
+        self._alive_at_by_life[life_id] = alive_at
+        self._alive_at_by_life.move_to_end(life_id)
+        while len(self._alive_at_by_life) > MOST_ALIVE:
+            self._alive_at_by_life.popitem(last=False)
+        if self._ended_at_by_life.get(life_id, float("inf")) < alive_at:
+            del self._ended_at_by_life[life_id]
+        dropped = False
         for suspect in self._suspects.values():
-            suspect.ended.pop(life_id, None)
-        return True
+            if suspect.ended.get(life_id, float("inf")) < alive_at:
+                del suspect.ended[life_id]
+                dropped = True
+        return dropped
+
+    def alive_at(self, life_id: str) -> float:
+        """Return until when a life has surely gone on."""
+        return self._alive_at_by_life.get(life_id, float("-inf"))
 
     def forget_old(self, now: float) -> bool:
         """Drop what is too old to count; returns whether an end was."""
--- a/libs/quarantine/src/berylwalk/quarantine/_judgement.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_judgement.py
@@ -23,13 +23,16 @@
         Lives that ended under each request that is to blame.
     suspected : set
         Requests that may be the cause of some ends, and are not blamed.
+    contested : set
+        Those of the blamed whose ends others may have caused too.
     """
 
     blamed: dict[Identity, frozenset[str]]
     suspected: Set[Identity]
+    contested: Set[Identity]
 
 
-NOBODY = Judgement({}, frozenset())
+NOBODY = Judgement({}, frozenset(), frozenset())
 
 
 def judge(lives_by_identity: Mapping[Identity, Collection[str]]) -> Judgement:
@@ -68,4 +71,26 @@
         for identity, lives in left_by_identity.items()
         if len(lives) >= ENDS_TO_SUSPECT
     }
-    return Judgement(blamed, suspected)
+    return Judgement(blamed, suspected, _contested(blamed, lives_by_identity))
+
+
+def _contested(
+    blamed: Mapping[Identity, Set[str]],
+    lives_by_identity: Mapping[Identity, Collection[str]],
+) -> Set[Identity]:
+    """Return the blamed of whose ends another one has two or more too."""
+    if not blamed:
+        return frozenset()
+    others = [
+        (identity, set(lives))
+        for identity, lives in lives_by_identity.items()
+        if len(lives) >= ENDS_TO_SUSPECT
+    ]
+    return {
+        identity
+        for identity, lives in blamed.items()
+        if any(
+            other != identity and len(lives & others_lives) >= ENDS_TO_SUSPECT
+            for other, others_lives in others
+        )
+    }
--- a/libs/quarantine/src/berylwalk/quarantine/_messages.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_messages.py
@@ -47,15 +47,16 @@
     ----------
     suspects : list of SuspectNews
         Requests under which targets ended.
-    alive : list of str
-        Lives of targets that were taken to have ended, and go on.
+    alive_ages_s : dict
+        For lives of targets that were taken to have ended: how long ago they surely
+        had not, in seconds.
     """
 
     suspects: list[SuspectNews] = field(default_factory=list)
-    alive: list[LifeField] = field(default_factory=list)
+    alive_ages_s: dict[LifeField, AgeField] = field(default_factory=dict)
 
     def __bool__(self) -> bool:
-        return bool(self.suspects or self.alive)
+        return bool(self.suspects or self.alive_ages_s)
 
 
 class Record(Struct, forbid_unknown_fields=False):
--- a/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
@@ -25,9 +25,15 @@
 """Time from the blame, and from the trial before, to each trial, in seconds: a fleet
 that was mended is noticed within a minute, and one that was not loses two targets.
 Three sends may be made in all; the third is left to those that are on their way."""
+CONTESTED_TRIAL_AFTER_S = 0.3
+"""The same for the first trial of a request whose ends others may have caused too: it
+is as likely to be harmless, and its caller still waits. Routers hear of an end in
+less."""
 TOLD_AGAIN_S = 1.0
 """Time between two tellings of who is blamed: a third of the time after which a router
 that was cut off counts as being in touch again."""
+LONGEST_AGE_S = 1e5
+"""Bound of the ages that are told, in seconds."""
 SWEEP_S = 10.0
 """Time between two looks for what is too old to count."""
 
@@ -190,7 +196,7 @@
         ended_at = self._evidence.ended_at(life_id)
         if ended_at is None or sent_at <= ended_at:
             return False
-        self._evidence.note_alive(life_id)
+        self._evidence.note_alive(life_id, sent_at)
         self.near.add_alive(life_id)
         self.far.add_alive(life_id)
         self._judge(now)
@@ -222,7 +228,11 @@
         is_near : bool
             Whether other failure domains have to be told of it from here.
         """
-        alive = [each for each in news.alive if self._evidence.note_alive(each)]
+        alive = [
+            life_id
+            for life_id, age_s in news.alive_ages_s.items()
+            if self._evidence.note_alive(life_id, now - age_s)
+        ]
         suspects = [each for each in news.suspects if self._hear_suspect(each, now)]
         if is_near:
             for life_id in alive:
@@ -268,7 +278,10 @@
                 self.far.add_once(identity)
         return QuarantineNews(
             [self._news_of(each, now) for each in outbox.take(MOST_TOLD)],
-            outbox.take_alive(MOST_TOLD),
+            {
+                life_id: _age_s(self._evidence.alive_at(life_id), now)
+                for life_id in outbox.take_alive(MOST_TOLD)
+            },
         )
 
     def _tell(self, identity: Identity) -> None:
@@ -277,10 +290,10 @@
         self.on_news()
 
     def _news_of(self, identity: Identity, now: float) -> SuspectNews:
-        ended = list(self._evidence.ended(identity).items())[:MOST_LIVES_TOLD]
+        ended = list(self._evidence.ended(identity).items())[-MOST_LIVES_TOLD:]
         return SuspectNews(
             identity,
-            {life_id: round(max(0.0, now - at), 2) for life_id, at in ended},
+            {life_id: _age_s(at, now) for life_id, at in ended},
             self._evidence.cleared(identity)[-MOST_LIVES_TOLD:],
             self.noted.get(identity, 0),
         )
@@ -306,9 +319,15 @@
             if identity not in self.blames:
                 blame = self.blames[identity] = Blame(now)
                 _set_trials(blame, 0, now)
+                if identity in self._judgement.contested:
+                    blame.next_trial_at = now + CONTESTED_TRIAL_AFTER_S
                 self.on_change(Change(ChangeKind.BLAMED, identity, sorted(ended)))
 
 
+def _age_s(time: float, now: float) -> float:
+    return round(min(max(0.0, now - time), LONGEST_AGE_S), 3)
+
+
 def _set_trials(blame: Blame, trials: int, now: float) -> None:
     blame.trials = trials
     has_more = trials < len(TRIAL_AFTER_S)
