Plays of guilty requests: a router that is cut from the store no longer ends it for all

In the plays two overlapping calls of a router that was cut off left the store down for good, so that later sends no longer counted.

--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -26,6 +26,7 @@
     PeerTable,
     TargetTable,
 )
+from berylwalk.platform import Unavailable, UnavailableReason
 from berylwalk.quarantine import Quarantine, Standing
 from berylwalk.standins.memory import InMemoryKeyValue
 from virtual_time import VirtualLoop
@@ -197,15 +198,10 @@
 
     def __getattr__(self, call):
         async def make(*arguments, **options):
-            store = self._play.store
-            is_cut = self._play.plants.no_store
-            is_cut |= self._name in self._play.cut_from_store
-            # What is asked while a router is cut off is answered as in an outage.
-            was_down, store.down = store.down, store.down or is_cut
-            try:
-                return await getattr(store, call)(*arguments, **options)
-            finally:
-                store.down = was_down if is_cut else store.down
+            is_cut = self._name in self._play.cut_from_store
+            if is_cut or self._play.plants.no_store:
+                return Unavailable(UnavailableReason.NOT_SENT, "cut off")
+            return await getattr(self._play.store, call)(*arguments, **options)
 
         return make
 
