Records and trials of guilty requests: tests, a clock that counts suspension

What a router tells of lives that go on, or ended, is dated by a clock that counts the time of a suspension. By the loop's clock an answer read after one would count as sent 30 s later than it was, and take back an end in between at all routers (test). A trial whose target can't be reached goes on to the next.

--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -48,6 +48,8 @@
         Counters and histograms.
     clock : callable
         Time of the loop, in seconds.
+    elapsed : callable
+        Time that goes on while the VM is suspended, in seconds; it has another origin.
     """
 
     settings: RouterSettings
@@ -62,3 +64,4 @@
     log: DecisionLog
     metrics: RouterMetrics
     clock: Callable[[], float]
+    elapsed: Callable[[], float]
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -11,6 +11,7 @@
 from berylwalk.direct._configuration_feed import ConfigurationFeed
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._decision_log import DecisionLog
+from berylwalk.direct._elapsed_time import elapsed_clock
 from berylwalk.direct._exchange import Exchange
 from berylwalk.direct._gauges import refresh_gauges
 from berylwalk.direct._listeners import Listener
@@ -105,6 +106,7 @@
         """Build a router from the settings of its VM."""
         loop = get_running_loop()
         clock = loop.time
+        elapsed, counts_suspension = elapsed_clock()
         metrics = RouterMetrics()
         configuration = ConfigurationState(
             key_trust_s=settings.key_revocation_s - KEY_TRUST_MARGIN_S
@@ -145,7 +147,10 @@
             log=DecisionLog.to_stdout(settings.name, clock=clock),
             metrics=metrics,
             clock=clock,
+            elapsed=elapsed,
         )
+        if not counts_suspension:
+            context.log.process("no-clock-that-counts-suspension")
         return cls(context, store)
 
     async def run(self, stops: AsyncIterator[object]) -> None:
@@ -295,5 +300,5 @@
                 listener.sweep()
             self._context.pool.sweep()
             self._context.dispatcher.pump_all(self._context.clock())
-            self._context.quarantine.sweep(self._context.clock())
+            self._context.quarantine.sweep(self._context.elapsed())
             self._context.log.flush()
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -160,7 +160,8 @@
             return "timeout"
         if not self._attempts.may_repeat(self._admitted.route, attempt.end):
             return f"attempt-{attempt.end}"
-        if self._is_held_back(now):
+        is_unused_trial = self._admitted.is_trial and attempt.end is AttemptEnd.NOT_SENT
+        if self._is_held_back() and not is_unused_trial:
             return HELD_BACK
         if attempt.end is AttemptEnd.NOT_SENT:
             return ""
@@ -168,10 +169,13 @@
             return "retry-budget"
         return ""
 
-    def _is_held_back(self, now: float) -> bool:
+    def _is_held_back(self) -> bool:
         """Return whether it is known by now to end the targets that run it."""
-        standing = self._context.quarantine.standing(self._admitted.identity, now)
-        return standing.is_held_back
+        return self._standing().is_held_back
+
+    def _standing(self) -> Standing:
+        context = self._context
+        return context.quarantine.standing(self._admitted.identity, context.elapsed())
 
     async def _place(self, patience: Patience) -> Target | None:
         """Return a target at which the request is counted, or None."""
@@ -224,10 +228,7 @@
 
     def _runs_apart(self) -> bool:
         """Return whether its target may end under it, with all others there."""
-        admitted = self._admitted
-        now = self._context.clock()
-        standing = self._context.quarantine.standing(admitted.identity, now)
-        return admitted.is_trial or standing is Standing.SUSPECTED
+        return self._admitted.is_trial or self._standing() is Standing.SUSPECTED
 
     def _complete(self, attempt: Attempt) -> None:
         if attempt.is_stream:
@@ -263,7 +264,9 @@
         if admitted.account is not None:
             self._context.allowances.give_back(admitted.account, admitted.cost, now)
         if reason == HELD_BACK:
-            return self._context.quarantine.retry_after_s(admitted.identity, now)
+            return self._context.quarantine.retry_after_s(
+                admitted.identity, self._context.elapsed()
+            )
         return return_time_s(admitted.ends_at - now)
 
     def _settle(self, status: int, reason: str) -> None:
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -28,6 +28,7 @@
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import PEERS_OF_ONE_MESH, Knowledge, Peer, Read
 from berylwalk.platform import KeyValueClient
+from berylwalk.quarantine import QuarantineNews
 from berylwalk.reading import ReadingAsk, ReadingTell
 
 TELL_S = 0.05
@@ -183,7 +184,7 @@
         asks = self._peer_to_ask(now)
         reads = context.dispatcher.prefix_reads.take_news()
         self._reads_to_relay.extend(reads)
-        quarantine = context.quarantine.news(context.quarantine.near, now)
+        quarantine = context.quarantine.news(context.quarantine.near, context.elapsed())
         is_unchanged = self._told == (loads, spent) and asks is None and not reads
         if is_unchanged and not quarantine and now - self._told_at < TELL_UNCHANGED_S:
             return
@@ -225,7 +226,9 @@
             [self._own_news(now), *news],
             context.targets.loads_with(heard),
             reads=self._take_reads_to_relay(),
-            quarantine=context.quarantine.news(context.quarantine.far, now),
+            quarantine=context.quarantine.news(
+                context.quarantine.far, context.elapsed()
+            ),
         )
 
     def _take_reads_to_relay(self) -> list[Read]:
@@ -298,7 +301,7 @@
             context.targets.hear_loads(sender.name, message.loads)
             context.dispatcher.prefix_reads.hear(message.reads)
             self._reads_to_relay.extend(message.reads)
-            context.quarantine.hear(message.quarantine, now, is_near=True)
+            self._hear_of_suspects(message.quarantine, is_near=True)
         if message.asks == context.settings.name:
             self._tell_newcomer(sender, now)
         if message.recent is not None:
@@ -315,7 +318,7 @@
             source = DOMAIN_SOURCE + message.failure_domain
             context.targets.hear_loads(source, message.loads)
         context.dispatcher.prefix_reads.hear(message.reads)
-        context.quarantine.hear(message.quarantine, now, is_near=False)
+        self._hear_of_suspects(message.quarantine, is_near=False)
         if not message.is_passed_on:
             data = msgpack.encode(replace(message, is_passed_on=True))
             self._send(data, context.peers.near())
@@ -336,6 +339,10 @@
         self._context.allowances.urgent_demand.hear(_life_of(peer), news.asked, now)
         return True
 
+    def _hear_of_suspects(self, news: QuarantineNews, *, is_near: bool) -> None:
+        context = self._context
+        context.quarantine.hear(news, context.elapsed(), is_near=is_near)
+
     def _forget(self, peer: Peer) -> None:
         """Forget a peer whose life has ended."""
         self._context.targets.hear_loads(peer.name, {})
--- a/libs/direct/src/berylwalk/direct/_quarantine_note.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_note.py
@@ -117,13 +117,16 @@
             known = self._take(identity, item)
             if known is None:
                 return False
-        if context.quarantine.standing(identity, context.clock()) is not Standing.TRIAL:
+        if (
+            context.quarantine.standing(identity, context.elapsed())
+            is not Standing.TRIAL
+        ):
             return False
         trials = known.record.trials + 1
         record = structs.replace(known.record, trials=trials)
         if not await self._write(identity, record, known.revision):
             return False
-        context.quarantine.note_trial(identity, trials, context.clock())
+        context.quarantine.note_trial(identity, trials, context.elapsed())
         context.log.process("trial-permitted", identity=identity.hex(), trials=trials)
         return True
 
@@ -259,7 +262,7 @@
             return None
         known = self._known[identity] = _Known(record, item.mod_revision)
         quarantine = self._context.quarantine
-        quarantine.learn(identity, record.ended, record.trials, self._context.clock())
+        quarantine.learn(identity, record.ended, record.trials, self._context.elapsed())
         quarantine.note_recorded(identity, len(record.ended))
         return known
 
@@ -267,7 +270,7 @@
         """Let a request through whose record is gone."""
         self._known.pop(identity, None)
         context = self._context
-        if context.quarantine.note_answered(identity, context.clock()):
+        if context.quarantine.note_answered(identity, context.elapsed()):
             context.log.process("request-released", identity=identity.hex())
 
     def _identity_of(self, item: KeyValue) -> Identity | None:
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -61,11 +61,13 @@
         self._relay = relay
         self._attempts = attempts
         self._log = log
+        self._sent_elapsed_at = 0.0
 
     async def send(self, target: Target) -> Attempt:
         """Send it to a target at which it is counted, until the attempt ends."""
         context = self._context
         sent_at = context.clock()
+        self._sent_elapsed_at = context.elapsed()
         attempt = self._attempt(target, sent_at)
         connection = None
         try:
@@ -94,9 +96,8 @@
         self._log.tell_placed(self._admitted, target, start)
 
         def on_first_event() -> None:
-            now = self._context.clock()
-            target.note_first_event(work, start, now - sent_at)
-            self._context.quarantine.note_alive(life_id, sent_at, now)
+            target.note_first_event(work, start, self._context.clock() - sent_at)
+            self._note_alive(life_id)
 
         def on_output(events: int, taken_s: float) -> None:
             tokens = self._tokens_per_event() * events
@@ -118,7 +119,7 @@
         if is_keyed and not configuration.trusts_keys(self._context.clock()):
             return False
         # While it waited, others may have ended under it.
-        quarantine, now = self._context.quarantine, self._context.clock()
+        quarantine, now = self._context.quarantine, self._context.elapsed()
         standing = quarantine.standing(self._admitted.identity, now)
         if standing.is_held_back and not self._admitted.is_trial:
             return False
@@ -211,22 +212,26 @@
         )
         context.dispatcher.pump(admitted.service, context.clock())
 
-    def _learn_of_ends(self, target: Target, attempt: Attempt, sent_at: float) -> None:
+    def _note_alive(self, life_id: str) -> None:
+        context = self._context
+        context.quarantine.note_alive(life_id, self._sent_elapsed_at, context.elapsed())
+
+    def _learn_of_ends(self, target: Target, attempt: Attempt) -> None:
         """Note whether the target ended under the request, or outlived it."""
-        quarantine, now = self._context.quarantine, self._context.clock()
+        quarantine, now = self._context.quarantine, self._context.elapsed()
         identity, life_id = self._admitted.identity, target.entry.life_id
         if attempt.target_ended and self._is_in_use(target):
             # One that leaves ends by itself while it still has requests.
             if quarantine.note_ended(identity, life_id, now):
                 self._log.tell_target_ended(self._admitted, target)
         elif attempt.end in WHOLE_ENDS and attempt.end is not AttemptEnd.REFUSED:
-            quarantine.note_alive(life_id, sent_at, now)
+            self._note_alive(life_id)
             if quarantine.note_answered(identity, now):
                 self._log.tell_cleared(self._admitted, target)
 
     def _learn(self, target: Target, attempt: Attempt, sent_at: float) -> None:
         now = self._context.clock()
-        self._learn_of_ends(target, attempt, sent_at)
+        self._learn_of_ends(target, attempt)
         if attempt.by_target:
             target.note_unreachable(now)
         match attempt.end:
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -135,6 +135,7 @@
             metrics=RouterMetrics(),
             log=SimpleNamespace(process=self._log),
             clock=self.clock,
+            elapsed=self.clock,
         )
         reach = StoreReach(self.context)
         store = StoreOf(play, name)
