What a send teaches stands apart from the sending; a later life counts as an end

Learning from an answer grew beside the sending of a request: it has a module of its own (_lesson). A target that is listed with a later life under its id had ended, and was not counted so (test).

--- a/libs/direct/src/berylwalk/direct/_quarantine_note.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_note.py
@@ -23,9 +23,16 @@
     Swapped,
     Unavailable,
 )
-from berylwalk.quarantine import ENDS_TO_BLAME, Identity, Record, Standing
+from berylwalk.quarantine import (
+    ENDS_TO_BLAME,
+    RECORDS_PREFIX,
+    Identity,
+    Record,
+    Standing,
+    identity_of_key,
+    record_key,
+)
 
-RECORDS_PREFIX = b"berylwalk/quarantine/"
 LOOK_S = 15.0
 """Time between two looks at the records while there are any: an operator who lets a
 request through waits no longer."""
@@ -105,7 +112,9 @@
             Which request.
         """
         context = self._context
-        item = await self._reach.ask("read-trial", self._store.get(_key(identity)))
+        item = await self._reach.ask(
+            "read-trial", self._store.get(record_key(identity))
+        )
         if isinstance(item, Unavailable):
             return False
         if item is None:
@@ -178,7 +187,7 @@
         value = json.encode(record)
         result = await self._reach.ask(
             "note-quarantine",
-            self._store.compare_and_swap(_key(identity), value, revision),
+            self._store.compare_and_swap(record_key(identity), value, revision),
         )
         match result:
             case Swapped():
@@ -239,7 +248,7 @@
         known = self._known[identity]
         result = await self._reach.ask(
             "end-quarantine",
-            self._store.delete_if(_key(identity), known.revision),
+            self._store.delete_if(record_key(identity), known.revision),
         )
         if isinstance(result, Unavailable | Lost):
             return False
@@ -275,7 +284,7 @@
 
     def _identity_of(self, item: KeyValue) -> Identity | None:
         try:
-            return bytes.fromhex(item.key[len(RECORDS_PREFIX) :].decode("ascii"))
+            return identity_of_key(item.key)
         except ValueError as error:
             self._context.log.process(
                 "quarantine-record-invalid",
@@ -283,7 +292,3 @@
                 detail=repr(error),
             )
             return None
-
-
-def _key(identity: Identity) -> bytes:
-    return RECORDS_PREFIX + identity.hex().encode()
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -1,4 +1,4 @@
-"""Sends a request to one target and learns from what comes back."""
+"""Sends a request to one target."""
 
 from anyio import move_on_after
 
@@ -6,6 +6,7 @@
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._exchange_log import ExchangeLog
+from berylwalk.direct._lesson import Lesson
 from berylwalk.direct._relay import Relay
 from berylwalk.dispatch import (
     AttemptEnd,
@@ -23,9 +24,6 @@
 LONGEST_PAUSE_FACTOR = 2.0
 """Pauses of a stream, as a multiple of the longest one on time, after which a
 target that is silent to all is taken for dark."""
-FULL_PAUSE_S = 0.1
-"""Time for which a target that refused work gets none."""
-
 WHOLE_ENDS = (AttemptEnd.ANSWERED, AttemptEnd.REFUSED, AttemptEnd.FAILED)
 """Ends after which the connection to the target may be used again."""
 
@@ -61,13 +59,13 @@
         self._relay = relay
         self._attempts = attempts
         self._log = log
-        self._sent_elapsed_at = 0.0
+        self._lesson = Lesson(context, admitted, log)
 
     async def send(self, target: Target) -> Attempt:
         """Send it to a target at which it is counted, until the attempt ends."""
         context = self._context
         sent_at = context.clock()
-        self._sent_elapsed_at = context.elapsed()
+        self._lesson = Lesson(context, self._admitted, self._log)
         attempt = self._attempt(target, sent_at)
         connection = None
         try:
@@ -97,7 +95,7 @@
 
         def on_first_event() -> None:
             target.note_first_event(work, start, self._context.clock() - sent_at)
-            self._note_alive(life_id)
+            self._lesson.note_alive(target)
 
         def on_output(events: int, taken_s: float) -> None:
             tokens = self._tokens_per_event() * events
@@ -124,10 +122,6 @@
         if standing.is_held_back and not self._admitted.is_trial:
             return False
         # While the connection was opened, the target may have said that it leaves.
-        return self._is_in_use(target)
-
-    def _is_in_use(self, target: Target) -> bool:
-        """Return whether a target is there and has not said that it leaves."""
         is_known = self._context.targets.by_id.get(target.entry.target_id) is target
         return is_known and target.entry.state is TargetState.READY
 
@@ -202,7 +196,7 @@
 
     def _note_end(self, target: Target, attempt: Attempt, sent_at: float) -> None:
         context, admitted = self._context, self._admitted
-        self._learn(target, attempt, sent_at)
+        self._lesson.take(target, attempt, sent_at)
         if attempt.end is not None:
             self._attempts.note(attempt.end)
             context.metrics.attempts.labels(admitted.service, attempt.end).inc()
@@ -212,54 +206,6 @@
         )
         context.dispatcher.pump(admitted.service, context.clock())
 
-    def _note_alive(self, life_id: str) -> None:
-        context = self._context
-        context.quarantine.note_alive(life_id, self._sent_elapsed_at, context.elapsed())
-
-    def _learn_of_ends(self, target: Target, attempt: Attempt) -> None:
-        """Note whether the target ended under the request, or outlived it."""
-        quarantine, now = self._context.quarantine, self._context.elapsed()
-        identity, life_id = self._admitted.identity, target.entry.life_id
-        if attempt.target_ended and self._is_in_use(target):
-            # One that leaves ends by itself while it still has requests.
-            if quarantine.note_ended(identity, life_id, now):
-                self._log.tell_target_ended(self._admitted, target)
-        elif attempt.end in WHOLE_ENDS and attempt.end is not AttemptEnd.REFUSED:
-            self._note_alive(life_id)
-            if quarantine.note_answered(identity, now):
-                self._log.tell_cleared(self._admitted, target)
-
-    def _learn(self, target: Target, attempt: Attempt, sent_at: float) -> None:
-        now = self._context.clock()
-        self._learn_of_ends(target, attempt)
-        if attempt.by_target:
-            target.note_unreachable(now)
-        match attempt.end:
-            case AttemptEnd.ANSWERED:
-                target.note_success()
-                self._learn_speed(target, attempt, sent_at)
-            case AttemptEnd.BROKEN:
-                target.note_error()
-                if attempt.status == 0:
-                    target.note_unreachable(now)
-            case AttemptEnd.FAILED:
-                target.note_error()
-            case AttemptEnd.REFUSED:
-                target.note_full(now, FULL_PAUSE_S)
-
-    def _learn_speed(self, target: Target, attempt: Attempt, sent_at: float) -> None:
-        now = self._context.clock()
-        if not attempt.is_stream:
-            attempt.note_whole_answer()
-            target.note_slot_time(now - sent_at)
-            return
-        started_at = attempt.first_event_at
-        if started_at is None:
-            return
-        target.note_slot_time(now - started_at)
-        longest_s = self._admitted.route.longest_pause_s
-        target.note_paused(attempt.longest_pause_s > longest_s > 0)
-
     def _tokens_per_event(self) -> int:
         current = self._context.configuration.current
         service = current.services_by_name.get(self._admitted.service)
--- a/libs/direct/tests/test_direct_quarantine.py
+++ b/libs/direct/tests/test_direct_quarantine.py
@@ -113,3 +113,18 @@
             reply = await fleet.call("/idempotent/x", body=GUILTY)
         assert reply.status == 502
         assert 1 <= len(ends.ended) <= ENDS_ALLOWED
+
+    async def test_life_that_began_anew_counts_as_an_end(self, running):
+        """A target that is listed with a later life has ended without a word."""
+
+        async def begins_anew(request, writer):
+            fleet.put_target(fleet.targets[0], born=2)
+            await sleep(1.0)
+
+        def first_life(fleet):
+            fleet.put_target(fleet.targets[0], born=1)
+
+        async with running(begins_anew, prepare=first_life) as fleet:
+            context = fleet.router._context
+            await fleet.call("/idempotent/x", body=GUILTY, Deadline_Ms="3000")
+            assert len(context.quarantine) == 1
--- a/libs/quarantine/src/berylwalk/quarantine/__init__.py
+++ b/libs/quarantine/src/berylwalk/quarantine/__init__.py
@@ -7,7 +7,7 @@
     request_identity,
 )
 from berylwalk.quarantine._judgement import ENDS_TO_BLAME, Judgement, judge
-from berylwalk.quarantine._messages import QuarantineNews, Record, SuspectNews
+from berylwalk.quarantine._messages import QuarantineNews, SuspectNews
 from berylwalk.quarantine._outbox import Outbox
 from berylwalk.quarantine._quarantine import (
     TRIAL_AFTER_S,
@@ -17,9 +17,16 @@
     Quarantine,
     Standing,
 )
+from berylwalk.quarantine._records import (
+    RECORDS_PREFIX,
+    Record,
+    identity_of_key,
+    record_key,
+)
 
 __all__ = [
     "ENDS_TO_BLAME",
+    "RECORDS_PREFIX",
     "TRIAL_AFTER_S",
     "Blame",
     "BodyHash",
@@ -34,6 +41,8 @@
     "Standing",
     "SuspectNews",
     "account_part",
+    "identity_of_key",
     "judge",
+    "record_key",
     "request_identity",
 ]
--- a/libs/quarantine/src/berylwalk/quarantine/_messages.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_messages.py
@@ -1,10 +1,11 @@
-"""What routers tell each other of suspects, and what the store keeps of them."""
+"""What routers tell each other of suspects."""
 
 from typing import Annotated
 
 from msgspec import Meta, Struct, field
 
 from berylwalk.quarantine._identity import ACCOUNT_BYTES, CONTENT_BYTES
+from berylwalk.quarantine._records import LifeField
 
 IDENTITY_BYTES = ACCOUNT_BYTES + CONTENT_BYTES
 MOST_TOLD = 12
@@ -14,7 +15,6 @@
 IdentityField = Annotated[
     bytes, Meta(min_length=IDENTITY_BYTES, max_length=IDENTITY_BYTES)
 ]
-LifeField = Annotated[str, Meta(max_length=200)]
 AgeField = Annotated[float, Meta(ge=0, le=1e6)]
 
 
@@ -57,21 +57,3 @@
 
     def __bool__(self) -> bool:
         return bool(self.suspects or self.alive_ages_s)
-
-
-class Record(Struct, forbid_unknown_fields=False):
-    """What the store keeps of a request, under its identity.
-
-    Parameters
-    ----------
-    ended : list of str
-        Lives of targets that ended under it.
-    trials : int
-        Trials that were given to it, by all routers.
-    noted_s : float
-        Time of day at which it was first written, in seconds since the epoch.
-    """
-
-    ended: Annotated[list[LifeField], Meta(max_length=64)]
-    trials: Annotated[int, Meta(ge=0, le=1000)] = 0
-    noted_s: float = 0.0
--- /dev/null
+++ b/libs/quarantine/src/berylwalk/quarantine/_records.py
@@ -0,0 +1,49 @@
+"""What the store keeps of requests under which targets ended, and where."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from berylwalk.quarantine._identity import ACCOUNT_BYTES, CONTENT_BYTES, Identity
+
+RECORDS_PREFIX = b"berylwalk/quarantine/"
+LifeField = Annotated[str, Meta(max_length=200)]
+
+
+class Record(Struct):
+    """What is kept of one request, under its identity.
+
+    Parameters
+    ----------
+    ended : list of str
+        Lives of targets that ended under it.
+    trials : int
+        Trials that were given to it, by all routers.
+    noted_s : float
+        Time of day at which it was first written, in seconds since the epoch.
+    """
+
+    ended: Annotated[list[LifeField], Meta(max_length=64)]
+    trials: Annotated[int, Meta(ge=0, le=1000)] = 0
+    noted_s: float = 0.0
+
+
+def record_key(identity: Identity) -> bytes:
+    """Return the key of a request's record."""
+    return RECORDS_PREFIX + identity.hex().encode()
+
+
+def identity_of_key(key: bytes) -> Identity:
+    """Return the request of a record.
+
+    Raises
+    ------
+    ValueError
+        If the key is not that of a record.
+    """
+    if not key.startswith(RECORDS_PREFIX):
+        raise ValueError(f"not the key of a record: {key!r}")
+    identity = bytes.fromhex(key[len(RECORDS_PREFIX) :].decode("ascii"))
+    if len(identity) != ACCOUNT_BYTES + CONTENT_BYTES:
+        raise ValueError(f"not an identity: {key!r}")
+    return identity
