Operators see and release requests that are held back; explain shows the chain

berylwalk quarantined lists the records and lets one through; explain goes from a request that is held back to all ends under it, over ids and routers. A stand-in's server no longer sets up the logging of its process anew, which closed the standard error of tests beside it.

--- a/libs/cli/src/berylwalk/cli/_explaining.py
+++ b/libs/cli/src/berylwalk/cli/_explaining.py
@@ -15,6 +15,17 @@
 
 CONTEXT_S = 5.0
 """Time before a request's end within which changes of beliefs are shown."""
+QUARANTINE_EVENTS = frozenset(
+    {
+        "target-ended-under-request",
+        "request-blamed",
+        "request-no-longer-blamed",
+        "request-cleared",
+        "request-released",
+        "trial-permitted",
+    }
+)
+"""What is told of a request whatever its id, when targets end under it."""
 HIDDEN_FIELDS = frozenset({"time", "node", "event", "request_id", "attempts"})
 
 MEANING_BY_REASON = {
@@ -38,6 +49,8 @@
     "attempt-failed": "the target answered with an error of its own",
     "attempt-refused": "every target that was tried refused it; it has not run",
     "attempt-not-sent": "no target could be reached; it has not run",
+    "targets-ended-under-it": "targets ended while they ran the same request of this "
+    "caller, and it is held back; whether this attempt has run, its attempts tell",
 }
 
 
@@ -122,10 +135,15 @@
 
 
 def timeline(own: list[Line], lines: Iterable[Line]) -> Iterator[str]:
-    """Yield the request's lines with what its routers and targets did meanwhile."""
+    """Yield the request's lines with what its routers and targets did meanwhile.
+
+    If targets ended under the same request, whatever its ids, the lines of all of that
+    are among them.
+    """
     started_at = own[0].time
     nodes = {line.node for line in own}
     targets = {target for line in own for target in _targets_of(line)}
+    identities = {line.fields.get("identity") for line in own} - {None}
     for line in lines:
         is_own = line.request_id == own[0].request_id
         is_near = started_at - CONTEXT_S <= line.time <= own[-1].time
@@ -135,7 +153,12 @@
             and is_near
             and _targets_of(line) <= targets
         )
-        if is_own or is_context:
+        is_of_same = (
+            line.event in QUARANTINE_EVENTS
+            and line.fields.get("identity") in identities
+            and line.time <= own[-1].time
+        )
+        if is_own or is_context or is_of_same:
             mark = "*" if is_own else " "
             offset_ms = (line.time - started_at) * 1000
             head = f"{mark} {offset_ms:9.1f} ms  {line.node}  {line.event}"
--- a/libs/cli/src/berylwalk/cli/_parser.py
+++ b/libs/cli/src/berylwalk/cli/_parser.py
@@ -23,6 +23,7 @@
 from berylwalk.cli._exit_codes import EXIT_CODES_HELP, ExitCode
 from berylwalk.cli._explaining import explain, print_beliefs
 from berylwalk.cli._options import change_id, change_options, client_options
+from berylwalk.cli._quarantined import print_quarantined
 from berylwalk.cli._reading import export_settings, get_settings, print_tree
 from berylwalk.cli._replaying import replay, setting_change
 from berylwalk.cli._status import print_status
@@ -145,6 +146,16 @@
         "--timeout-s", type=float, default=2.0, help="bound of the call, in seconds"
     )
 
+    text = "show requests that are held back since targets ended under them"
+    quarantined = _add(commands, "quarantined", text, print_quarantined)
+    quarantined.add_argument("url", metavar="URL", help="address of the store")
+    quarantined.add_argument(
+        "--release", metavar="IDENTITY", help="let this one through again"
+    )
+    quarantined.add_argument(
+        "--timeout-s", type=float, default=2.0, help="bound of a call, in seconds"
+    )
+
 
 def _add_status(commands: _SubParsersAction) -> None:
     text = "show targets, tiers and nodes as one router sees them"
--- /dev/null
+++ b/libs/cli/src/berylwalk/cli/_quarantined.py
@@ -0,0 +1,88 @@
+"""Requests that are held back since targets ended under them."""
+
+from argparse import Namespace
+from datetime import UTC, datetime
+
+import anyio
+from msgspec import DecodeError
+from msgspec.json import decode
+
+from berylwalk.cli._exit_codes import CommandError, ExitCode
+from berylwalk.platform import Conflict, KeyValue, KeyValueClient, Swapped, Unavailable
+from berylwalk.quarantine import (
+    RECORDS_PREFIX,
+    Record,
+    identity_of_key,
+    record_key,
+)
+
+
+def print_quarantined(arguments: Namespace) -> ExitCode:
+    """Print what the store keeps of such requests, or let one through.
+
+    Parameters
+    ----------
+    arguments : Namespace
+        With ``url`` of the store, ``timeout_s`` and ``release``: an identity or None.
+
+    Raises
+    ------
+    CommandError
+        When the store does not answer, or has no such record.
+    """
+    return anyio.run(_with_store, arguments)
+
+
+async def _with_store(arguments: Namespace) -> ExitCode:
+    store = KeyValueClient.from_config([arguments.url], timeout_s=arguments.timeout_s)
+    await store.start()
+    try:
+        if arguments.release is None:
+            return await _print_all(store)
+        return await _release(store, arguments.release)
+    finally:
+        await store.close()
+
+
+async def _print_all(store: KeyValueClient) -> ExitCode:
+    items = await store.get_prefix(RECORDS_PREFIX)
+    if isinstance(items, Unavailable):
+        raise CommandError(ExitCode.UNDECIDED, [f"the store: {items.detail}"])
+    for item in items:
+        print(_line(item))
+    if not items:
+        print("no request is held back")
+    return ExitCode.OK
+
+
+def _line(item: KeyValue) -> str:
+    try:
+        identity = identity_of_key(item.key)
+        record = decode(item.value, type=Record)
+    except (DecodeError, ValueError) as error:
+        return f"{item.key.decode('latin-1')}: not readable: {error}"
+    since = datetime.fromtimestamp(record.noted_s, UTC).isoformat(timespec="seconds")
+    ended = " ".join(record.ended)
+    return f"{identity.hex()}  since {since}  trials {record.trials}  ended: {ended}"
+
+
+async def _release(store: KeyValueClient, identity: str) -> ExitCode:
+    try:
+        key = record_key(bytes.fromhex(identity))
+        identity_of_key(key)
+    except ValueError as error:
+        raise CommandError(ExitCode.FAILED, [f"{identity}: {error}"]) from error
+    item = await store.get(key)
+    if isinstance(item, Unavailable):
+        raise CommandError(ExitCode.UNDECIDED, [f"the store: {item.detail}"])
+    if item is None:
+        raise CommandError(ExitCode.FAILED, [f"{identity}: the store has no record"])
+    match await store.delete_if(key, item.mod_revision):
+        case Swapped():
+            print(f"{identity} is let through, at all routers within 15 s")
+            return ExitCode.OK
+        case Conflict():
+            reason = "its record has just changed; look again"
+        case failure:
+            reason = f"the store: {failure.detail}"
+    raise CommandError(ExitCode.UNDECIDED, [f"{identity}: {reason}"])
--- a/libs/cli/tests/test_cli_command_line.py
+++ b/libs/cli/tests/test_cli_command_line.py
@@ -12,6 +12,7 @@
     "check-settings",
     "settings-reference",
     "status",
+    "quarantined",
     "settings",
     "settings get",
     "settings tree",
--- a/libs/cli/tests/test_cli_explaining.py
+++ b/libs/cli/tests/test_cli_explaining.py
@@ -168,3 +168,51 @@
         url = "http://127.77.9.9:9/metrics"
         assert main(["beliefs", url, "--timeout-s", "1"]) == 5
         assert url in capsys.readouterr().err
+
+
+class TestHeldBack:
+    """From a request that is held back to the targets that ended under it."""
+
+    def test_chain_goes_over_other_ids_and_routers(self, tmp_path, capsys):
+        """All ends under the same request are shown, however long ago."""
+        lines = [
+            {
+                "time": 10.0 + number,
+                "node": f"edge-{number}",
+                "event": "target-ended-under-request",
+                "request_id": f"b{number}",
+                "target": f"i-{number}",
+                "identity": "ab12",
+            }
+            for number in range(3)
+        ]
+        lines.append(
+            {
+                "time": 12.1,
+                "node": "edge-2",
+                "event": "request-blamed",
+                "identity": "ab12",
+                "ended": ["i-0", "i-1", "i-2"],
+            }
+        )
+        lines.append({**lines[0], "identity": "other", "target": "i-9"})
+        lines.append(
+            {
+                "time": 90.0,
+                "node": "edge-1",
+                "event": "request-ended",
+                "request_id": "a9",
+                "status": 503,
+                "reason": "targets-ended-under-it",
+                "identity": "ab12",
+                "attempts": [],
+            }
+        )
+        file = tmp_path / "routers.log"
+        file.write_text("".join(f"{encode(line).decode()}\n" for line in lines))
+        assert main(["explain", "a9", str(file)]) == 0
+        out = capsys.readouterr().out
+        assert all(f"target=i-{number}" in out for number in range(3))
+        assert "request-blamed" in out
+        assert "i-9" not in out
+        assert "cause: targets-ended-under-it: targets ended while" in out
--- a/libs/standins/src/berylwalk/standins/_serving.py
+++ b/libs/standins/src/berylwalk/standins/_serving.py
@@ -204,6 +204,8 @@
         ws="none",
         lifespan="off",
         access_log=False,
+        # Logging is the process's own: setting it up anew closes its handlers.
+        log_config=None,
         log_level="warning",
         backlog=BACKLOG,
         timeout_graceful_shutdown=1,
