One clock for all ages: it counts the time of a suspended VM

Cause: routers took the time from the loop's steady clock, which stands still while a VM is suspended. The context's clock, callers' connections and the pool of targets go by CLOCK_BOOTTIME now; the quarantine's own clock is gone. A suspension is noticed before targets are judged: it is no silence of theirs, and no part of the time to a first event or in a slot.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -132,7 +132,7 @@
         retry_after_s = RETRY_AFTER_UNREADY_S if access.status == 503 else None
         return Refusal(access.status, access.reason, retry_after_s, facts.request_id)
     admitted = _admitted(request, facts, access)
-    match context.quarantine.standing(admitted.identity, context.elapsed()):
+    match context.quarantine.standing(admitted.identity, context.clock()):
         case Standing.BLAMED:
             return held_back(context, admitted)
         case Standing.TRIAL:
@@ -154,7 +154,7 @@
     It has not run and never will under this id. A status by which clients don't come
     back would say that the request is not proper, which a router can't tell.
     """
-    now = context.elapsed()
+    now = context.clock()
     retry_after_s = context.quarantine.retry_after_s(admitted.identity, now)
     return Refusal(
         503,
--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -5,6 +5,7 @@
 
 from berylwalk.direct._decision_log import DecisionLog
 from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.direct._suspension import SuspensionWatch
 from berylwalk.dispatch import (
     Allowances,
     ConfigurationState,
@@ -46,10 +47,10 @@
         Lines for later explanation.
     metrics : RouterMetrics
         Counters and histograms.
+    suspension : SuspensionWatch
+        Notices that the VM was suspended.
     clock : callable
-        Time of the loop, in seconds.
-    elapsed : callable
-        Time that goes on while the VM is suspended, in seconds; it has another origin.
+        Time that goes on while the VM is suspended, in seconds.
     """
 
     settings: RouterSettings
@@ -63,5 +64,16 @@
     pool: TargetPool
     log: DecisionLog
     metrics: RouterMetrics
+    suspension: SuspensionWatch
     clock: Callable[[], float]
-    elapsed: Callable[[], float]
+
+    def note_suspension(self) -> None:
+        """Take a suspension of the VM for no silence of targets; asked before judging.
+
+        All that has an age has grown older by it: the clock counts it.
+        """
+        suspended_s = self.suspension.look()
+        if suspended_s:
+            self.targets.note_suspended(suspended_s)
+            self.metrics.suspended_s.inc(suspended_s)
+            self.log.process("was-suspended", suspended_ms=round(suspended_s * 1000))
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -22,6 +22,7 @@
 from berylwalk.direct._speed_note import SpeedNote
 from berylwalk.direct._spending_note import SpendingNote
 from berylwalk.direct._store_reach import CALL_TIMEOUT_S, StoreReach
+from berylwalk.direct._suspension import SuspensionWatch
 from berylwalk.direct._target_feed import TargetFeed
 from berylwalk.dispatch import (
     Allowances,
@@ -89,24 +90,29 @@
         self._callers = Listener(
             loop,
             settings.caller_address,
+            clock=context.clock,
             serve=self._serve,
             on_gone=self._caller_left,
             limits=self._limits,
         )
         self._readiness = Listener(
-            loop, settings.readiness_address, serve=self._answer_readiness
+            loop,
+            settings.readiness_address,
+            clock=context.clock,
+            serve=self._answer_readiness,
         )
         metrics_address = SocketAddress(
             settings.caller_address.host, settings.metrics_port
         )
-        self._metrics = Listener(loop, metrics_address, serve=self._answer_metrics)
+        self._metrics = Listener(
+            loop, metrics_address, clock=context.clock, serve=self._answer_metrics
+        )
 
     @classmethod
     def from_settings(cls, settings: RouterSettings) -> Self:
         """Build a router from the settings of its VM."""
         loop = get_running_loop()
-        clock = loop.time
-        elapsed, counts_suspension = elapsed_clock()
+        clock, counts_suspension = elapsed_clock()
         metrics = RouterMetrics()
         configuration = ConfigurationState(
             key_trust_s=settings.key_revocation_s - KEY_TRUST_MARGIN_S
@@ -140,14 +146,15 @@
             peers=PeerTable(settings.name, settings.failure_domain),
             pool=TargetPool(
                 loop,
+                clock=clock,
                 id_header=REQUEST_ID_HEADER,
                 on_bytes=note_bytes,
                 on_opened=metrics.connections.inc,
             ),
             log=DecisionLog.to_stdout(settings.name, clock=clock),
             metrics=metrics,
+            suspension=SuspensionWatch(clock),
             clock=clock,
-            elapsed=elapsed,
         )
         if not counts_suspension:
             context.log.process("no-clock-that-counts-suspension")
@@ -296,9 +303,10 @@
     async def _sweep(self) -> None:
         while True:
             await sleep(SWEEP_S)
+            self._context.note_suspension()
             for listener in (self._callers, self._readiness, self._metrics):
                 listener.sweep()
             self._context.pool.sweep()
             self._context.dispatcher.pump_all(self._context.clock())
-            self._context.quarantine.sweep(self._context.elapsed())
+            self._context.quarantine.sweep(self._context.clock())
             self._context.log.flush()
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -66,6 +66,7 @@
 
     async def run(self) -> None:
         """Answer the request."""
+        self._context.note_suspension()
         admitted = admit(self._context, self._request)
         if isinstance(admitted, Refusal):
             self._log.tell_refused(admitted)
@@ -175,7 +176,7 @@
 
     def _standing(self) -> Standing:
         context = self._context
-        return context.quarantine.standing(self._admitted.identity, context.elapsed())
+        return context.quarantine.standing(self._admitted.identity, context.clock())
 
     async def _place(self, patience: Patience) -> Target | None:
         """Return a target at which the request is counted, or None."""
@@ -265,7 +266,7 @@
             self._context.allowances.give_back(admitted.account, admitted.cost, now)
         if reason == HELD_BACK:
             return self._context.quarantine.retry_after_s(
-                admitted.identity, self._context.elapsed()
+                admitted.identity, self._context.clock()
             )
         return return_time_s(admitted.ends_at - now)
 
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -152,7 +152,7 @@
             "ended": self.context.quarantine.ended(identity),
         }
         if blame is not None:
-            fields["blamed_ms_ago"] = _ms(self.context.elapsed() - blame.since)
+            fields["blamed_ms_ago"] = _ms(self.context.clock() - blame.since)
             fields["trials"] = blame.trials
         return fields
 
--- a/libs/direct/src/berylwalk/direct/_lesson.py
+++ b/libs/direct/src/berylwalk/direct/_lesson.py
@@ -29,13 +29,20 @@
         self._context = context
         self._admitted = admitted
         self._log = log
-        self._began_at = context.elapsed()
+        self._began_at = context.clock()
+        self._suspended_before_s = context.suspension.total_s
 
     def note_alive(self, target: Target) -> None:
         """Note that the target has answered: it had not ended when this began."""
         context = self._context
         life_id = target.entry.life_id
-        context.quarantine.note_alive(life_id, self._began_at, context.elapsed())
+        context.quarantine.note_alive(life_id, self._began_at, context.clock())
+
+    def taken_s(self, since: float) -> float:
+        """Return the time since a moment, in seconds; not that of a suspension."""
+        self._context.note_suspension()
+        suspended_s = self._context.suspension.total_s - self._suspended_before_s
+        return max(0.0, self._context.clock() - since - suspended_s)
 
     def take(self, target: Target, attempt: Attempt, sent_at: float) -> None:
         """Learn from the end of the send.
@@ -68,7 +75,7 @@
 
     def _learn_of_ends(self, target: Target, attempt: Attempt) -> None:
         """Note whether the target ended under the request, or outlived it."""
-        quarantine, now = self._context.quarantine, self._context.elapsed()
+        quarantine, now = self._context.quarantine, self._context.clock()
         identity = self._admitted.identity
         if attempt.target_ended and self._was_in_use(target):
             if quarantine.note_ended(identity, target.entry.life_id, now):
@@ -88,14 +95,13 @@
         return is_listed and target.entry.state is TargetState.READY
 
     def _learn_speed(self, target: Target, attempt: Attempt, sent_at: float) -> None:
-        now = self._context.clock()
         if not attempt.is_stream:
             attempt.note_whole_answer()
-            target.note_slot_time(now - sent_at)
+            target.note_slot_time(self.taken_s(sent_at))
             return
         started_at = attempt.first_event_at
         if started_at is None:
             return
-        target.note_slot_time(now - started_at)
+        target.note_slot_time(self.taken_s(started_at))
         longest_s = self._admitted.route.longest_pause_s
         target.note_paused(attempt.longest_pause_s > longest_s > 0)
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -30,6 +30,8 @@
         Serves the connections.
     address : SocketAddress
         Where to listen.
+    clock : callable
+        Time in seconds.
     serve : callable
         Answers one request.
     on_gone : callable
@@ -43,12 +45,14 @@
         loop: AbstractEventLoop,
         address: SocketAddress,
         *,
+        clock: Callable[[], float],
         serve: Serve,
         on_gone: Callable[[CallerConnection], None] = lambda connection: None,
         limits: Callable[[], CallerLimits] = CallerLimits,
     ) -> None:
         self._loop = loop
         self._address = address
+        self._clock = clock
         self._serve = serve
         self._on_gone = on_gone
         self._limits = limits
@@ -97,7 +101,7 @@
 
     def sweep(self) -> None:
         """Close connections whose callers are idle or slow for too long."""
-        now = self._loop.time()
+        now = self._clock()
         for connection in list(self.connections):
             connection.close_if_overdue(now)
 
@@ -106,7 +110,7 @@
             serve=self._serve,
             on_gone=self._on_gone,
             limits=lambda: connection_limits(self._limits()),
-            clock=self._loop.time,
+            clock=self._clock,
             registry=self.connections,
             call_later=self._loop.call_later,
         )
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -56,6 +56,11 @@
             ("service",),
             registry=registry,
         )
+        self.suspended_s = Counter(
+            "berylwalk_suspended_seconds",
+            "Time for which the VM was suspended.",
+            registry=registry,
+        )
         self.exchanges_failed = Counter(
             "berylwalk_exchanges_failed",
             "Requests that were cut by a fault of the router itself.",
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -184,7 +184,7 @@
         asks = self._peer_to_ask(now)
         reads = context.dispatcher.prefix_reads.take_news()
         self._reads_to_relay.extend(reads)
-        quarantine = context.quarantine.news(context.quarantine.near, context.elapsed())
+        quarantine = context.quarantine.news(context.quarantine.near, context.clock())
         is_unchanged = self._told == (loads, spent) and asks is None and not reads
         if is_unchanged and not quarantine and now - self._told_at < TELL_UNCHANGED_S:
             return
@@ -226,9 +226,7 @@
             [self._own_news(now), *news],
             context.targets.loads_with(heard),
             reads=self._take_reads_to_relay(),
-            quarantine=context.quarantine.news(
-                context.quarantine.far, context.elapsed()
-            ),
+            quarantine=context.quarantine.news(context.quarantine.far, context.clock()),
         )
 
     def _take_reads_to_relay(self) -> list[Read]:
@@ -278,6 +276,7 @@
         except (DecodeError, ValidationError) as error:
             self._context.log.process("peer-message-invalid", detail=repr(error))
             return
+        self._context.note_suspension()
         now = self._context.clock()
         match message:
             case ReadingAsk():
@@ -341,7 +340,7 @@
 
     def _hear_of_suspects(self, news: QuarantineNews, *, is_near: bool) -> None:
         context = self._context
-        context.quarantine.hear(news, context.elapsed(), is_near=is_near)
+        context.quarantine.hear(news, context.clock(), is_near=is_near)
 
     def _forget(self, peer: Peer) -> None:
         """Forget a peer whose life has ended."""
--- a/libs/direct/src/berylwalk/direct/_quarantine_note.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_note.py
@@ -126,16 +126,13 @@
             known = self._take(identity, item)
             if known is None:
                 return False
-        if (
-            context.quarantine.standing(identity, context.elapsed())
-            is not Standing.TRIAL
-        ):
+        if context.quarantine.standing(identity, context.clock()) is not Standing.TRIAL:
             return False
         trials = known.record.trials + 1
         record = structs.replace(known.record, trials=trials)
         if not await self._write(identity, record, known.revision):
             return False
-        context.quarantine.note_trial(identity, trials, context.elapsed())
+        context.quarantine.note_trial(identity, trials, context.clock())
         context.log.process("trial-permitted", identity=identity.hex(), trials=trials)
         return True
 
@@ -271,7 +268,7 @@
             return None
         known = self._known[identity] = _Known(record, item.mod_revision)
         quarantine = self._context.quarantine
-        quarantine.learn(identity, record.ended, record.trials, self._context.elapsed())
+        quarantine.learn(identity, record.ended, record.trials, self._context.clock())
         quarantine.note_recorded(identity, len(record.ended))
         return known
 
@@ -279,7 +276,7 @@
         """Let a request through whose record is gone."""
         self._known.pop(identity, None)
         context = self._context
-        if context.quarantine.note_answered(identity, context.elapsed()):
+        if context.quarantine.note_answered(identity, context.clock()):
             context.log.process("request-released", identity=identity.hex())
 
     def _identity_of(self, item: KeyValue) -> Identity | None:
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -94,7 +94,7 @@
         self._log.tell_placed(self._admitted, target, start)
 
         def on_first_event() -> None:
-            target.note_first_event(work, start, self._context.clock() - sent_at)
+            target.note_first_event(work, start, self._lesson.taken_s(sent_at))
             self._lesson.note_alive(target)
 
         def on_output(events: int, taken_s: float) -> None:
@@ -117,7 +117,7 @@
         if is_keyed and not configuration.trusts_keys(self._context.clock()):
             return False
         # While it waited, others may have ended under it.
-        quarantine, now = self._context.quarantine, self._context.elapsed()
+        quarantine, now = self._context.quarantine, self._context.clock()
         standing = quarantine.standing(self._admitted.identity, now)
         if standing.is_held_back and not self._admitted.is_trial:
             return False
@@ -148,6 +148,7 @@
     async def _until_ended(self, target: Target, attempt: Attempt) -> None:
         clock, ends_at = self._context.clock, self._admitted.ends_at
         while attempt.end is None:
+            self._context.note_suspension()
             now = clock()
             if now >= ends_at:
                 attempt.give_up(AttemptEnd.SILENT, "timeout")
--- a/libs/direct/tests/test_direct_quarantine_records.py
+++ b/libs/direct/tests/test_direct_quarantine_records.py
@@ -181,13 +181,13 @@
         async with running(answers("ok")) as fleet:
             context = fleet.router._context
             offset_s = 0.0
-            elapsed = context.elapsed
-            context.elapsed = lambda: elapsed() + offset_s
+            clock = context.clock
+            context.clock = lambda: clock() + offset_s
 
             async def slow(request, writer):
                 nonlocal offset_s
                 offset_s = 30.0
-                context.quarantine.note_ended(identity(), "i-0", elapsed() + 20.0)
+                context.quarantine.note_ended(identity(), "i-0", clock() + 20.0)
                 await answers("late")(request, writer)
 
             fleet.targets[0].script = slow
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -134,8 +134,8 @@
             peers=PeerTable(name, domain),
             metrics=RouterMetrics(),
             log=SimpleNamespace(process=self._log),
+            note_suspension=lambda: None,
             clock=self.clock,
-            elapsed=self.clock,
         )
         reach = StoreReach(self.context)
         store = StoreOf(play, name)
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -301,6 +301,12 @@
         if self.owes_since is not None:
             self.owes_since = now
 
+    def note_suspended(self, suspended_s: float) -> None:
+        """Take the time of a suspension of this router for no silence."""
+        self.heard_at += suspended_s
+        if self.owes_since is not None:
+            self.owes_since += suspended_s
+
     def note_left(self, work: Work, *, had_first_event: bool) -> None:
         """Count a request out that was sent, however it ended."""
         self.in_flight -= 1
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -96,6 +96,11 @@
             target.missing_since = None
         self._index()
 
+    def note_suspended(self, suspended_s: float) -> None:
+        """Take the time of a suspension of this router for no silence of targets."""
+        for target in self.by_id.values():
+            target.note_suspended(suspended_s)
+
     def pop_ended_lives(self) -> list[Target]:
         """Return the lives that ended since the last look: targets started again."""
         ended, self._ended_lives = self._ended_lives, []
--- a/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
@@ -34,6 +34,8 @@
     ----------
     loop : AbstractEventLoop
         Opens connections.
+    clock : callable
+        Time in seconds.
     id_header : bytes
         Lower-case name of the header with the request's id.
     on_bytes : callable
@@ -46,11 +48,13 @@
         self,
         loop: AbstractEventLoop,
         *,
+        clock: Callable[[], float],
         id_header: bytes,
         on_bytes: Callable[[str], None],
         on_opened: Callable[[], None] = lambda: None,
     ) -> None:
         self._loop = loop
+        self._clock = clock
         self._id_header = id_header
         self._on_bytes = on_bytes
         self._on_opened = on_opened
@@ -59,7 +63,7 @@
     def take_idle(self, life_id: str) -> TargetConnection | None:
         """Return an idle connection that may be used again, the latest first."""
         idle = self._idle_by_id.get(life_id)
-        now = self._loop.time()
+        now = self._clock()
         while idle:
             connection = idle.pop()
             if connection.is_fresh(now):
@@ -74,7 +78,7 @@
             return TargetConnection(
                 id_header=self._id_header,
                 on_bytes=lambda: self._on_bytes(address.life_id),
-                clock=self._loop.time,
+                clock=self._clock,
             )
 
         with move_on_after(CONNECT_TIMEOUT_S):
@@ -111,7 +115,7 @@
 
     def sweep(self) -> None:
         """Close idle connections that are too old to be used again."""
-        now = self._loop.time()
+        now = self._clock()
         for life_id, idle in list(self._idle_by_id.items()):
             fresh = [connection for connection in idle if connection.is_fresh(now)]
             for connection in idle:
