A record of a guilty request that can't be read is written anew

It stood in the way of each write for ever: two calls of the store a second. How many trials it had is not known, so that there are no more (test).

--- a/libs/direct/src/berylwalk/direct/_quarantine_note.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_note.py
@@ -26,6 +26,7 @@
 from berylwalk.quarantine import (
     ENDS_TO_BLAME,
     RECORDS_PREFIX,
+    TRIAL_AFTER_S,
     Identity,
     Record,
     Standing,
@@ -256,7 +257,11 @@
         return True
 
     def _take(self, identity: Identity, item: KeyValue) -> _Known | None:
-        """Take a record as the store has it; None if it can't be read."""
+        """Take a record as the store has it; None if it can't be read.
+
+        One that can't is written anew, or deleted if there is nothing to keep. How many
+        trials it had is not known then, so that there are no more.
+        """
         try:
             record = json.decode(item.value, type=Record)
         except (DecodeError, ValueError, RecursionError) as error:
@@ -265,6 +270,8 @@
                 key=item.key.decode("latin-1"),
                 detail=repr(error),
             )
+            spent = Record([], trials=len(TRIAL_AFTER_S))
+            self._known[identity] = _Known(spent, item.mod_revision)
             return None
         known = self._known[identity] = _Known(record, item.mod_revision)
         quarantine = self._context.quarantine
--- a/libs/direct/tests/test_direct_quarantine_records.py
+++ b/libs/direct/tests/test_direct_quarantine_records.py
@@ -87,6 +87,31 @@
             reply = await fleet.call("/idempotent/x", body=BODY)
         assert reply.status == 200
 
+    async def test_record_that_makes_no_sense_is_written_anew(
+        self, running, soon, monkeypatch
+    ):
+        """With no trials left, since those that it had are not known.
+
+        It would be deleted if it were read before the ends are known.
+        """
+
+        async def keep(note):
+            pass
+
+        monkeypatch.setattr(note_module.QuarantineNote, "_delete_settled", keep)
+        prepare = noted(value=b'{"ended": 3}')
+        async with running(answers("ok"), prepare=prepare) as fleet:
+            store = fleet.platform.store
+            for life_id in LIVES:
+                quarantine_of(fleet).note_ended(identity(), life_id, 0.0)
+
+            def record():
+                item = store.get(key())
+                return {} if item is None else loads(item.value)
+
+            await fleet.until(lambda: record().get("ended") == LIVES)
+            assert record()["trials"] == 2
+
 
 class TestTrials:
     """A permit is a write under a condition."""
