--- a/libs/dispatch/tests/test_dispatch_targets.py
+++ b/libs/dispatch/tests/test_dispatch_targets.py
@@ -365,3 +365,37 @@
             now=NOW,
         )
         assert (None if chosen is None else chosen.entry.target_id) == expected
+
+
+class TestApart:
+    """Requests under which targets ended."""
+
+    @staticmethod
+    def chosen(targets, apart_as):
+        """Return the id of the target for such a request."""
+        chosen = choose_target(
+            targets.of_service("s"),
+            PlaceRequest(work=Work(), apart_as=apart_as),
+            failure_domain="fd-a",
+            now=NOW,
+        )
+        return chosen.entry.target_id
+
+    def test_it_goes_to_one_of_the_emptiest(self):
+        """It takes those along that are there."""
+        targets = table(*(entry(str(number)) for number in range(9)))
+        for number in range(6):
+            targets.by_id[str(number)].note_sent(Work(), NOW)
+        seen = {self.chosen(targets, b"%d" % each) for each in range(50)}
+        assert seen == {"6", "7", "8"}
+
+    def test_all_routers_choose_alike(self):
+        """And not by chance: two requests that meet at one target meet seldom again."""
+        targets = table(*(entry(str(number)) for number in range(9)))
+        assert len({self.chosen(targets, b"one") for _ in range(20)}) == 1
+
+    def test_slow_and_far_targets_are_not_spared(self):
+        """Only how many are there counts."""
+        targets = table(entry("near"), entry("far", failure_domain="fd-b"))
+        seen = {self.chosen(targets, b"%d" % each) for each in range(20)}
+        assert seen == {"near", "far"}
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -316,6 +316,21 @@
         target.connection.connection_lost(None)
         assert target.sink.end is AnswerEnd.CLOSED
 
+    @pytest.mark.parametrize(
+        ("error", "end"),
+        [
+            (ConnectionResetError(), AnswerEnd.CLOSED),
+            (BrokenPipeError(), AnswerEnd.CLOSED),
+            (TimeoutError(), AnswerEnd.UNREACHABLE),
+            (OSError(113, "no route to host"), AnswerEnd.UNREACHABLE),
+        ],
+    )
+    def test_who_ended_the_connection_is_told_apart(self, error, end):
+        """A cut is no end of the target: nothing is known of it."""
+        target = Target()
+        target.connection.connection_lost(error)
+        assert target.sink.end is end
+
     def test_bytes_that_are_no_answer(self):
         """They end the attempt and the connection."""
         target = Target()
