--- /dev/null
+++ b/libs/direct/tests/test_direct_rollout_exposure.py
@@ -0,0 +1,111 @@
+"""A bad version of a service gets little, also through several real routers."""
+
+from asyncio import open_connection
+from json import dumps
+
+import pytest
+from anyio import create_task_group, sleep
+
+from direct_fleet import ScriptedTarget, head, read_reply
+
+pytestmark = pytest.mark.anyio
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+CALLS = 400
+CALLERS = 8
+PERIOD_S = 12
+ORDER_KEY = b"op/rollout/s"
+
+
+def fails_after(number):
+    """Return a script that is well for some requests, and then fails each second."""
+    served = 0
+
+    async def script(request, writer):
+        nonlocal served
+        served += 1
+        if served > number and served % 2:
+            writer.write(head(request, status="500 Failed", length=0))
+        else:
+            writer.write(head(request, length=2) + b"ok")
+
+    return script
+
+
+async def add_version(fleet, free_port, script, version, count):
+    """Start targets of a version; return them."""
+    added = []
+    for _ in range(count):
+        number = len(fleet.targets)
+        target = ScriptedTarget(f"i-{number}", free_port(), script)
+        fleet.targets.append(target)
+        added.append(target)
+        await target.start()
+        fleet.put_target(target, version=version)
+    return added
+
+
+def put_order(fleet, version, period_s=PERIOD_S):
+    """Order a roll-out as the operator does."""
+    order = {"service": "s", "target": version, "period-s": period_s}
+    fleet.platform.store.put(ORDER_KEY, dumps(order).encode())
+
+
+async def call_routers(fleet, addresses, calls=CALLS):
+    """Make calls at several routers side by side; return the statuses."""
+    statuses = []
+
+    async def caller(number):
+        for each in range(calls // CALLERS):
+            address = addresses[(number + each) % len(addresses)]
+            reply = await call_at(fleet, address)
+            statuses.append(reply.status)
+
+    async with create_task_group() as tasks:
+        for number in range(CALLERS):
+            tasks.start_soon(caller, number)
+    return statuses
+
+
+async def call_at(fleet, address):
+    """Make one call at a router."""
+    reader, writer = await open_connection(address.host, address.port)
+    writer.write(fleet.encoded("/idempotent/"))
+    try:
+        return await read_reply(reader)
+    finally:
+        writer.close()
+
+
+class TestExposure:
+    """Requests at targets of a bad version, over all routers."""
+
+    async def test_bad_version_gets_its_share_at_most(self, running, beside, free_port):
+        """Also what it got before it turned bad, and whichever router sent it."""
+
+        async def old(request, writer):
+            # Slower than the new ones, which routers would therefore prefer.
+            await sleep(0.01)
+            writer.write(head(request, length=2) + b"ok")
+
+        def name_versions(fleet):
+            for target in fleet.targets:
+                fleet.put_target(target, version="v1")
+
+        async with running(old, old, prepare=name_versions) as fleet:
+            put_order(fleet, "v2")
+            new = await add_version(fleet, free_port, fails_after(150), "v2", 2)
+            async with beside({"name": "edge-2"}) as (second,):
+                await fleet.until(
+                    lambda: len(second._context.targets.by_id) == len(fleet.targets)
+                )
+                await fleet.until_ready()
+                addresses = [
+                    router._context.settings.caller_address
+                    for router in (fleet.router, second)
+                ]
+                await call_routers(fleet, addresses)
+        total = sum(len(target.received) for target in fleet.targets)
+        exposed = sum(len(target.received) for target in new)
+        assert total >= CALLS
+        assert exposed <= EXPOSURE_SHARE * total + EXPOSURE_SLACK
