--- a/libs/direct/src/berylwalk/direct/_configuration_feed.py
+++ b/libs/direct/src/berylwalk/direct/_configuration_feed.py
@@ -1,4 +1,8 @@
-"""Keeps the configuration in force up to date with the platform's store."""
+"""Keeps what operators write up to date with the platform's store.
+
+That is the configuration, and orders of roll-outs beside it: read together, they cost
+no more calls, and an order is known at the latest with what is written after it.
+"""
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._entry_findings import EntryFindings
@@ -15,12 +19,15 @@
 from berylwalk.platform import (
     CONFIGURATION_KEY,
     FORMAT_ERRORS,
-    EventKind,
+    OPERATORS_PREFIX,
     KeyValue,
     KeyValueClient,
     WatchEvent,
     decode_configuration,
+    decode_rollout_order,
+    is_rollout_order,
 )
+from berylwalk.rollout import Order
 
 LONGEST_CONFIRM_S = 1.9
 """Time between confirming reads: two may fail before keys are no longer trusted, and
@@ -33,7 +40,7 @@
 
 
 class ConfigurationFeed:
-    """Mirrors the configuration; reads confirm it more often than its bound.
+    """Mirrors what operators write; reads confirm it more often than its bound.
 
     Parameters
     ----------
@@ -49,7 +56,7 @@
     Attributes
     ----------
     mirror : MirroredPrefix
-        What is known of the configuration.
+        What is known of it.
     """
 
     def __init__(
@@ -68,13 +75,15 @@
         self._lean_s = lean_s(min(bound_s, OLDEST_S))
         self._revision_in_force = 0
         self._findings = EntryFindings(context, "configuration-invalid")
+        self._order_findings = EntryFindings(context, "rollout-order-invalid")
+        self._order_revisions: dict[bytes, int] = {}
         rules = MirrorRules(
-            prefix=CONFIGURATION_KEY,
+            prefix=OPERATORS_PREFIX,
             name="configuration",
             list_gap_s=self._list_gap_s,
             lean_s=self._lean_s,
             is_probe=True,
-            is_one_key=True,
+            is_steady=True,
         )
         self.mirror = MirroredPrefix(
             store,
@@ -105,10 +114,48 @@
         for item in items:
             if item.key == CONFIGURATION_KEY:
                 self._take(item, known_at)
+        self._take_orders([item for item in items if is_rollout_order(item.key)])
+        self._context.rollouts.versions.note_orders_known(self.mirror.revision)
 
     def _take_changes(self, events: list[WatchEvent], known_at: float) -> None:
-        puts = [event.key_value for event in events if event.kind is EventKind.PUT]
-        self._take_known(puts, known_at)
+        changed = {event.key_value.key for event in events}
+        items = self.mirror.items
+        if CONFIGURATION_KEY in changed or self._order_revisions.keys() & changed:
+            self._take_known(items, known_at)
+        else:
+            orders = [item for item in items if is_rollout_order(item.key)]
+            self._take_orders(orders)
+
+    def _take_orders(self, items: list[KeyValue]) -> None:
+        """Take all orders of roll-outs; one that can't be followed changes nothing."""
+        revisions = {item.key: item.mod_revision for item in items}
+        if revisions == self._order_revisions:
+            return
+        self._order_revisions = revisions
+        rollouts, now = self._context.rollouts, self._context.clock()
+        self._order_findings.keep_only(set(map(bytes.decode, revisions)))
+        orders = [order for item in items if (order := self._order(item)) is not None]
+        if rollouts.set_orders(orders, now):
+            for order in orders:
+                self._context.log.process(
+                    "rollout-ordered",
+                    service=order.service,
+                    version=order.version,
+                    period_ms=round(order.period_s * 1000),
+                    revision=order.revision,
+                )
+
+    def _order(self, item: KeyValue) -> Order | None:
+        """Return an order; the one before it if it can't be followed."""
+        order = decode_rollout_order(item)
+        if isinstance(order, Order):
+            self._order_findings.clear(item.key.decode())
+            return order
+        self._order_findings.note(item.key.decode(), order.problem, order.detail)
+        for progress in self._context.rollouts.progresses:
+            if item.key.endswith(b"/" + progress.order.service.encode()):
+                return progress.order
+        return None
 
     def _take(self, item: KeyValue, asked_at: float) -> None:
         state = self._context.configuration
--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -17,6 +17,7 @@
 )
 from berylwalk.forwarding import TargetPool
 from berylwalk.quarantine import Quarantine
+from berylwalk.rollout import Rollouts
 
 
 @dataclass(slots=True, kw_only=True)
@@ -39,6 +40,8 @@
         What may be sent again.
     quarantine : Quarantine
         Requests that end the targets that run them.
+    rollouts : Rollouts
+        What may go to which version of a service.
     peers : PeerTable
         The other routers.
     pool : TargetPool
@@ -60,6 +63,7 @@
     allowances: Allowances
     retries: WindowedRetryBudget
     quarantine: Quarantine
+    rollouts: Rollouts
     peers: PeerTable
     pool: TargetPool
     log: DecisionLog
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from traceback import format_exception
 from typing import Self
+from uuid import uuid4
 
 from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
@@ -19,6 +20,7 @@
 from berylwalk.direct._mirrored_prefix import ReadingRole
 from berylwalk.direct._peering import Peering
 from berylwalk.direct._quarantine_note import QuarantineNote
+from berylwalk.direct._rollout_note import RolloutNote
 from berylwalk.direct._speed_note import SpeedNote
 from berylwalk.direct._spending_note import SpendingNote
 from berylwalk.direct._store_reach import CALL_TIMEOUT_S, StoreReach
@@ -38,6 +40,7 @@
 from berylwalk.forwarding import CallerConnection, CallerRequest, TargetPool
 from berylwalk.platform import REQUEST_ID_HEADER, KeyValueClient
 from berylwalk.quarantine import Change, Quarantine
+from berylwalk.rollout import Judged, Rollouts
 
 KEY_TRUST_MARGIN_S = 0.5
 """Time before the bound on revoked keys at which they are no longer trusted."""
@@ -76,6 +79,7 @@
         self._quarantine_note = QuarantineNote(context, store, reach)
         context.quarantine.on_news = self._peering.tell_soon
         context.quarantine.on_change = self._note_quarantine_change
+        context.rollouts.on_judged = self._note_judged
         reading = self._peering.reading
         role = ReadingRole(
             leans=reading.leans, reads_for_others=reading.reads_for_others
@@ -84,6 +88,11 @@
         self._target_feed = TargetFeed(context, store, reach, role)
         for feed in (self._configuration_feed, self._target_feed):
             reading.add(feed.mirror)
+        self._rollout_note = RolloutNote(
+            context, store, reach, reading=reading, role=role
+        )
+        context.rollouts.on_news = self._peering.tell_soon
+        context.rollouts.on_orders = self._rollout_note.wake
         self._exchanges_by_connection: dict[CallerConnection, Exchange] = {}
         self._tasks: TaskGroup | None = None
         self._stopping_since: float | None = None
@@ -124,6 +133,10 @@
             if target is not None:
                 target.note_heard(clock())
 
+        peers = PeerTable(settings.name, settings.failure_domain)
+        rollouts = Rollouts(settings.exposure, router=uuid4().hex)
+        rollouts.routers_known = peers.known
+        rollouts.at_other_versions = targets.in_flight_elsewhere
         address = settings.store_address
         store = KeyValueClient.from_config(
             [f"http://{address.host}:{address.port}"], timeout_s=CALL_TIMEOUT_S
@@ -135,6 +148,7 @@
             dispatcher=Dispatcher(
                 targets,
                 failure_domain=settings.failure_domain,
+                rollouts=rollouts,
             ),
             allowances=Allowances(settings.allowances, started_at=clock()),
             retries=WindowedRetryBudget(
@@ -143,7 +157,8 @@
                 window_s=settings.retry_window_s,
             ),
             quarantine=Quarantine(),
-            peers=PeerTable(settings.name, settings.failure_domain),
+            rollouts=rollouts,
+            peers=peers,
             pool=TargetPool(
                 loop,
                 clock=clock,
@@ -186,6 +201,7 @@
                 self._spending_note.run,
                 self._speed_note.run,
                 self._quarantine_note.run,
+                self._rollout_note.run,
                 self._sweep,
             ):
                 tasks.start_soon(run)
@@ -270,6 +286,17 @@
         )
         self._quarantine_note.wake()
 
+    def _note_judged(self, judged: Judged) -> None:
+        self._context.log.process(
+            "rollout-judged-bad",
+            service=judged.order.service,
+            version=judged.order.version,
+            verdict=str(judged.verdict),
+            route=judged.verdict.route,
+            heard=judged.heard,
+        )
+        self._rollout_note.wake()
+
     def _caller_left(self, connection: CallerConnection) -> None:
         exchange = self._exchanges_by_connection.get(connection)
         if exchange is not None:
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -1,6 +1,7 @@
 """The life of one request: check, place, send, relay, repeat, answer."""
 
 from collections.abc import Awaitable, Callable
+from random import random
 
 from anyio import CancelScope, Event, move_on_after
 
@@ -192,7 +193,9 @@
 
         ticket = self._ticket(patience, on_place)
         started_at = context.clock()
-        target = context.dispatcher.submit(ticket, started_at)
+        target = self._canary_target(ticket, started_at)
+        if target is None:
+            target = context.dispatcher.submit(ticket, started_at)
         if target is not None:
             target.note_sent(admitted.facts.work, started_at)
             self._log.note_waited(admitted, 0.0)
@@ -212,6 +215,29 @@
         self._log.tell_not_placed(admitted, ticket)
         return None
 
+    def _canary_target(self, ticket: Ticket, now: float) -> Target | None:
+        """Return a target of a version that is to be tried; seldom there is one.
+
+        What is sent again goes to versions that are proved.
+        """
+        rollouts, service = self._context.rollouts, self._admitted.service
+        if self._excluded or not rollouts.is_watched(service):
+            return None
+        rollouts.note_sent(service)
+        route = self._admitted.route.name
+        if not rollouts.take_canary(service, route, now):
+            return None
+        version = rollouts.progress(service).order.version
+        targets = self._context.targets.of_service(service)
+        lives = [
+            each.entry.life_id for each in targets if each.entry.version == version
+        ]
+        group = rollouts.group(service, lives, len(targets) - len(lives), now)
+        target = self._context.dispatcher.place_among(ticket, group, now)
+        if target is None:
+            rollouts.give_back_canary(service, route)
+        return target
+
     def _ticket(self, patience: Patience, on_place: Callable[[Target], None]) -> Ticket:
         admitted = self._admitted
         return Ticket(
@@ -225,6 +251,7 @@
             excluded=self._excluded,
             apart_as=admitted.identity if self._runs_apart() else b"",
             arrived_at=admitted.request.arrived_at,
+            version_draw=random(),
         )
 
     def _runs_apart(self) -> bool:
--- a/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
+++ b/libs/direct/src/berylwalk/direct/_mirrored_prefix.py
@@ -99,7 +99,7 @@
         store whose answer is lost then still fits into the bound.
     is_probe : bool
         Whether its lists find out when the store is back after an outage.
-    is_one_key : bool
+    is_steady : bool
         As in `OrderedItems`.
     """
 
@@ -110,7 +110,7 @@
     list_gap_s: Callable[[], float | None]
     lean_s: float = 0.0
     is_probe: bool = False
-    is_one_key: bool = False
+    is_steady: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -173,7 +173,7 @@
         self._on_changes = on_changes
         self._on_known = on_known
         self._role = role
-        self._ordered = OrderedItems(is_one_key=rules.is_one_key)
+        self._ordered = OrderedItems(is_steady=rules.is_steady)
         self._is_listed = False
         self._wanted = Event()
 
@@ -182,6 +182,11 @@
         """What is mirrored."""
         return self._rules.name
 
+    @property
+    def items(self) -> list[KeyValue]:
+        """The items that are there."""
+        return self._ordered.items
+
     @property
     def revision(self) -> int:
         """Up to which revision of the store all changes are known."""
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -7,6 +7,7 @@
 
 from berylwalk.dispatch import Peer
 from berylwalk.quarantine import QuarantineNews
+from berylwalk.rollout import RolloutNews
 
 Loads = dict[str, tuple[int, int]]
 """Requests in flight and waiting prompt tokens by the life of a target."""
@@ -45,6 +46,8 @@
         Likewise the most urgent rank that was seen, and the units that it asked.
     store_well_s : float
         For how long the store has been well for it, in seconds.
+    rollouts : list of RolloutNews
+        What it knows of roll-outs that are under way.
     """
 
     name: str
@@ -57,6 +60,7 @@
     spent: dict[str, int]
     asked: dict[str, tuple[int, int]] = field(default_factory=dict)
     store_well_s: float = 0.0
+    rollouts: list[RolloutNews] = field(default_factory=list)
 
     def to_peer(self) -> Peer:
         """Return the router as an entry of the table of peers."""
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -80,7 +80,7 @@
         self._started_at = context.clock()
         self._sequence = 0
         self._transport: DatagramTransport | None = None
-        self._told: tuple[object, object] | None = None
+        self._told: tuple[object, ...] | None = None
         self._told_at = float("-inf")
         self._news_by_name: dict[str, RouterNews] = {}
         self._reads_to_relay: deque[Read] = deque(maxlen=MOST_READS_RELAYED)
@@ -185,10 +185,12 @@
         reads = context.dispatcher.prefix_reads.take_news()
         self._reads_to_relay.extend(reads)
         quarantine = context.quarantine.news(context.quarantine.near, context.clock())
-        is_unchanged = self._told == (loads, spent) and asks is None and not reads
+        rollouts = [replace(each, age_s=0.0) for each in context.rollouts.news(now)]
+        beliefs = (loads, spent, rollouts)
+        is_unchanged = self._told == beliefs and asks is None and not reads
         if is_unchanged and not quarantine and now - self._told_at < TELL_UNCHANGED_S:
             return
-        self._told = (loads, spent)
+        self._told = beliefs
         self._told_at = now
         message = PeerMessage(
             self._own_news(now), loads, asks, reads=reads, quarantine=quarantine
@@ -212,6 +214,7 @@
             {name: round(units) for name, units in spent.items()},
             {name: (rank, round(units)) for name, (rank, units) in asked.items()},
             round(self._reach.well_s(now), 1),
+            context.rollouts.news(now),
         )
 
     def _domain_message(self, now: float) -> DomainMessage:
@@ -330,12 +333,13 @@
         self._news_by_name[news.name] = news
         self._reach.hear_elsewhere(news.store_well_s)
         self._context.allowances.hear(
-            _life_of(peer),
+            life_of(peer),
             news.spent,
             is_new=news.age_s < now - self._started_at,
             now=now,
         )
-        self._context.allowances.urgent_demand.hear(_life_of(peer), news.asked, now)
+        self._context.allowances.urgent_demand.hear(life_of(peer), news.asked, now)
+        self._context.rollouts.hear(life_of(peer), news.rollouts, now)
         return True
 
     def _hear_of_suspects(self, news: QuarantineNews, *, is_near: bool) -> None:
@@ -345,7 +349,7 @@
     def _forget(self, peer: Peer) -> None:
         """Forget a peer whose life has ended."""
         self._context.targets.hear_loads(peer.name, {})
-        self._context.allowances.forget(_life_of(peer))
+        self._context.allowances.forget(life_of(peer))
         self._news_by_name.pop(peer.name, None)
 
 
@@ -370,5 +374,6 @@
     return min(shortest_s * max(1.0, peers / PEERS_OF_ONE_MESH), LONGEST_TELL_S)
 
 
-def _life_of(peer: Peer) -> str:
+def life_of(peer: Peer) -> str:
+    """Return what identifies one life of a router."""
     return f"{peer.name}/{peer.life}"
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_rollout_note.py
@@ -0,0 +1,318 @@
+"""What the store keeps of roll-outs, and what operators are told.
+
+A record is changed under a condition, so that any router may take a roll-out on and two
+that do it at once don't contradict each other. It is read only while an order is under
+way. What operators are told follows the record, and is written by whoever leads.
+"""
+
+from collections.abc import Callable
+from time import time
+
+from anyio import CancelScope, Event, create_task_group, move_on_after
+from anyio.abc import TaskGroup
+from msgspec import DecodeError, json
+
+from berylwalk.direct._context import RouterContext
+from berylwalk.direct._entry_findings import EntryFindings
+from berylwalk.direct._mirrored_prefix import MirroredPrefix, MirrorRules, ReadingRole
+from berylwalk.direct._peering import life_of
+from berylwalk.direct._shared_reading import SharedReading
+from berylwalk.direct._store_reach import StoreReach
+from berylwalk.platform import (
+    Conflict,
+    EventKind,
+    KeyValue,
+    KeyValueClient,
+    Lost,
+    Swapped,
+    Unavailable,
+    WatchEvent,
+    encode_rollout_status,
+    is_rollout_status,
+    rollout_status_key,
+)
+from berylwalk.rollout import (
+    RECORDS_PREFIX,
+    Progress,
+    Record,
+    record_key,
+    service_of_record_key,
+)
+
+RECORD_BOUND_S = 2.4
+"""Age that what is known of a record may reach while the store is well, in seconds:
+below that from which nothing is sent to a version that is not proved."""
+RECORD_LEAN_S = 1.2
+"""Age up to which the word of other routers on records is enough, in seconds."""
+LIST_S = 1.0
+"""Time between two lists of the records: a lost answer of a watch shows by it."""
+TURN_S = 0.1
+"""Time between two looks at whether a roll-out goes on to its next phase."""
+IDLE_S = 5.0
+"""The same while there is none."""
+OTHERS_LOOK_S = 0.4
+"""The same for a router that would write only what the first one does not."""
+OTHERS_WRITE_AFTER_S = 1.0
+"""Time after which a router writes what the first one should have written."""
+
+
+class RolloutNote:
+    """Reads and writes records while orders are under way.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's state.
+    store : KeyValueClient
+        The platform's store.
+    reach : StoreReach
+        Paces calls of it that failed.
+    reading : SharedReading
+        What the routers ask each other about the store.
+    role : ReadingRole
+        Whether this router reads the store for itself only.
+    wall_clock : callable
+        Time of day, in seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        context: RouterContext,
+        store: KeyValueClient,
+        reach: StoreReach,
+        *,
+        reading: SharedReading,
+        role: ReadingRole,
+        wall_clock: Callable[[], float] = time,
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._reach = reach
+        self._reading = reading
+        self._role = role
+        self._wall_clock = wall_clock
+        self._woken = Event()
+        self._mirror: MirroredPrefix | None = None
+        self._mirror_scope: CancelScope | None = None
+        self._revisions_by_service: dict[str, int] = {}
+        self._is_read = False
+        self._looked_at = float("-inf")
+        self._due_since: dict[tuple[str, str], float] = {}
+        self._findings = EntryFindings(context, "rollout-record-invalid")
+        context.rollouts.record_age_s = self._record_age_s
+
+    def wake(self) -> None:
+        """Look at once."""
+        self._woken.set()
+
+    def _record_age_s(self) -> float:
+        return float("inf") if self._mirror is None else self._mirror.age_s()
+
+    async def run(self) -> None:
+        """Follow orders for ever."""
+        async with create_task_group() as tasks:
+            while True:
+                is_busy = self._wants_records()
+                with move_on_after(TURN_S if is_busy else IDLE_S):
+                    await self._woken.wait()
+                self._woken = Event()
+                self._run_mirror(tasks)
+                if self._is_read:
+                    await self._turn()
+
+    # Reading.
+
+    def _wants_records(self) -> bool:
+        """Return whether an order is under way, or its end is still to be told."""
+        return any(
+            progress.is_open or self._wants_status(progress)
+            for progress in self._context.rollouts.progresses
+        )
+
+    def _run_mirror(self, tasks: TaskGroup) -> None:
+        """Read records while that is wanted, and only then."""
+        if self._wants_records():
+            if self._mirror is None:
+                self._mirror = self._new_mirror()
+                self._reading.add(self._mirror)
+                tasks.start_soon(self._follow, self._mirror)
+        elif self._mirror is not None:
+            self._reading.remove(self._mirror)
+            self._mirror_scope.cancel()
+            self._mirror = None
+            self._is_read = False
+
+    def _new_mirror(self) -> MirroredPrefix:
+        rules = MirrorRules(
+            prefix=RECORDS_PREFIX,
+            name="rollouts",
+            bound_s=RECORD_BOUND_S,
+            list_gap_s=lambda: LIST_S,
+            lean_s=RECORD_LEAN_S,
+            is_steady=True,
+        )
+        return MirroredPrefix(
+            self._store,
+            self._reach,
+            rules,
+            clock=self._context.clock,
+            on_list=lambda items, revision, asked_at: self._take_all(items),
+            on_changes=self._take_changes,
+            on_known=lambda items, known_at: self._take_all(items),
+            role=self._role,
+        )
+
+    async def _follow(self, mirror: MirroredPrefix) -> None:
+        with CancelScope() as self._mirror_scope:
+            await mirror.run()
+
+    def _take_all(self, items: list[KeyValue]) -> None:
+        self._is_read = True
+        for item in items:
+            self._take(item)
+        self.wake()
+
+    def _take_changes(self, events: list[WatchEvent], known_at: float) -> None:
+        for event in events:
+            if event.kind is EventKind.PUT:
+                self._take(event.key_value)
+            else:
+                service = service_of_record_key(event.key_value.key)
+                self._revisions_by_service.pop(service, None)
+        self.wake()
+
+    def _take(self, item: KeyValue) -> None:
+        """Take a record; one that can't be read is written anew."""
+        service = service_of_record_key(item.key)
+        known = self._revisions_by_service.get(service, 0)
+        self._revisions_by_service[service] = max(known, item.mod_revision)
+        try:
+            record = json.decode(item.value, type=Record)
+        except (DecodeError, UnicodeError, RecursionError) as error:
+            self._findings.note(item.key.decode("latin-1"), "not-readable", repr(error))
+            return
+        age_s = self._wall_clock() - record.began_s
+        self._adopt(service, record, age_s)
+
+    def _adopt(self, service: str, record: Record, age_s: float | None) -> None:
+        context = self._context
+        if not context.rollouts.take_record(service, record, context.clock(), age_s):
+            return
+        context.log.process(
+            "rollout-phase",
+            service=service,
+            version=record.version,
+            phase=record.phase,
+            number=record.number,
+            reason=record.reason,
+        )
+        context.dispatcher.pump_all(context.clock())
+
+    # Writing.
+
+    async def _turn(self) -> None:
+        context = self._context
+        now = context.clock()
+        is_first = context.peers.is_first(now)
+        if not is_first and now - self._looked_at < OTHERS_LOOK_S:
+            return
+        self._looked_at = now
+        for progress in context.rollouts.progresses:
+            record = self._next_record(progress, now)
+            if record is not None:
+                if self._is_due(progress, record.phase, now):
+                    await self._write(progress.order.service, record)
+            elif self._wants_status(progress) and self._is_due(progress, "told", now):
+                await self._tell_operators(progress)
+
+    def _is_due(self, progress: Progress, step: str, now: float) -> bool:
+        """Return whether it is for this router to take a step now."""
+        key = (f"{progress.order.service}/{progress.order.revision}", step)
+        since = self._due_since.setdefault(key, now)
+        return self._context.peers.is_first(now) or now - since >= OTHERS_WRITE_AFTER_S
+
+    def _next_record(self, progress: Progress, now: float) -> Record | None:
+        """Return the record as it has to be written; None if it needs no change."""
+        rollouts = self._context.rollouts
+        order = progress.order
+        if progress.record is None:
+            former = rollouts.record(order.service)
+            if former is not None and former.order_revision > order.revision:
+                # A newer order has been read by others.
+                return None
+            return Record.begun(order, former, self._wall_clock())
+        peers = self._context.peers
+        heard = [
+            life_of(peer)
+            for peer in peers.by_name.values()
+            if peers.is_heard(peer, now)
+        ]
+        all_are_heard = len(heard) == len(peers.by_name)
+        step = rollouts.next_phase(
+            progress, heard, all_are_heard=all_are_heard, now=now
+        )
+        if step is None:
+            return None
+        phase, reason = step
+        return progress.record.moved(
+            phase, reason, rollouts.versions.known(order.service)
+        )
+
+    async def _write(self, service: str, record: Record) -> None:
+        """Write a record under the condition that nobody has changed it."""
+        revision = self._revisions_by_service.get(service, 0)
+        result = await self._reach.ask(
+            "write-rollout",
+            self._store.compare_and_swap(
+                record_key(service), json.encode(record), revision
+            ),
+        )
+        match result:
+            case Swapped():
+                self._revisions_by_service[service] = result.mod_revision
+                self._adopt(service, record, None)
+                self._context.rollouts.on_news()
+            case Conflict(current=None):
+                self._revisions_by_service.pop(service, None)
+            case Conflict():
+                self._take(result.current)
+            case Lost() | Unavailable():
+                await self._reach.pause(1)
+
+    # Telling operators.
+
+    def _wants_status(self, progress: Progress) -> bool:
+        record = progress.record
+        return record is not None and progress.told_number < record.number
+
+    async def _tell_operators(self, progress: Progress) -> None:
+        """Write the status that follows from the record, unless it is there."""
+        record, service = progress.record, progress.order.service
+        key = rollout_status_key(service)
+        item = await self._reach.ask("read-rollout-status", self._store.get(key))
+        if isinstance(item, Unavailable):
+            await self._reach.pause(1)
+            return
+        if item is not None and is_rollout_status(
+            item.value, record.phase, record.version
+        ):
+            progress.told_number = record.number
+            return
+        value = encode_rollout_status(record.phase, record.version)
+        revision = 0 if item is None else item.mod_revision
+        result = await self._reach.ask(
+            "write-rollout-status", self._store.compare_and_swap(key, value, revision)
+        )
+        if isinstance(result, Swapped):
+            progress.told_number = record.number
+            self._context.log.process(
+                "rollout-told",
+                service=service,
+                version=record.version,
+                phase=record.phase,
+                number=record.number,
+            )
+        elif isinstance(result, Conflict):
+            self._context.log.process("rollout-status-changed-by-others", key=str(key))
+        else:
+            await self._reach.pause(1)
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -8,9 +8,11 @@
 from berylwalk.direct._exchange_log import ExchangeLog
 from berylwalk.direct._lesson import Lesson
 from berylwalk.direct._relay import Relay
+from berylwalk.direct._version_watch import VersionWatch
 from berylwalk.dispatch import (
     AttemptEnd,
     Attempts,
+    ExpectedStart,
     RouteKind,
     Target,
     TargetState,
@@ -60,6 +62,7 @@
         self._attempts = attempts
         self._log = log
         self._lesson = Lesson(context, admitted, log)
+        self._version_watch: VersionWatch | None = None
 
     async def send(self, target: Target) -> Attempt:
         """Send it to a target at which it is counted, until the attempt ends."""
@@ -92,6 +95,7 @@
         start = expected_start(target, work, held_tokens=held_tokens)
         prefix_reads.note_sent(work, life_id)
         self._log.tell_placed(self._admitted, target, start)
+        self._watch_version(target, start)
 
         def on_first_event() -> None:
             target.note_first_event(work, start, self._lesson.taken_s(sent_at))
@@ -110,6 +114,13 @@
             on_output=on_output,
         )
 
+    def _watch_version(self, target: Target, start: ExpectedStart) -> None:
+        """Note the send for the judgement of versions, while one is not proved."""
+        context, admitted = self._context, self._admitted
+        self._version_watch = None
+        if context.rollouts.is_watched(admitted.service):
+            self._version_watch = VersionWatch(context, admitted, target, start)
+
     def _may_still_send(self, target: Target) -> bool:
         """Return whether the wait has not made the request's sending wrong."""
         configuration = self._context.configuration
@@ -147,6 +158,7 @@
 
     async def _until_ended(self, target: Target, attempt: Attempt) -> None:
         clock, ends_at = self._context.clock, self._admitted.ends_at
+        sent_at = clock()
         while attempt.end is None:
             self._context.note_suspension()
             now = clock()
@@ -155,6 +167,8 @@
             elif self._seems_dark(target, attempt, now):
                 attempt.give_up(AttemptEnd.SILENT, "target is silent", by_target=True)
             else:
+                if self._version_watch is not None:
+                    self._version_watch.look(attempt, self._lesson.taken_s(sent_at))
                 with move_on_after(min(CHECK_S, ends_at - now)):
                     await attempt.done.wait()
 
@@ -198,6 +212,9 @@
     def _note_end(self, target: Target, attempt: Attempt, sent_at: float) -> None:
         context, admitted = self._context, self._admitted
         self._lesson.take(target, attempt, sent_at)
+        if self._version_watch is not None:
+            taken_s = self._lesson.taken_s(sent_at)
+            self._version_watch.take(attempt, taken_s, self._tokens_per_event())
         if attempt.end is not None:
             self._attempts.note(attempt.end)
             context.metrics.attempts.labels(admitted.service, attempt.end).inc()
--- a/libs/direct/src/berylwalk/direct/_shared_reading.py
+++ b/libs/direct/src/berylwalk/direct/_shared_reading.py
@@ -76,6 +76,10 @@
         """Ask and tell of some items from now on."""
         self._mirrors_by_name[mirror.name] = mirror
 
+    def remove(self, mirror: MirroredPrefix) -> None:
+        """Ask and tell of some items no more."""
+        self._mirrors_by_name.pop(mirror.name, None)
+
     def reads_for_others(self) -> bool:
         """Return whether other routers take this one's word."""
         peers = self._context.peers
--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -150,6 +150,9 @@
     def _usable(self, item: KeyValue) -> TargetEntry | None:
         """Return the entry if it names a target; one that does not ends its use."""
         entry = decode_target(item)
+        if isinstance(entry, TargetEntry):
+            versions = self._context.rollouts.versions
+            versions.note_version(entry.service, entry.version, item.mod_revision)
         if isinstance(entry, TargetEntry) and self._lacks_start(entry):
             problem = EntryProblem.WRONG_FIELD
             entry = UnusableEntry(entry.target_id, problem, NO_START)
@@ -206,6 +209,7 @@
             service=entry.service,
             address=f"{entry.host}:{entry.port}",
             state=entry.state,
+            version=entry.version,
             slots=entry.slots,
             started_ms=entry.started_ms,
             revision=revision,
--- /dev/null
+++ b/libs/direct/src/berylwalk/direct/_version_watch.py
@@ -0,0 +1,149 @@
+"""What the answer of one send says of the version of its target.
+
+Load pattern: routes whose prompts differ a hundredfold, at targets whose speeds differ
+several times and that are busy. An answer is slow against what the service's targets
+take for such a request behind the same prompts, not against others of its version.
+"""
+
+from collections.abc import Sequence
+
+from berylwalk.direct._admission import Admitted
+from berylwalk.direct._attempt import Attempt
+from berylwalk.direct._context import RouterContext
+from berylwalk.dispatch import AttemptEnd, ExpectedStart, Target, mean_token_s
+from berylwalk.rollout import AnswerKind, Row
+
+SLOW_FACTOR = 3.5
+"""Times as long as is typical from which an answer is slow: targets of one version
+differ less in most answers, and a bad version's are several times later."""
+LEAST_SLOW_S = 0.05
+"""Time above what is typical from which an answer is slow, in seconds."""
+FAILED_ENDS = (AttemptEnd.FAILED, AttemptEnd.BROKEN, AttemptEnd.SILENT)
+
+
+class VersionWatch:
+    """Notes one send to a service that is under a roll-out; made when it begins.
+
+    Parameters
+    ----------
+    context : RouterContext
+        The router's state.
+    admitted : Admitted
+        The request.
+    target : Target
+        Where it is sent.
+    start : ExpectedStart
+        When its first event is expected there.
+    """
+
+    def __init__(
+        self,
+        context: RouterContext,
+        admitted: Admitted,
+        target: Target,
+        start: ExpectedStart,
+    ) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._target = target
+        progress = context.rollouts.progress(admitted.service)
+        version = progress.order.version
+        self._row: Row | None = None
+        self._is_noted = False
+        if target.entry.version == version:
+            epoch = progress.epoch(context.clock())
+            self._row = Row(epoch, target.entry.life_id, admitted.route.name)
+        others = [
+            each
+            for each in context.targets.of_service(admitted.service)
+            if each.entry.version != version
+        ]
+        self._token_s = mean_token_s(others)
+        self._typical_s = self._typical_start_s(others, start)
+
+    def _typical_start_s(
+        self, others: Sequence[Target], start: ExpectedStart
+    ) -> float | None:
+        """Return what a first event, or a plain answer, takes; None if unknown."""
+        if self._admitted.facts.work.prompt_tokens:
+            model = self._target.start_model
+            reading_s = model.reading_s(
+                self._token_s, start.ahead_tokens, start.own_tokens
+            )
+            return model.fixed_s + reading_s + start.slot_wait_s
+        known = [each.slot_s for each in others if each.slot_s is not None]
+        return sum(known) / len(known) + start.slot_wait_s if known else None
+
+    def take(self, attempt: Attempt, taken_s: float, tokens_per_event: int) -> None:
+        """Count the answer.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            How the send ended.
+        taken_s : float
+            Time since the send, in seconds.
+        tokens_per_event : int
+            Output tokens in an event of a stream.
+        """
+        rollouts, service = self._context.rollouts, self._admitted.service
+        kind = self._kind(attempt, taken_s, tokens_per_event)
+        if kind is None:
+            return
+        if attempt.target_ended:
+            life_id, is_new = self._target.entry.life_id, self._row is not None
+            rollouts.note_end_of_target(service, life_id, is_new=is_new)
+            return
+        if self._row is None:
+            rollouts.note_taken(service, taken_s)
+        self._note(kind)
+
+    def look(self, attempt: Attempt, taken_s: float) -> None:
+        """Count an answer as slow as soon as it is: its end may be seconds away.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            The send, which goes on.
+        taken_s : float
+            Time since the send, in seconds.
+        """
+        if attempt.first_event_at is None and self._is_late(taken_s):
+            self._note(AnswerKind.SLOW)
+
+    def _note(self, kind: AnswerKind) -> None:
+        """Count the answer, once."""
+        if self._is_noted:
+            return
+        self._is_noted = True
+        rollouts, service = self._context.rollouts, self._admitted.service
+        route = self._admitted.route.name
+        rollouts.note_answer(service, self._row, route, kind, self._context.clock())
+
+    def _kind(
+        self, attempt: Attempt, taken_s: float, tokens_per_event: int
+    ) -> AnswerKind | None:
+        """Return what it says of the version; None if nothing."""
+        if attempt.end in FAILED_ENDS:
+            return AnswerKind.FAILED
+        if attempt.end is AttemptEnd.ANSWERED:
+            is_slow = self._is_slow(attempt, taken_s, tokens_per_event)
+            return AnswerKind.SLOW if is_slow else AnswerKind.GOOD
+        has_left = attempt.end is None and attempt.first_event_at is None
+        if has_left and self._is_late(taken_s):
+            return AnswerKind.SLOW
+        return None
+
+    def _is_slow(self, attempt: Attempt, taken_s: float, tokens_per_event: int) -> bool:
+        if attempt.first_event_at is None or attempt.last_event_at is None:
+            return self._is_late(taken_s)
+        streaming_s = attempt.last_event_at - attempt.first_event_at
+        tokens = tokens_per_event * max(0, attempt.events - 1)
+        typical_s = tokens * self._token_s
+        is_dragging = streaming_s > SLOW_FACTOR * typical_s + LEAST_SLOW_S
+        return is_dragging or self._is_late(taken_s - streaming_s)
+
+    def _is_late(self, taken_s: float) -> bool:
+        if self._typical_s is None:
+            return False
+        return taken_s > SLOW_FACTOR * self._typical_s + LEAST_SLOW_S
--- a/libs/direct/tests/virtual_feeds.py
+++ b/libs/direct/tests/virtual_feeds.py
@@ -19,6 +19,7 @@
     TargetTable,
 )
 from berylwalk.platform import KeyValueClient
+from berylwalk.rollout import ExposureRules, Rollouts
 from virtual_store import VirtualStore
 from virtual_time import VirtualLoop
 
@@ -51,6 +52,7 @@
             configuration=self.configuration,
             allowances=Allowances(AllowanceRules(), started_at=self.clock()),
             dispatcher=Dispatcher(self.targets, failure_domain="fd-a"),
+            rollouts=Rollouts(ExposureRules()),
             pool=SimpleNamespace(keep_only=lambda life_ids: None),
             metrics=RouterMetrics(),
             log=SimpleNamespace(process=self._log),
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -28,6 +28,7 @@
 )
 from berylwalk.platform import Unavailable, UnavailableReason
 from berylwalk.quarantine import Quarantine, Standing
+from berylwalk.rollout import ExposureRules, Rollouts
 from berylwalk.standins.memory import InMemoryKeyValue
 from virtual_time import VirtualLoop
 
@@ -131,6 +132,7 @@
             allowances=Allowances(AllowanceRules(), started_at=self.clock()),
             dispatcher=Dispatcher(targets, failure_domain=domain),
             quarantine=self.quarantine,
+            rollouts=Rollouts(ExposureRules()),
             peers=PeerTable(name, domain),
             metrics=RouterMetrics(),
             log=SimpleNamespace(process=self._log),
--- /dev/null
+++ b/libs/direct/tests/virtual_rollout.py
@@ -0,0 +1,748 @@
+"""Routers, targets of two versions and an operator who orders a roll-out.
+
+All in virtual time. What routers read, believe, tell and write is the real code; what
+becomes of a request at a target, and what the operator does, is played here.
+"""
+
+import random
+from asyncio import Runner, get_running_loop
+from collections import Counter
+from dataclasses import dataclass, field
+from json import dumps, loads
+from random import Random
+from types import SimpleNamespace
+
+from anyio import Event, create_task_group, move_on_after, sleep
+
+from berylwalk.direct._configuration_feed import ConfigurationFeed
+from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.direct._mirrored_prefix import ReadingRole
+from berylwalk.direct._peering import Peering
+from berylwalk.direct._rollout_note import RolloutNote
+from berylwalk.direct._store_reach import StoreReach
+from berylwalk.direct._target_feed import TargetFeed
+from berylwalk.dispatch import (
+    AllowanceRules,
+    Allowances,
+    ConfigurationState,
+    Dispatcher,
+    Peer,
+    PeerTable,
+    TargetTable,
+    Work,
+)
+from berylwalk.platform import (
+    Changes,
+    Conflict,
+    EventKind,
+    KeyValue,
+    Listing,
+    Lost,
+    Swapped,
+    Unavailable,
+    UnavailableReason,
+    WatchEvent,
+)
+from berylwalk.quarantine import Quarantine
+from berylwalk.rollout import AnswerKind, ExposureRules, Rollouts, Row
+from virtual_time import VirtualLoop
+
+DOMAINS = ("fd-a", "fd-b", "fd-c")
+SERVICE = "s"
+OLD, NEW = "v1", "v2"
+ORDER_KEY = b"op/rollout/s"
+STATUS_KEY = b"status/rollout/s"
+CONTACT_S = 4.0
+"""Time after a fault of a router or the store until its sends count again."""
+ROLLBACK_S = 5.0
+FIRST_EVENT_SHARE = 0.25
+"""Part of an answer's time after which its first event comes."""
+SLOW_FACTOR = 3.5
+"""Times as long as usual from which a router takes an answer for slow."""
+BAD_ANSWERS = 50
+CALL_S = 0.006
+LOST_CALL_S = 0.9
+NO_ANSWER = Unavailable(UnavailableReason.NO_ANSWER, "no answer")
+
+
+class PlayedStore:
+    """The platform's store: items, revisions, watches; calls may go unanswered."""
+
+    def __init__(self):
+        self.revision = 100
+        self.items = {}
+        self.events = []
+        self.down = False
+        self.lost_share = 0.0
+        self.calls = 0
+        self.changed = Event()
+
+    def put(self, key, value):
+        """Write at once, as operators and targets do."""
+        self.revision += 1
+        self.items[key] = KeyValue(key, value, self.revision)
+        self._note(WatchEvent(EventKind.PUT, self.items[key]))
+        return self.revision
+
+    def delete(self, key):
+        """Remove at once."""
+        if key in self.items:
+            self.revision += 1
+            del self.items[key]
+            gone = KeyValue(key, b"", self.revision)
+            self._note(WatchEvent(EventKind.DELETE, gone))
+
+    def _note(self, event):
+        self.events.append(event)
+        self.changed.set()
+        self.changed = Event()
+
+    async def list_prefix(self, prefix, *, stale_ok=False):
+        """Answer with all items."""
+        entries = [item for key, item in self.items.items() if key.startswith(prefix)]
+        return Listing(tuple(entries), self.revision)
+
+    async def changes(self, prefix, after, *, wait_s):
+        """Answer once there is a change, or the time is over."""
+        with move_on_after(wait_s):
+            while not (news := self._since(prefix, after)):
+                await self.changed.wait()
+        return Changes(tuple(news), self.revision)
+
+    def _since(self, prefix, after):
+        return [
+            event
+            for event in self.events
+            if event.key_value.mod_revision > after
+            and event.key_value.key.startswith(prefix)
+        ]
+
+    async def get(self, key):
+        """Answer with one item."""
+        return self.items.get(key)
+
+    async def compare_and_swap(self, key, value, expected):
+        """Write under a condition."""
+        item = self.items.get(key)
+        if (item.mod_revision if item else 0) != expected:
+            return Conflict(item)
+        return Swapped(self.put(key, value))
+
+
+class StoreOf:
+    """The store as one router reaches it."""
+
+    def __init__(self, play, name):
+        self._play = play
+        self._name = name
+
+    def __getattr__(self, call):
+        async def make(*arguments, **options):
+            play, store = self._play, self._play.store
+            store.calls += 1
+            await sleep(CALL_S)
+            if self._is_away() or play.random.random() < store.lost_share / 2:
+                await sleep(LOST_CALL_S)
+                return NO_ANSWER
+            answer = await getattr(store, call)(*arguments, **options)
+            if self._is_away() or play.random.random() < store.lost_share:
+                await sleep(LOST_CALL_S)
+                return Lost("no answer") if call == "compare_and_swap" else NO_ANSWER
+            return answer
+
+        return make
+
+    def _is_away(self):
+        return self._play.store.down or self._name in self._play.cut
+
+
+@dataclass(frozen=True)
+class Badness:
+    """What is wrong with a version.
+
+    Parameters
+    ----------
+    share : float
+        Part of its answers that are bad; 0 for a good version.
+    is_slow : bool
+        Whether these come late instead of failing.
+    from_s : float
+        Time after the order from which it is bad, in seconds.
+    from_load : int
+        Requests at a target from which it is bad.
+    route : str
+        The only route on which it is bad; empty for all.
+    """
+
+    share: float = 0.0
+    is_slow: bool = False
+    from_s: float = 0.0
+    from_load: int = 0
+    route: str = ""
+
+
+class Engine:
+    """One target."""
+
+    def __init__(self, play, number, version):
+        self.play = play
+        self.target_id = f"i-{version}-{number}"
+        self.version = version
+        self.domain = DOMAINS[number % len(DOMAINS)]
+        self.is_up = True
+        self.is_grey = False
+        self.slowness = play.random.choice((0.6, 1.0, 1.0, 2.5))
+        self.runs = {}
+
+    @property
+    def key(self):
+        """Return the key of its entry."""
+        return b"servers/" + self.target_id.encode()
+
+    def enlist(self, state="ready"):
+        """Write its entry."""
+        entry = {
+            "service": SERVICE,
+            "address": "10.0.0.1:8000",
+            "zone": self.domain,
+            "slots": 16,
+            "state": state,
+            "version": self.version,
+        }
+        self.play.store.put(self.key, dumps(entry).encode())
+
+    def leave(self):
+        """Stop at once; what runs there is lost."""
+        self.is_up = False
+        for ended in list(self.runs):
+            ended.set()
+        self.play.store.delete(self.key)
+
+    async def run(self, route, takes_s, router, on_late):
+        """Run a request; return what its answer says of it.
+
+        ``on_late`` is called when its first event is late enough to be seen as slow.
+        """
+        if not self.is_up:
+            return AnswerKind.FAILED
+        is_bad = self._is_bad(route)
+        factor = 5.0 if is_bad and self.play.badness.is_slow else self.slowness
+        ended = Event()
+        self.runs[ended] = router
+        self.play.note_arrival(self, router)
+        if factor > SLOW_FACTOR:
+            seen_after_s = SLOW_FACTOR * FIRST_EVENT_SHARE * takes_s
+            get_running_loop().call_later(seen_after_s, on_late)
+        try:
+            with move_on_after(takes_s * factor):
+                await ended.wait()
+        finally:
+            del self.runs[ended]
+        if ended.is_set() or self.is_grey:
+            return AnswerKind.FAILED
+        if is_bad:
+            self.play.note_bad_answer()
+            slow = self.play.badness.is_slow
+            return AnswerKind.SLOW if slow else AnswerKind.FAILED
+        is_late = self.play.random.random() < self.play.late_share
+        return AnswerKind.SLOW if is_late else AnswerKind.GOOD
+
+    def _is_bad(self, route):
+        badness, play = self.play.badness, self.play
+        return (
+            self.version == NEW
+            and play.random.random() < badness.share
+            and play.since_order_s() >= badness.from_s
+            and len(self.runs) >= badness.from_load
+            and badness.route in ("", route)
+        )
+
+
+class RolloutRouter:
+    """One life of a router."""
+
+    def __init__(self, play, name, domain, life):
+        self.play = play
+        self.name = name
+        self.clock = get_running_loop().time
+        self.lines = []
+        self.targets = TargetTable()
+        self.rollouts = play.plants.make_rollouts(f"{name}/{life}")
+        peers = PeerTable(name, domain)
+        self.rollouts.routers_known = peers.known
+        self.rollouts.at_other_versions = self.targets.in_flight_elsewhere
+        self.context = SimpleNamespace(
+            settings=SimpleNamespace(
+                name=name,
+                failure_domain=domain,
+                heartbeat_s=1.2,
+                drain_s=3.0,
+                configuration_s=3.0,
+                caller_address=SimpleNamespace(host=name),
+                peer_port=1,
+            ),
+            targets=self.targets,
+            configuration=ConfigurationState(key_trust_s=4.5),
+            allowances=Allowances(AllowanceRules(), started_at=self.clock()),
+            dispatcher=Dispatcher(
+                self.targets, failure_domain=domain, rollouts=self.rollouts
+            ),
+            quarantine=Quarantine(),
+            rollouts=self.rollouts,
+            peers=peers,
+            pool=SimpleNamespace(keep_only=lambda lives: None),
+            metrics=RouterMetrics(),
+            log=SimpleNamespace(process=self._log),
+            note_suspension=lambda: None,
+            clock=self.clock,
+        )
+        reach = StoreReach(self.context)
+        store = StoreOf(play, name)
+        self.peering = Peering(self.context, store, reach)
+        self.peering._transport = SimpleNamespace(sendto=self._send)
+        reading = self.peering.reading
+        role = ReadingRole(
+            leans=reading.leans, reads_for_others=reading.reads_for_others
+        )
+        self.feeds = [
+            ConfigurationFeed(self.context, store, reach, role),
+            TargetFeed(self.context, store, reach, role),
+        ]
+        for feed in self.feeds:
+            reading.add(feed.mirror)
+        self.note = RolloutNote(
+            self.context,
+            store,
+            reach,
+            reading=reading,
+            role=role,
+            wall_clock=self.clock,
+        )
+        self.rollouts.on_news = self.peering.tell_soon
+        self.rollouts.on_orders = self.note.wake
+        self.rollouts.on_judged = lambda judged: self.note.wake()
+
+    def _log(self, event, **fields):
+        self.lines.append((round(self.clock(), 3), event, fields))
+
+    def _send(self, data, address):
+        self.play.carry(self.name, address[0], data)
+
+    async def run(self):
+        """Read, tell and write for ever."""
+        others = [
+            Peer(each, each, 1, "listed", domain)
+            for each, domain in self.play.domains_by_name.items()
+        ]
+        self.context.peers.replace(others, self.clock())
+        async with create_task_group() as tasks:
+            for each in (
+                *(feed.run for feed in self.feeds),
+                self.peering._tell,
+                self.peering._relay,
+                self.peering.reading.run,
+                self.note.run,
+            ):
+                tasks.start_soon(each)
+
+    def choose(self, route):
+        """Return the target that a request goes to, and whether it is a trial."""
+        now, rollouts = self.clock(), self.rollouts
+        targets = self.targets.of_service(SERVICE)
+        if rollouts.is_watched(SERVICE):
+            rollouts.note_sent(SERVICE)
+            if rollouts.take_canary(SERVICE, route, now):
+                version = rollouts.progress(SERVICE).order.version
+                new = [each for each in targets if each.entry.version == version]
+                lives = [each.entry.life_id for each in new]
+                others = len(targets) - len(new)
+                group = rollouts.group(SERVICE, lives, others, now)
+                among = [
+                    each
+                    for each in new
+                    if each.entry.life_id in group and each.takes_work(now)
+                ]
+                if among:
+                    return min(among, key=lambda each: each.total_in_flight)
+                rollouts.give_back_canary(SERVICE, route)
+        draw = self.play.random.random()
+        allowed = [
+            each
+            for each in targets
+            if each.takes_work(now)
+            and rollouts.allows(SERVICE, each.entry.version, draw, now)
+        ]
+        if not allowed:
+            return None
+        few = self.play.random.sample(allowed, min(2, len(allowed)))
+        return min(few, key=lambda each: each.total_in_flight)
+
+    async def serve(self, route, takes_s):
+        """Send a request as an exchange does; return what its answer says."""
+        target = self.choose(route)
+        if target is None:
+            return None
+        rollouts, work, sent_at = self.rollouts, Work(), self.clock()
+        row = None
+        if rollouts.is_watched(SERVICE):
+            progress = rollouts.progress(SERVICE)
+            if target.entry.version == progress.order.version:
+                row = Row(progress.epoch(sent_at), target.entry.life_id, route)
+        target.note_sent(work, sent_at)
+        engine = self.play.engines_by_id[target.entry.target_id]
+        noted = []
+
+        def note(kind):
+            if not noted:
+                noted.append(kind)
+                rollouts.note_answer(SERVICE, row, route, kind, self.clock())
+
+        try:
+            kind = await engine.run(
+                route, takes_s, self.name, lambda: note(AnswerKind.SLOW)
+            )
+        finally:
+            target.note_left(work, had_first_event=True)
+        if not engine.is_up:
+            target.note_unreachable(self.clock())
+            life_id = target.entry.life_id
+            rollouts.note_end_of_target(SERVICE, life_id, is_new=row is not None)
+            return kind
+        if row is None:
+            rollouts.note_taken(SERVICE, self.clock() - sent_at)
+        note(kind)
+        return kind
+
+
+class Plants:
+    """Deliberate faults of the routers; without one they are as they are."""
+
+    no_sharing = False
+
+    def make_rollouts(self, life):
+        """Return the state of a router."""
+        return Rollouts(ExposureRules(), router=life)
+
+
+@dataclass
+class Figures:
+    """What came of a play."""
+
+    arrivals: int = 0
+    exposed: int = 0
+    bad_answers: int = 0
+    fiftieth_at: float = float("inf")
+    sent_late: int = 0
+    unordered: int = 0
+    cut_at_completion: int = 0
+    statuses: list = field(default_factory=list)
+    kinds: Counter = field(default_factory=Counter)
+    no_place: int = 0
+
+    @property
+    def state(self):
+        """Return the last state that the operator was told."""
+        return self.statuses[-1][1] if self.statuses else None
+
+    @property
+    def allowed(self):
+        """Return how many requests a bad version may get."""
+        rules = ExposureRules()
+        return rules.share * self.arrivals + rules.slack
+
+
+class RolloutPlay:
+    """A fleet, its callers, an operator and the faults of a seed.
+
+    Parameters
+    ----------
+    seed : int
+        Of all that is drawn.
+    routers, engines : int
+        How many routers, and targets of each version, there are.
+    badness : Badness
+        What is wrong with the new version.
+    faults : collection of str
+        Kinds of faults that are drawn; empty for none.
+    period_s : float
+        Time that the operator gives, in seconds.
+    requests_per_s : float
+        Of all callers.
+    routes : tuple of (str, float)
+        Routes and their parts of the requests.
+    longest_s : float
+        Longest answer of a target of usual speed, in seconds.
+    plants : Plants
+        Deliberate faults of the routers.
+    """
+
+    def __init__(
+        self,
+        seed,
+        *,
+        routers,
+        engines,
+        badness,
+        faults=(),
+        period_s=12.0,
+        requests_per_s=120.0,
+        routes=(("r1", 0.6), ("r2", 0.3), ("r3", 0.1)),
+        longest_s=1.2,
+        plants=None,
+    ):
+        self.seed = seed
+        self.random = Random(seed)
+        self.badness = badness
+        self.faults = faults
+        self.period_s = period_s
+        self.requests_per_s = requests_per_s
+        self.routes = routes
+        self.longest_s = longest_s
+        self.plants = plants or Plants()
+        self.figures = Figures()
+        self.engine_count = engines
+        self.domains_by_name = {
+            f"r-{number:02}": DOMAINS[number % len(DOMAINS)]
+            for number in range(routers)
+        }
+        self.engines_by_id = {}
+        self.routers_by_name = {}
+        self.tasks_by_name = {}
+        self.cut = set()
+        self.disturbed_at_by_name = {}
+        self.store_disturbed_at = float("-inf")
+        self.lost_share = 0.0
+        self.late_share = 0.01
+        self.ordered_at = float("inf")
+        self.lives = 0
+
+    def play(self):
+        """Play it; return its figures."""
+        random.seed(self.seed)
+        with Runner(loop_factory=lambda: VirtualLoop(None)) as runner:
+            return runner.run(self._main())
+
+    async def _main(self):
+        self.clock = get_running_loop().time
+        self.store = PlayedStore()
+        configuration = {"version": 1, "routes": [], "services": [{"name": SERVICE}]}
+        self.store.put(b"op/config", dumps(configuration).encode())
+        for number in range(self.engine_count):
+            self._start_engine(number, OLD)
+        async with create_task_group() as self.tasks:
+            for name in self.domains_by_name:
+                self._begin(name)
+            await sleep(2.0)
+            self.tasks.start_soon(self._calls)
+            await sleep(2.0)
+            if self.faults:
+                self.tasks.start_soon(self._disturb)
+            await sleep(self.random.uniform(0, 1.0))
+            self.tasks.start_soon(self._operate)
+            await sleep(self.period_s + 9.0)
+            self.tasks.cancel_scope.cancel()
+        return self.figures
+
+    # The operator and the targets.
+
+    def since_order_s(self):
+        """Return the time since the order, in seconds."""
+        return self.clock() - self.ordered_at
+
+    def order(self, version=NEW, period_s=None):
+        """Write an order."""
+        order = {
+            "service": SERVICE,
+            "target": version,
+            "period-s": period_s or self.period_s,
+        }
+        self.store.put(ORDER_KEY, dumps(order).encode())
+
+    async def _operate(self):
+        self.ordered_at = self.clock()
+        self.order()
+        for number in range(self.engine_count):
+            await sleep(self.random.uniform(0.0, 0.1))
+            self._start_engine(number, NEW)
+        if "grey" in self.faults:
+            self.random.choice(self._of_version(NEW)).is_grey = True
+        told = None
+        while True:
+            item = self.store.items.get(STATUS_KEY)
+            if item is not None and item.value != told:
+                told = item.value
+                self._follow(loads(told))
+            await sleep(0.005)
+
+    def _follow(self, status):
+        self.figures.statuses.append((self.since_order_s(), status["state"]))
+        if status["state"] == "completed":
+            for engine in self._of_version(OLD):
+                for router in engine.runs.values():
+                    self.figures.cut_at_completion += self.is_in_touch(router)
+                engine.leave()
+        elif status["state"] == "reverted":
+            self.tasks.start_soon(self._drain_new)
+
+    async def _drain_new(self):
+        await sleep(3.0)
+        for engine in self._of_version(NEW):
+            engine.enlist("draining")
+        await sleep(4.0)
+        for engine in self._of_version(NEW):
+            engine.leave()
+
+    def _start_engine(self, number, version):
+        engine = Engine(self, number, version)
+        self.engines_by_id[engine.target_id] = engine
+        engine.enlist()
+
+    def _of_version(self, version):
+        return [each for each in self.engines_by_id.values() if each.version == version]
+
+    # Callers.
+
+    async def _calls(self):
+        names, weights = zip(*self.routes, strict=True)
+        while True:
+            await sleep(self.random.expovariate(self.requests_per_s))
+            (route,) = self.random.choices(names, weights)
+            takes_s = self.random.uniform(0.03, self.longest_s)
+            routers = sorted(self.routers_by_name)
+            if routers:
+                name = self.random.choice(routers)
+                # A router that is killed takes its requests along.
+                self.tasks_by_name[name].start_soon(self._call, name, route, takes_s)
+
+    async def _call(self, name, route, takes_s):
+        kind = await self.routers_by_name[name].serve(route, takes_s)
+        if kind is None:
+            self.figures.no_place += 1
+        else:
+            self.figures.kinds[kind] += 1
+
+    # What counts.
+
+    def is_in_touch(self, name):
+        """Return whether the rules bind a router now."""
+        now = self.clock()
+        disturbed_at = max(
+            self.disturbed_at_by_name.get(name, float("-inf")),
+            self.store_disturbed_at,
+            now if name in self.cut or self.store.down else float("-inf"),
+        )
+        return now > disturbed_at + CONTACT_S
+
+    def note_arrival(self, engine, router):
+        """Count a request that reaches a target."""
+        figures = self.figures
+        if self.since_order_s() < 0:
+            figures.unordered += engine.version == NEW
+            return
+        if self.since_order_s() <= self.period_s:
+            figures.arrivals += 1
+        if engine.version != NEW or not self.is_in_touch(router):
+            return
+        figures.exposed += self.since_order_s() <= self.period_s
+        since = max(figures.fiftieth_at, self.store_disturbed_at)
+        if figures.fiftieth_at < float("inf") and self.clock() > since + ROLLBACK_S:
+            figures.sent_late += 1
+
+    def note_bad_answer(self):
+        """Count a bad answer of a bad version."""
+        self.figures.bad_answers += 1
+        if self.figures.bad_answers == BAD_ANSWERS:
+            self.figures.fiftieth_at = self.clock()
+
+    # Routers and the network between them.
+
+    def _begin(self, name):
+        self.lives += 1
+        self.tasks.start_soon(self._run_router, name, str(self.lives))
+
+    async def _begin_after(self, seconds, name):
+        await sleep(seconds)
+        self._begin(name)
+
+    async def _run_router(self, name, life):
+        router = RolloutRouter(self, name, self.domains_by_name[name], life)
+        async with create_task_group() as tasks:
+            self.routers_by_name[name] = router
+            self.tasks_by_name[name] = tasks
+            await router.run()
+
+    def kill(self, names):
+        """Kill routers; they are back after a second or so."""
+        for name in names:
+            if name in self.routers_by_name:
+                del self.routers_by_name[name]
+                self.tasks_by_name.pop(name).cancel_scope.cancel()
+                back_s = self.random.uniform(0.8, 2.0)
+                self.tasks.start_soon(self._begin_after, back_s, name)
+                self.disturbed_at_by_name[name] = self.clock() + back_s
+
+    def carry(self, sender, receiver, data):
+        """Carry a datagram, unless it is lost."""
+        is_cut = sender in self.cut or receiver in self.cut or self.plants.no_sharing
+        if is_cut or self.random.random() < self.lost_share:
+            return
+        delay_s = 0.001 + 0.004 * self.random.random()
+        get_running_loop().call_later(delay_s, self._arrive, receiver, data)
+
+    def _arrive(self, receiver, data):
+        router = self.routers_by_name.get(receiver)
+        if router is not None:
+            router.peering._hear(data)
+
+    # Faults.
+
+    async def _disturb(self):
+        while True:
+            await sleep(self.random.uniform(0.5, 5.0))
+            kind = self.random.choice(self.faults)
+            if kind != "grey":
+                await getattr(self, "_" + kind)()
+
+    async def _kill_one(self):
+        self.kill([self.random.choice(sorted(self.domains_by_name))])
+
+    async def _kill_leader(self):
+        self.kill(sorted(self.domains_by_name)[:1])
+
+    async def _kill_all(self):
+        self.kill(list(self.domains_by_name))
+        await sleep(5.0)
+
+    async def _lose(self):
+        self.lost_share = self.random.choice((0.03, 0.1, 0.3))
+        await sleep(4.0)
+        self.lost_share = 0.0
+
+    async def _cut_one(self):
+        name = self.random.choice(sorted(self.domains_by_name))
+        self.cut.add(name)
+        await sleep(self.random.uniform(1.0, 6.0))
+        self.cut.discard(name)
+        self.disturbed_at_by_name[name] = self.clock()
+
+    async def _store_away(self):
+        self.store.down = True
+        await sleep(self.random.uniform(0.5, 4.0))
+        self.store.down = False
+        self.store_disturbed_at = self.clock()
+
+    async def _store_loses(self):
+        self.store.lost_share = 0.3
+        await sleep(self.random.uniform(1.0, 4.0))
+        self.store.lost_share = 0.0
+        self.store_disturbed_at = self.clock()
+
+    async def _burst(self):
+        usual = self.requests_per_s
+        self.requests_per_s, self.late_share = 2 * usual, 0.25
+        await sleep(2.0)
+        self.requests_per_s, self.late_share = usual, 0.01
+
+    async def _crash_one(self):
+        engines = [each for each in self.engines_by_id.values() if each.is_up]
+        self.random.choice(engines).leave()
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -30,7 +30,12 @@
 )
 from berylwalk.dispatch._peer_view import PEERS_OF_ONE_MESH, Peer, PeerTable
 from berylwalk.dispatch._place_limits import place_limit
-from berylwalk.dispatch._placing import PlaceRequest, choose_target, expected_start
+from berylwalk.dispatch._placing import (
+    PlaceRequest,
+    choose_target,
+    expected_start,
+    mean_token_s,
+)
 from berylwalk.dispatch._prefix_reads import PrefixReads, Read
 from berylwalk.dispatch._retries import WindowedRetryBudget
 from berylwalk.dispatch._return_times import return_time_s
@@ -90,6 +95,7 @@
     "Work",
     "choose_target",
     "expected_start",
+    "mean_token_s",
     "patience_after_failure",
     "patience_at_arrival",
     "place_limit",
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -1,6 +1,6 @@
 """Gives requests their places at targets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Sequence
 from random import random
 
 from berylwalk.dispatch._place_limits import obstacle_for
@@ -16,6 +16,7 @@
 from berylwalk.dispatch._target_entries import Obstacle
 from berylwalk.dispatch._target_table import TargetTable
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
+from berylwalk.rollout import ExposureRules, Rollouts
 
 RANK_SEEN_S = 5.0
 """Time for which places are reserved for a rank after its last request, in seconds."""
@@ -32,6 +33,8 @@
         Where this router runs.
     draw : callable
         Draws from 0 up to 1.
+    rollouts : Rollouts or None
+        What may go to which version of a service; anything to all if left out.
 
     Attributes
     ----------
@@ -45,8 +48,10 @@
         *,
         failure_domain: str,
         draw: Callable[[], float] = random,
+        rollouts: Rollouts | None = None,
     ) -> None:
         self.prefix_reads = PrefixReads()
+        self._rollouts = rollouts or Rollouts(ExposureRules())
         self._targets = targets
         self._failure_domain = failure_domain
         self._draw = draw
@@ -109,9 +114,21 @@
         is_most_urgent = self._is_most_urgent(ticket, now)
         return any(
             obstacle_for(target, (), now, is_most_urgent=is_most_urgent) is None
-            for target in self._targets.of_service(ticket.service)
+            for target in self._candidates(ticket, now)
         )
 
+    def _candidates(self, ticket: Ticket, now: float) -> Sequence[Target]:
+        """Return the targets of a service whose versions a request may go to."""
+        service, rollouts = ticket.service, self._rollouts
+        targets = self._targets.of_service(service)
+        if not rollouts.restricts(service):
+            return targets
+        return [
+            target
+            for target in targets
+            if rollouts.allows(service, target.entry.version, ticket.version_draw, now)
+        ]
+
     def _is_most_urgent(self, ticket: Ticket, now: float) -> bool:
         """Return whether no higher rank was seen lately at the same service."""
         return not any(
@@ -128,7 +145,7 @@
 
     def obstacles(self, ticket: Ticket, now: float) -> dict[str, Obstacle]:
         """Return why each target of a service can't be chosen, by target id."""
-        targets = self._targets.of_service(ticket.service)
+        targets = self._candidates(ticket, now)
         request = self._request(ticket, now)
         too_late = targets_too_late(targets, request, now)
         found = {}
@@ -146,9 +163,32 @@
                 found[target_id] = obstacle
         return found
 
+    def place_among(
+        self, ticket: Ticket, lives: Collection[str], now: float
+    ) -> Target | None:
+        """Return one of some targets, whatever waits for others; None if all are full.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request; it is counted at the target as after `submit`.
+        lives : collection of str
+            Lives of the targets.
+        now : float
+            Time in seconds.
+        """
+        targets = self._targets.of_service(ticket.service)
+        among = [target for target in targets if target.entry.life_id in lives]
+        return self._choose_from(among, ticket, now)
+
     def _choose(self, ticket: Ticket, now: float) -> Target | None:
+        return self._choose_from(self._candidates(ticket, now), ticket, now)
+
+    def _choose_from(
+        self, targets: Sequence[Target], ticket: Ticket, now: float
+    ) -> Target | None:
         return choose_target(
-            self._targets.of_service(ticket.service),
+            targets,
             self._request(ticket, now),
             failure_domain=self._failure_domain,
             now=now,
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -162,7 +162,7 @@
         return None
     if request.apart_as:
         return _apart(free, request.apart_as)
-    typical_token_s = _typical_token_s(targets)
+    typical_token_s = mean_token_s(targets)
     within_s = _start_bound_s(targets, request, typical_token_s, now)
     best = None
     best_cost = float("inf")
@@ -204,7 +204,7 @@
     targets: Sequence[Target], request: PlaceRequest, now: float
 ) -> set[str]:
     """Return the ids of targets that are passed over since they would begin late."""
-    typical_token_s = _typical_token_s(targets)
+    typical_token_s = mean_token_s(targets)
     within_s = _start_bound_s(targets, request, typical_token_s, now)
     return {
         target.entry.target_id
@@ -271,7 +271,8 @@
     return is_busy and start.total_s > within_s
 
 
-def _typical_token_s(targets: Sequence[Target]) -> float:
+def mean_token_s(targets: Sequence[Target]) -> float:
+    """Return the mean time for an output token at some targets, in seconds."""
     known = [
         target.output_token_s for target in targets if target.output_token_s is not None
     ]
--- a/libs/dispatch/src/berylwalk/dispatch/_router_settings.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_router_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from berylwalk.dispatch._allowances import AllowanceRules
+from berylwalk.rollout import ExposureRules
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,8 @@
     retry_ratio, retry_slack, retry_window_s : float
         Bound of repeated sends over all routers: in a window of so many
         seconds, the ratio of the requests and a fixed number besides.
+    exposure : ExposureRules
+        How much a version may get that is not proved.
     """
 
     name: str
@@ -69,3 +72,4 @@
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
+    exposure: ExposureRules = field(default_factory=ExposureRules)
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -54,6 +54,8 @@
     started_ms : int or None
         When this life of it started, as it says, in milliseconds since the epoch.
         None where targets don't say: there an id stands for one life.
+    version : str
+        Version of its software; empty if it does not say.
     """
 
     target_id: str
@@ -64,6 +66,7 @@
     slots: int
     state: TargetState
     started_ms: int | None = None
+    version: str = ""
 
     @property
     def life_id(self) -> str:
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -188,6 +188,14 @@
                 loads[target_id] = (count + load[0], tokens + load[1])
         return loads
 
+    def in_flight_elsewhere(self, service: str, version: str) -> int:
+        """Return the own requests at a service's targets of all versions but one."""
+        return sum(
+            target.in_flight
+            for target in self.of_service(service)
+            if target.entry.version != version
+        )
+
     def _shift(self, life_id: str, count: int, tokens: int) -> None:
         target = self.by_life_id.get(life_id)
         if target is not None:
--- a/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_waiting_line.py
@@ -46,6 +46,8 @@
         may end under it; empty for all that need not.
     arrived_at : float
         When it arrived.
+    version_draw : float
+        Its number from 0 up to 1, by which versions of a service share requests.
     """
 
     service: str
@@ -58,6 +60,7 @@
     excluded: set[str] = field(default_factory=set)
     apart_as: bytes = b""
     arrived_at: float = 0.0
+    version_draw: float = 0.0
     number: int = 0
 
 
--- a/libs/reading/src/berylwalk/reading/_messages.py
+++ b/libs/reading/src/berylwalk/reading/_messages.py
@@ -49,6 +49,9 @@
         All changes after this revision are among the items.
     items : list of WordItem
         The changes, oldest first.
+    digest : int
+        Tells whether the asker has the same items once it has the changes; 0 if that
+        is not told.
     """
 
     name: str
@@ -57,6 +60,7 @@
     changed_at: int
     after: int
     items: list[WordItem]
+    digest: int = 0
 
 
 class ReadingAsk(Struct, array_like=True, tag=3):
--- a/libs/reading/src/berylwalk/reading/_ordered_items.py
+++ b/libs/reading/src/berylwalk/reading/_ordered_items.py
@@ -1,6 +1,7 @@
 """The items under a prefix of the store, in the order of its revisions."""
 
 from collections import deque
+from zlib import crc32
 
 from berylwalk.platform import Changes, EventKind, KeyValue, Listing, WatchEvent
 from berylwalk.reading._messages import Word, WordItem
@@ -22,9 +23,10 @@
 
     Parameters
     ----------
-    is_one_key : bool
-        Whether there is a single item that is never removed: if it is the same in two
-        lists, nothing changed between them.
+    is_steady : bool
+        Whether items seldom come and go: if they are the same in two lists, nothing is
+        taken to have changed between them. Who knows of one that came and went sees by
+        the digest of a word that it has gone.
 
     Attributes
     ----------
@@ -37,8 +39,8 @@
         Revision up to which there may have been changes; none is known after it.
     """
 
-    def __init__(self, *, is_one_key: bool = False) -> None:
-        self._is_one_key = is_one_key
+    def __init__(self, *, is_steady: bool = False) -> None:
+        self._is_steady = is_steady
         self.revision = 0
         self.known_at = float("-inf")
         self.changed_at = 0
@@ -73,7 +75,7 @@
                 items_by_key[key] = known
         is_same = _revisions(items_by_key) == _revisions(self._items_by_key)
         is_later = listing.revision > self.revision
-        if not is_same or (is_later and not self._is_one_key):
+        if not is_same or (is_later and not self._is_steady):
             # What led here is not known change by change. Also if the items are the
             # same, another one may have come and gone, and others know that it came.
             newest = max(_revisions(items_by_key).values(), default=0)
@@ -125,10 +127,25 @@
             events = [_event(item) for item in word.items]
         else:
             return None
+        if self._differs_after(events, word):
+            return None
         return self.take_changes(
             Changes(tuple(events), word.revision), known_at=known_at
         )
 
+    def _differs_after(self, events: list[WatchEvent], word: Word) -> bool:
+        """Return whether the other router has other items, its changes taken."""
+        if not word.digest or word.revision < self.revision:
+            return False
+        revisions = _revisions(self._items_by_key)
+        for event in events:
+            key, revision = event.key_value.key, event.key_value.mod_revision
+            if event.kind is EventKind.PUT:
+                revisions[key] = max(revision, revisions.get(key, 0))
+            elif revisions.get(key, 0) < revision:
+                revisions.pop(key, None)
+        return _digest(revisions) != word.digest
+
     def word(self, name: str, since: int, now: float) -> Word:
         """Return what is known, for a router that knows all up to a revision.
 
@@ -142,8 +159,15 @@
             Time in seconds.
         """
         after, items = self._changes_after(since)
+        digest = _digest(_revisions(self._items_by_key)) if self._is_steady else 0
         return Word(
-            name, self.revision, now - self.known_at, self.changed_at, after, items
+            name,
+            self.revision,
+            now - self.known_at,
+            self.changed_at,
+            after,
+            items,
+            digest,
         )
 
     def _changes_after(self, since: int) -> tuple[int, list[WordItem]]:
@@ -191,5 +215,10 @@
     return all_known if item is None else max(item.mod_revision, all_known)
 
 
+def _digest(revisions: dict[bytes, int]) -> int:
+    """Return a number that tells two sets of items apart; 0 for none."""
+    return crc32(repr(sorted(revisions.items())).encode())
+
+
 def _revisions(items_by_key: dict[bytes, KeyValue]) -> dict[bytes, int]:
     return {key: item.mod_revision for key, item in items_by_key.items()}
--- /dev/null
+++ b/libs/rollout/src/berylwalk/rollout/_evidence.py
@@ -0,0 +1,212 @@
+"""What was seen of two versions of a service: sums that only grow.
+
+Sums go by the life of the router that saw it, so that they come out the same in
+whatever order, and however often, routers hear of them.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
+
+MOST_ROWS = 4096
+"""Bound of the rows that are remembered of one order."""
+
+
+class AnswerKind(StrEnum):
+    """What one answer says of a version."""
+
+    GOOD = "good"
+    FAILED = "failed"
+    SLOW = "slow"
+
+
+class Tally(NamedTuple):
+    """Numbers of answers.
+
+    Parameters
+    ----------
+    answers : int
+        All of them.
+    failed, slow : int
+        Those that failed, and those that came too late.
+    """
+
+    answers: int = 0
+    failed: int = 0
+    slow: int = 0
+
+    @property
+    def bad(self) -> int:
+        """Answers that failed or came too late."""
+        return self.failed + self.slow
+
+    def plus(self, other: "Tally") -> "Tally":
+        """Return the sum of two."""
+        return Tally(*(mine + theirs for mine, theirs in zip(self, other, strict=True)))
+
+    def at_least(self, other: "Tally") -> "Tally":
+        """Return the larger of each number: what only grows is never told too high."""
+        return Tally(*map(max, self, other))
+
+    def counted(self, kind: AnswerKind) -> "Tally":
+        """Return it with one answer more."""
+        return Tally(
+            self.answers + 1,
+            self.failed + (kind is AnswerKind.FAILED),
+            self.slow + (kind is AnswerKind.SLOW),
+        )
+
+
+class Row(NamedTuple):
+    """What answers of the new version are told apart by.
+
+    Parameters
+    ----------
+    epoch : int
+        Number of the part of the period in which they were sent.
+    target : str
+        Life of the target.
+    route : str
+        Name of the route.
+    """
+
+    epoch: int
+    target: str
+    route: str
+
+
+class OldRow(NamedTuple):
+    """What answers of the other versions are told apart by.
+
+    Parameters
+    ----------
+    epoch : int
+        Number of the part of the period in which they were sent.
+    route : str
+        Name of the route.
+    """
+
+    epoch: int
+    route: str
+
+
+Sums = dict[Row, Tally]
+OldSums = dict[OldRow, Tally]
+
+
+@dataclass(slots=True)
+class RouterSums:
+    """What one life of a router saw.
+
+    Attributes
+    ----------
+    new : dict
+        Answers of the new version, by `Row`.
+    old : dict
+        Answers of all others, by `OldRow`.
+    ended_new, ended_old : set of str
+        Lives of targets of the new version, and of others, that ended under requests.
+    told_ended_old : int
+        Number of the latter, as the router told it.
+    """
+
+    new: Sums = field(default_factory=dict)
+    old: OldSums = field(default_factory=dict)
+    ended_new: set[str] = field(default_factory=set)
+    ended_old: set[str] = field(default_factory=set)
+    told_ended_old: int = 0
+
+
+class Ends(NamedTuple):
+    """Targets that ended under requests.
+
+    Parameters
+    ----------
+    new, old : int
+        Those of the new version, and of all others.
+    """
+
+    new: int = 0
+    old: int = 0
+
+
+class Evidence:
+    """What all routers saw of the versions in one order."""
+
+    def __init__(self) -> None:
+        self._sums_by_router: dict[str, RouterSums] = {}
+        self._rows = 0
+
+    def note_new(self, router: str, row: Row, kind: AnswerKind) -> None:
+        """Count an answer of the new version."""
+        sums = self._of(router).new
+        if row not in sums:
+            if self._rows >= MOST_ROWS:
+                return
+            self._rows += 1
+        sums[row] = sums.get(row, Tally()).counted(kind)
+
+    def note_old(self, router: str, row: OldRow, kind: AnswerKind) -> None:
+        """Count an answer of another version."""
+        sums = self._of(router).old
+        sums[row] = sums.get(row, Tally()).counted(kind)
+
+    def hear(
+        self, router: str, new: Mapping[Row, Tally], old: Mapping[OldRow, Tally]
+    ) -> bool:
+        """Take what a router says that it saw; returns whether that is worse."""
+        sums = self._of(router)
+        bad_before = sum(tally.bad for tally in sums.new.values())
+        for row, tally in new.items():
+            if row not in sums.new:
+                if self._rows >= MOST_ROWS:
+                    continue
+                self._rows += 1
+            sums.new[row] = sums.new.get(row, Tally()).at_least(tally)
+        for row, tally in old.items():
+            sums.old[row] = sums.old.get(row, Tally()).at_least(tally)
+        return sum(tally.bad for tally in sums.new.values()) > bad_before
+
+    def note_ended(self, router: str, life_id: str, *, is_new: bool) -> None:
+        """Count that a target ended while it ran a request."""
+        sums = self._of(router)
+        (sums.ended_new if is_new else sums.ended_old).add(life_id)
+
+    def hear_ends(self, router: str, new: Iterable[str], old: int) -> bool:
+        """Take which ends of targets a router saw; returns whether any is news."""
+        sums = self._of(router)
+        is_new = not sums.ended_new.issuperset(new)
+        sums.ended_new.update(new)
+        sums.told_ended_old = max(sums.told_ended_old, old)
+        return is_new
+
+    def ends(self) -> Ends:
+        """Return how many targets ended; of the others the most that one router saw."""
+        all_sums = self._sums_by_router.values()
+        new = set().union(*(sums.ended_new for sums in all_sums))
+        old = [max(len(sums.ended_old), sums.told_ended_old) for sums in all_sums]
+        return Ends(len(new), max(old, default=0))
+
+    def of_router(self, router: str) -> RouterSums:
+        """Return what one life of a router saw."""
+        return self._of(router)
+
+    def new(self) -> Sums:
+        """Return the answers of the new version that any router saw."""
+        total: Sums = {}
+        for sums in self._sums_by_router.values():
+            for row, tally in sums.new.items():
+                total[row] = total.get(row, Tally()).plus(tally)
+        return total
+
+    def old(self) -> OldSums:
+        """Return the answers of all other versions that any router saw."""
+        total: OldSums = {}
+        for sums in self._sums_by_router.values():
+            for row, tally in sums.old.items():
+                total[row] = total.get(row, Tally()).plus(tally)
+        return total
+
+    def _of(self, router: str) -> RouterSums:
+        return self._sums_by_router.setdefault(router, RouterSums())
--- /dev/null
+++ b/libs/rollout/src/berylwalk/rollout/_phases.py
@@ -0,0 +1,103 @@
+"""When a roll-out goes on to its next phase, and by what."""
+
+from dataclasses import dataclass
+
+from berylwalk.rollout._judgement import Verdict
+from berylwalk.rollout._records import Phase
+
+LEAST_DRAIN_SHARE = 0.25
+MOST_DRAIN_SHARE = 0.5
+"""Bounds of the part of the period that is kept for the shift and for answers of the
+old version to end: what turns bad after the shift can't be kept to its share."""
+RAMP_S = 1.6
+"""Time for which many requests go to a part of the new targets, as far as the bound of
+the whole period allows: a last look under load."""
+SETTLE_S = 0.6
+"""Time after it until all requests go to the new version: answers come first."""
+GIVEN_UP_S = 1.0
+"""Time before the end of the period from which routers that are not heard aren't waited
+for."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Situation:
+    """What decides on the next phase.
+
+    Parameters
+    ----------
+    phase : Phase
+        The present one.
+    age_s : float
+        Time since the order, in seconds.
+    period_s : float
+        Time within which it is to be done, in seconds.
+    verdict : Verdict
+        What is thought of the new version.
+    longest_answer_s : float
+        Longest answer of the old version that was seen, in seconds.
+    has_been_stopped : bool
+        Whether some router has judged it bad.
+    all_have_left : bool
+        Whether no router that is heard sends to the old version or has anything there.
+    all_are_heard : bool
+        Whether all routers that are listed are heard.
+    """
+
+    phase: Phase
+    age_s: float
+    period_s: float
+    verdict: Verdict
+    longest_answer_s: float = 0.0
+    has_been_stopped: bool = False
+    all_have_left: bool = False
+    all_are_heard: bool = True
+
+
+def shift_at_s(period_s: float, longest_answer_s: float) -> float:
+    """Return the time from the order to the shift, in seconds.
+
+    Parameters
+    ----------
+    period_s : float
+        Time within which it is to be done, in seconds.
+    longest_answer_s : float
+        Longest answer of the old version that was seen, in seconds.
+    """
+    drain_s = RAMP_S + SETTLE_S + GIVEN_UP_S + longest_answer_s
+    least_s, most_s = LEAST_DRAIN_SHARE * period_s, MOST_DRAIN_SHARE * period_s
+    return period_s - min(max(drain_s, least_s), most_s)
+
+
+def is_ramp(shifting_for_s: float) -> bool:
+    """Return whether the shift is at its ramp, so many seconds after its begin."""
+    return shifting_for_s < RAMP_S
+
+
+def has_shifted(shifting_for_s: float) -> bool:
+    """Return whether all requests go to the new version, as long after its begin."""
+    return shifting_for_s >= RAMP_S + SETTLE_S
+
+
+def next_phase(situation: Situation) -> tuple[Phase, str] | None:
+    """Return the next phase and why it is entered; None while there is none."""
+    if situation.phase.is_final:
+        return None
+    if situation.verdict.is_bad:
+        return Phase.REVERTED, str(situation.verdict)
+    if situation.has_been_stopped:
+        return Phase.REVERTED, "judged bad by another router"
+    if situation.phase is Phase.CANARY:
+        return _after_canary(situation)
+    is_late = situation.age_s >= situation.period_s - GIVEN_UP_S
+    if situation.all_have_left and (situation.all_are_heard or is_late):
+        return Phase.COMPLETED, "all routers have left the old version"
+    return None
+
+
+def _after_canary(situation: Situation) -> tuple[Phase, str] | None:
+    if situation.age_s >= situation.period_s:
+        return Phase.REVERTED, f"out of time: {situation.verdict}"
+    begins_at_s = shift_at_s(situation.period_s, situation.longest_answer_s)
+    if situation.age_s >= begins_at_s and situation.verdict.is_enough:
+        return Phase.SHIFTING, str(situation.verdict)
+    return None
