A target at whose address another life answers gets nothing more

Cause: engines that crash are back at their addresses after two seconds, while the entries of their former lives lapse seconds later. A router left such a target alone for a tenth of a second and sent again, for what refuses at once seems free.

Peers' relays are told in a fixed order, so that plays repeat.

--- a/libs/direct/src/berylwalk/direct/_lesson.py
+++ b/libs/direct/src/berylwalk/direct/_lesson.py
@@ -9,6 +9,9 @@
 FULL_PAUSE_S = 0.1
 """Time for which a target that refused work gets none."""
 
+MISDIRECTED = 421
+"""Status by which a target says that it is not the life that is meant."""
+
 
 class Lesson:
     """Learns from one send; made when it begins.
@@ -70,6 +73,8 @@
                     target.note_unreachable(now)
             case AttemptEnd.FAILED:
                 target.note_error()
+            case AttemptEnd.REFUSED if attempt.status == MISDIRECTED:
+                target.note_replaced()
             case AttemptEnd.REFUSED:
                 target.note_full(now, FULL_PAUSE_S)
 
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -147,7 +147,7 @@
 
     def _tell_domains(self, far_domains: set[str], now: float) -> None:
         data = msgpack.encode(self._domain_message(now))
-        for failure_domain in far_domains:
+        for failure_domain in sorted(far_domains):
             receiver = self._context.peers.relay_of(failure_domain, now)
             if receiver is not None:
                 self._send(data, [receiver])
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -354,3 +354,38 @@
             await fleet.until(lambda: dispatcher.waiting("s") == 0)
             target.in_flight -= 100
         assert total_received(fleet) == 0
+
+
+class TestReplacedTarget:
+    """A target's address answers for another life, while its entry is still listed.
+
+    Engines crash and are back at their addresses after two seconds; the entries of
+    their former lives lapse seconds later. Routers went on to send there each tenth of
+    a second, for what refuses at once seems free: 677 sends in the first two seconds of
+    a burst, each of which took from the budget of repeats.
+    """
+
+    async def test_gets_one_request_only(self, running):
+        """From then on all go elsewhere, however free it seems."""
+        async with running(misdirects, answers_after(0.06, "ok")) as fleet:
+            statuses = []
+            for _ in range(20):
+                statuses.append((await fleet.call("/idempotent/")).status)
+                await sleep(0.03)
+        assert statuses == [200] * 20
+        assert len(fleet.targets[0].received) <= 1
+
+
+def answers_after(seconds, text):
+    """Return a script that takes some time: the other one seems faster."""
+
+    async def script(request, writer):
+        await sleep(seconds)
+        writer.write(head(request, length=len(text)) + text.encode())
+
+    return script
+
+
+async def misdirects(request, writer):
+    """Answer that another life is here."""
+    writer.write(head(request, status="421 Misdirected Request", length=0))
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -140,6 +140,8 @@
         When any byte last came from the target.
     owes_since : float or None
         Since when requests are there without any byte of the target.
+    is_replaced : bool
+        Whether another life was found to answer at its address.
     on_life_ended : set of callable
         Called when the target turns out to have started again: what it held is
         gone, and requests in flight there won't be answered.
@@ -163,6 +165,7 @@
     heard_at: float = float("-inf")
     owes_since: float | None = None
     missing_since: float | None = None
+    is_replaced: bool = False
     on_life_ended: set[Callable[[], None]] = field(default_factory=set)
 
     def end_life(self) -> None:
@@ -203,6 +206,8 @@
         """Return why no request may be sent, its number in flight aside."""
         if self.entry.state is not TargetState.READY:
             return Obstacle.DRAINING
+        if self.is_replaced:
+            return Obstacle.REPLACED
         if now < self.aside_until:
             return Obstacle.ASIDE
         if self.is_silent(now):
@@ -330,6 +335,14 @@
         pause_s = FIRST_ASIDE_S * 2 ** min(self.failures - 1, 4)
         self.aside_until = max(self.aside_until, now + min(pause_s, LONGEST_ASIDE_S))
 
+    def note_replaced(self) -> None:
+        """Send nothing more: what answers at its address is another life.
+
+        Its entry lapses some heartbeats after its end, while the next life is long
+        there; an address that refuses at once looks like one with all places free.
+        """
+        self.is_replaced = True
+
     def note_full(self, now: float, pause_s: float) -> None:
         """Leave the target alone for a moment after it refused work."""
         self.aside_until = max(self.aside_until, now + pause_s)
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -21,6 +21,9 @@
     ASIDE = "aside"
     """Its connection failed, or it refused work, a short time ago."""
 
+    REPLACED = "replaced"
+    """Another life answers at its address: it has ended, whatever its entry says."""
+
     SILENT = "silent"
     ERRORS = "errors"
     FULL = "full"
