Roll-outs: a ramp of its own before the shift, versions compared by the time of the send

Now many requests go to a third of the new targets, as far as the bound of the whole period allows, and all move only if what was seen speaks for the version on each usual route. Answers count in the epoch of their send, so that a burst that hits both versions is compared with itself.

--- a/libs/cli/src/berylwalk/cli/_parser.py
+++ b/libs/cli/src/berylwalk/cli/_parser.py
@@ -26,6 +26,7 @@
 from berylwalk.cli._quarantined import print_quarantined
 from berylwalk.cli._reading import export_settings, get_settings, print_tree
 from berylwalk.cli._replaying import replay, setting_change
+from berylwalk.cli._rollouts import print_rollouts
 from berylwalk.cli._status import print_status
 
 Command = Callable[[Namespace], ExitCode]
@@ -156,6 +157,13 @@
         "--timeout-s", type=float, default=2.0, help="bound of a call, in seconds"
     )
 
+    text = "show the last roll-out of each service, from the store"
+    rollouts = _add(commands, "rollouts", text, print_rollouts)
+    rollouts.add_argument("url", metavar="URL", help="address of the store")
+    rollouts.add_argument(
+        "--timeout-s", type=float, default=2.0, help="bound of a call, in seconds"
+    )
+
 
 def _add_status(commands: _SubParsersAction) -> None:
     text = "show targets, tiers and nodes as one router sees them"
--- a/libs/cli/tests/test_cli_command_line.py
+++ b/libs/cli/tests/test_cli_command_line.py
@@ -13,6 +13,7 @@
     "settings-reference",
     "status",
     "quarantined",
+    "rollouts",
     "settings",
     "settings get",
     "settings tree",
--- a/libs/direct/src/berylwalk/direct/_gauges.py
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -30,6 +30,19 @@
     metrics.quarantine.labels("known").set(len(quarantine))
     metrics.quarantine.labels("suspected").set(len(set(quarantine.suspected)))
     metrics.quarantine.labels("blamed").set(len(quarantine.blames))
+    _refresh_rollouts(context)
     metrics.peers_heard.set(context.peers.heard(now))
     metrics.peers_known.set(context.peers.known())
     metrics.log_lines_dropped.set(context.log.dropped)
+
+
+def _refresh_rollouts(context: RouterContext) -> None:
+    metrics = context.metrics
+    metrics.rollout_phase.clear()
+    for progress in context.rollouts.progresses:
+        service, version = progress.order.service, progress.order.version
+        phase = progress.phase or "unknown"
+        metrics.rollout_phase.labels(service, version, phase).set(1)
+        verdict = context.rollouts.verdict(progress)
+        metrics.rollout_answers.labels(service, "all").set(verdict.answers)
+        metrics.rollout_answers.labels(service, "bad").set(verdict.bad)
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -133,6 +133,19 @@
             "Requests under which targets ended: known, suspected, blamed.",
             "standing",
         )
+        self.rollout_phase = self._gauge(
+            "rollout_phase",
+            "Phase of a roll-out: 1 for the present one of a service.",
+            "service",
+            "version",
+            "phase",
+        )
+        self.rollout_answers = self._gauge(
+            "rollout_answers",
+            "Answers of a version that is rolled out, as all routers saw them.",
+            "service",
+            "kind",
+        )
         self.peers_heard = self._gauge("routers_heard", "Routers heard, with this one.")
         self.peers_known = self._gauge("routers_known", "Routers known, with this one.")
         self.log_lines_dropped = self._gauge(
--- a/libs/direct/src/berylwalk/direct/_version_watch.py
+++ b/libs/direct/src/berylwalk/direct/_version_watch.py
@@ -11,7 +11,7 @@
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
 from berylwalk.dispatch import AttemptEnd, ExpectedStart, Target, mean_token_s
-from berylwalk.rollout import AnswerKind, Row
+from berylwalk.rollout import AnswerKind
 
 SLOW_FACTOR = 3.5
 """Times as long as is typical from which an answer is slow: targets of one version
@@ -48,11 +48,15 @@
         self._target = target
         progress = context.rollouts.progress(admitted.service)
         version = progress.order.version
-        self._row: Row | None = None
+        self._row = context.rollouts.row_of(
+            admitted.service,
+            target.entry.version,
+            target.entry.life_id,
+            admitted.route.name,
+            context.clock(),
+        )
+        self._is_new = target.entry.version == version
         self._is_noted = False
-        if target.entry.version == version:
-            epoch = progress.epoch(context.clock())
-            self._row = Row(epoch, target.entry.life_id, admitted.route.name)
         others = [
             each
             for each in context.targets.of_service(admitted.service)
@@ -91,10 +95,10 @@
         if kind is None:
             return
         if attempt.target_ended:
-            life_id, is_new = self._target.entry.life_id, self._row is not None
-            rollouts.note_end_of_target(service, life_id, is_new=is_new)
+            life_id = self._target.entry.life_id
+            rollouts.note_end_of_target(service, life_id, is_new=self._is_new)
             return
-        if self._row is None:
+        if not self._is_new:
             rollouts.note_taken(service, taken_s)
         self._note(kind)
 
@@ -116,9 +120,8 @@
         if self._is_noted:
             return
         self._is_noted = True
-        rollouts, service = self._context.rollouts, self._admitted.service
-        route = self._admitted.route.name
-        rollouts.note_answer(service, self._row, route, kind, self._context.clock())
+        rollouts = self._context.rollouts
+        rollouts.note_answer(self._admitted.service, self._row, kind)
 
     def _kind(
         self, attempt: Attempt, taken_s: float, tokens_per_event: int
--- a/libs/direct/tests/test_direct_rollout_fleet.py
+++ b/libs/direct/tests/test_direct_rollout_fleet.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from virtual_rollout import Badness, RolloutPlay
+from berylwalk.rollout import ExposureRules, Phase, Rollouts
+from virtual_rollout import Badness, Plants, RolloutPlay
 
 ALL_FAULTS = (
     "burst",
@@ -107,3 +108,64 @@
         completed = [completed_in_time(play) for play in good]
         assert sum(reverted) >= DECIDED_CALM * len(bad)
         assert sum(completed) >= DECIDED_CALM * len(good)
+
+
+class WholeBudgetEach(Plants):
+    """Each router may spend what all of them may."""
+
+    def make_rollouts(self, life):
+        """Return a state that knows of no other router."""
+        rollouts = Rollouts(ExposureRules(share=0.3, slack=200), router=life)
+        rollouts.routers_known = lambda: 1
+        return rollouts
+
+
+class NoSharing(Plants):
+    """Routers tell each other nothing."""
+
+    no_sharing = True
+
+
+class LeavesTooSoon(Rollouts):
+    """Says that it has left the old version as soon as the shift begins."""
+
+    def has_left(self, progress, now):
+        """Return what is not known."""
+        return progress.phase is Phase.SHIFTING
+
+
+class NoAcknowledgement(Plants):
+    """It is completed without waiting for what runs at the old version."""
+
+    def make_rollouts(self, life):
+        """Return the state of a router."""
+        return LeavesTooSoon(ExposureRules(), router=life)
+
+
+def planted_play(badness, plants):
+    """Play six routers without other faults; return which rules were broken."""
+    play = RolloutPlay(1, routers=6, engines=9, badness=badness, plants=plants)
+    return broken_rules(play.play(), is_bad=badness.share > 0)
+
+
+class TestPlantedFaults:
+    """The plays show what is wrong: each of these breaks a rule."""
+
+    @pytest.mark.parametrize(
+        ("plants", "badness"),
+        [
+            (WholeBudgetEach, Badness(share=0.5, from_s=4.0)),
+            (NoSharing, Badness(share=0.3)),
+            (NoAcknowledgement, Badness()),
+        ],
+    )
+    def test_fault_is_shown(self, plants, badness):
+        """A rule is broken."""
+        assert planted_play(badness, plants()) != []
+
+    @pytest.mark.parametrize(
+        "badness", [Badness(share=0.5, from_s=4.0), Badness(share=0.3), Badness()]
+    )
+    def test_same_play_without_a_fault_is_fine(self, badness):
+        """So that it is the fault that is shown."""
+        assert planted_play(badness, Plants()) == []
--- a/libs/direct/tests/virtual_rollout.py
+++ b/libs/direct/tests/virtual_rollout.py
@@ -44,7 +44,7 @@
     WatchEvent,
 )
 from berylwalk.quarantine import Quarantine
-from berylwalk.rollout import AnswerKind, ExposureRules, Rollouts, Row
+from berylwalk.rollout import AnswerKind, ExposureRules, Rollouts
 from virtual_time import VirtualLoop
 
 DOMAINS = ("fd-a", "fd-b", "fd-c")
@@ -383,19 +383,16 @@
         if target is None:
             return None
         rollouts, work, sent_at = self.rollouts, Work(), self.clock()
-        row = None
-        if rollouts.is_watched(SERVICE):
-            progress = rollouts.progress(SERVICE)
-            if target.entry.version == progress.order.version:
-                row = Row(progress.epoch(sent_at), target.entry.life_id, route)
+        version, life_id = target.entry.version, target.entry.life_id
+        row = rollouts.row_of(SERVICE, version, life_id, route, sent_at)
         target.note_sent(work, sent_at)
         engine = self.play.engines_by_id[target.entry.target_id]
         noted = []
 
         def note(kind):
-            if not noted:
+            if row is not None and not noted:
                 noted.append(kind)
-                rollouts.note_answer(SERVICE, row, route, kind, self.clock())
+                rollouts.note_answer(SERVICE, row, kind)
 
         try:
             kind = await engine.run(
@@ -405,10 +402,9 @@
             target.note_left(work, had_first_event=True)
         if not engine.is_up:
             target.note_unreachable(self.clock())
-            life_id = target.entry.life_id
-            rollouts.note_end_of_target(SERVICE, life_id, is_new=row is not None)
+            rollouts.note_end_of_target(SERVICE, life_id, is_new=version == NEW)
             return kind
-        if row is None:
+        if version != NEW:
             rollouts.note_taken(SERVICE, self.clock() - sent_at)
         note(kind)
         return kind
@@ -745,4 +741,5 @@
 
     async def _crash_one(self):
         engines = [each for each in self.engines_by_id.values() if each.is_up]
-        self.random.choice(engines).leave()
+        if len(engines) > self.engine_count:
+            self.random.choice(engines).leave()
--- a/libs/rollout/src/berylwalk/rollout/_judgement.py
+++ b/libs/rollout/src/berylwalk/rollout/_judgement.py
@@ -40,6 +40,11 @@
 ENDS_FACTOR = 3
 """How many times as many of them end as of the others, if it is."""
 NO_ENDS = Ends()
+CONVINCING = -1.0
+"""Logarithm of how much better a bad version explains the answers, on each usual route,
+up to which a version may be in service alone: some seven good answers in a row."""
+OFTEN_SHARE = 0.15
+"""Part of the answers from which a route is usual."""
 ENOUGH_ANSWERS = 12
 """Answers of the new version from which it may be taken for good."""
 
@@ -59,6 +64,9 @@
         Share of bad answers that the others have.
     route : str
         The only route on which it is bad; empty if all were taken together.
+    log_ratio : float
+        Logarithm of how much better a bad version explains all answers, or those of
+        the worst usual route.
     """
 
     is_bad: bool
@@ -66,12 +74,18 @@
     bad: int
     expected_share: float
     route: str = ""
+    log_ratio: float = 0.0
 
     @property
     def is_enough(self) -> bool:
         """Whether it was seen often enough to be taken for good."""
         return not self.is_bad and self.answers >= ENOUGH_ANSWERS
 
+    @property
+    def is_convincing(self) -> bool:
+        """Whether what was seen speaks for a good version."""
+        return self.is_enough and self.log_ratio <= CONVINCING
+
     def __str__(self) -> str:
         place = f" on {self.route}" if self.route else ""
         share = f"{self.expected_share:.3f}"
@@ -99,6 +113,8 @@
     starts = sorted({row.epoch for row in kept})[-LATER_EPOCHS:]
     tests = max(1, (len(routes) + 1) * len(starts))
     threshold = log(tests / ERROR_RATE)
+    usual = {"", *_usual_routes(old)}
+    worst = float("-inf")
     for route in ("", *routes):
         for start in starts:
             rows = {
@@ -108,13 +124,17 @@
             }
             seen = _sum(rows.values())
             expected = expected_bad_share(old, _answers_by_epoch(rows), route)
-            if _log_ratio(seen, expected) >= threshold:
+            log_ratio = _log_ratio(seen, expected)
+            if start == starts[0] and route in usual:
+                worst = max(worst, log_ratio)
+            if log_ratio >= threshold:
                 return Verdict(
                     is_bad=True,
                     answers=seen.answers,
                     bad=seen.bad,
                     expected_share=expected,
                     route=route,
+                    log_ratio=log_ratio,
                 )
     seen = _sum(new.values())
     are_ending = ends.new >= ENDS_OF_BAD and ends.new > ENDS_FACTOR * ends.old
@@ -123,9 +143,20 @@
         answers=seen.answers,
         bad=seen.bad,
         expected_share=expected_bad_share(old, _answers_by_epoch(new), ""),
+        log_ratio=worst,
     )
 
 
+def _usual_routes(old: Mapping[OldRow, Tally]) -> set[str]:
+    """Return the routes that the others serve often; rare ones bring few answers."""
+    answers_by_route: dict[str, int] = {}
+    for row, tally in old.items():
+        answers = answers_by_route.get(row.route, 0) + tally.answers
+        answers_by_route[row.route] = answers
+    least = OFTEN_SHARE * sum(answers_by_route.values())
+    return {route for route, answers in answers_by_route.items() if answers >= least}
+
+
 def without_worst_targets(new: Mapping[Row, Tally]) -> dict[Row, Tally]:
     """Return the answers without those of the worst targets."""
     bad_by_target: dict[str, Tally] = {}
--- a/libs/rollout/src/berylwalk/rollout/_phases.py
+++ b/libs/rollout/src/berylwalk/rollout/_phases.py
@@ -9,11 +9,9 @@
 MOST_DRAIN_SHARE = 0.5
 """Bounds of the part of the period that is kept for the shift and for answers of the
 old version to end: what turns bad after the shift can't be kept to its share."""
-RAMP_S = 1.6
-"""Time for which many requests go to a part of the new targets, as far as the bound of
-the whole period allows: a last look under load."""
-SETTLE_S = 0.6
-"""Time after it until all requests go to the new version: answers come first."""
+RAMP_S = 2.2
+"""Least time for which many requests go to a part of the new targets, as far as the
+bound of the whole period allows: a last look under load, and the answers to it."""
 GIVEN_UP_S = 1.0
 """Time before the end of the period from which routers that are not heard aren't waited
 for."""
@@ -33,6 +31,8 @@
         Time within which it is to be done, in seconds.
     verdict : Verdict
         What is thought of the new version.
+    phase_for_s : float
+        Time for which the phase has been known, in seconds.
     longest_answer_s : float
         Longest answer of the old version that was seen, in seconds.
     has_been_stopped : bool
@@ -47,6 +47,7 @@
     age_s: float
     period_s: float
     verdict: Verdict
+    phase_for_s: float = 0.0
     longest_answer_s: float = 0.0
     has_been_stopped: bool = False
     all_have_left: bool = False
@@ -54,7 +55,7 @@
 
 
 def shift_at_s(period_s: float, longest_answer_s: float) -> float:
-    """Return the time from the order to the shift, in seconds.
+    """Return the time from the order to the ramp before the shift, in seconds.
 
     Parameters
     ----------
@@ -63,21 +64,11 @@
     longest_answer_s : float
         Longest answer of the old version that was seen, in seconds.
     """
-    drain_s = RAMP_S + SETTLE_S + GIVEN_UP_S + longest_answer_s
+    drain_s = RAMP_S + GIVEN_UP_S + longest_answer_s
     least_s, most_s = LEAST_DRAIN_SHARE * period_s, MOST_DRAIN_SHARE * period_s
     return period_s - min(max(drain_s, least_s), most_s)
 
 
-def is_ramp(shifting_for_s: float) -> bool:
-    """Return whether the shift is at its ramp, so many seconds after its begin."""
-    return shifting_for_s < RAMP_S
-
-
-def has_shifted(shifting_for_s: float) -> bool:
-    """Return whether all requests go to the new version, as long after its begin."""
-    return shifting_for_s >= RAMP_S + SETTLE_S
-
-
 def next_phase(situation: Situation) -> tuple[Phase, str] | None:
     """Return the next phase and why it is entered; None while there is none."""
     if situation.phase.is_final:
@@ -88,6 +79,8 @@
         return Phase.REVERTED, "judged bad by another router"
     if situation.phase is Phase.CANARY:
         return _after_canary(situation)
+    if situation.phase is Phase.RAMP:
+        return _after_ramp(situation)
     is_late = situation.age_s >= situation.period_s - GIVEN_UP_S
     if situation.all_have_left and (situation.all_are_heard or is_late):
         return Phase.COMPLETED, "all routers have left the old version"
@@ -99,5 +92,13 @@
         return Phase.REVERTED, f"out of time: {situation.verdict}"
     begins_at_s = shift_at_s(situation.period_s, situation.longest_answer_s)
     if situation.age_s >= begins_at_s and situation.verdict.is_enough:
+        return Phase.RAMP, str(situation.verdict)
+    return None
+
+
+def _after_ramp(situation: Situation) -> tuple[Phase, str] | None:
+    if situation.age_s >= situation.period_s:
+        return Phase.REVERTED, f"out of time: {situation.verdict}"
+    if situation.phase_for_s >= RAMP_S and situation.verdict.is_convincing:
         return Phase.SHIFTING, str(situation.verdict)
     return None
--- a/libs/rollout/src/berylwalk/rollout/_records.py
+++ b/libs/rollout/src/berylwalk/rollout/_records.py
@@ -19,8 +19,10 @@
 
     CANARY = "canary"
     """A few requests go to the new version."""
+    RAMP = "ramp"
+    """Many requests go to a few of its targets, as far as the bound allows."""
     SHIFTING = "shifting"
-    """Requests move to it."""
+    """All new requests go to it."""
     COMPLETED = "completed"
     """It is in service alone."""
     REVERTED = "reverted"
--- a/libs/rollout/src/berylwalk/rollout/_rollouts.py
+++ b/libs/rollout/src/berylwalk/rollout/_rollouts.py
@@ -9,7 +9,7 @@
 from berylwalk.rollout._judgement import Verdict, judge
 from berylwalk.rollout._messages import MOST_ENDS_TOLD, RolloutNews, rows_of
 from berylwalk.rollout._orders import Order
-from berylwalk.rollout._phases import Situation, has_shifted, is_ramp, next_phase
+from berylwalk.rollout._phases import Situation, next_phase
 from berylwalk.rollout._records import Phase, Record
 from berylwalk.rollout._versions import VersionBook
 
@@ -22,9 +22,10 @@
 RAMP_GROUP = 0.35
 """Part of the new targets among which many requests are spread before the shift: they
 run as full as they will after it."""
-SHIFT_EPOCH = 1000
+RAMP_EPOCH = 1000
+SHIFT_EPOCH = 2000
 SHIFT_EPOCH_S = 1.0
-"""First number, and length in seconds, of the parts of the shift."""
+"""First numbers, and length in seconds, of the parts of the ramp and the shift."""
 ROUTE_LEAD = 2
 """Canary requests by which a route may be ahead of the one with the fewest."""
 ANY_ROUTE_FROM = 3.0
@@ -111,6 +112,8 @@
 
     def epoch(self, now: float) -> int:
         """Return the number of the present part of the period, or of the shift."""
+        if self.phase is Phase.RAMP:
+            return RAMP_EPOCH + int((now - self.phase_since) / SHIFT_EPOCH_S)
         if self.phase is Phase.SHIFTING:
             return SHIFT_EPOCH + int((now - self.phase_since) / SHIFT_EPOCH_S)
         length_s = max(SHORTEST_EPOCH_S, self.order.period_s / EPOCHS)
@@ -214,7 +217,7 @@
             if progress.phase is not record.phase:
                 progress.phase_since = now
             progress.record = record
-            if record.phase is Phase.SHIFTING:
+            if record.phase is Phase.RAMP:
                 left_s = progress.order.period_s - progress.age_s(now)
                 progress.budget.begin_ramp(now - progress.known_since, left_s)
             self.on_news()
@@ -279,7 +282,7 @@
             case Phase.COMPLETED:
                 return 1.0
             case Phase.SHIFTING if not progress.is_stopped:
-                return 1.0 if self._has_shifted(progress, now) else 0.0
+                return 1.0
             case None:
                 # The old targets stop when it is completed: without any it was.
                 others = set(self.versions.known(progress.order.service))
@@ -301,7 +304,7 @@
             return False
         if progress.age_s(now) >= progress.order.period_s:
             return False
-        if self._is_at_ramp(progress, now):
+        if progress.phase is Phase.RAMP:
             return progress.budget.take()
         if progress.phase is not Phase.CANARY:
             return False
@@ -323,14 +326,6 @@
             if progress.phase is Phase.CANARY:
                 progress.canaries_by_route[route] -= 1
 
-    def _has_shifted(self, progress: Progress, now: float) -> bool:
-        is_shifting = progress.phase is Phase.SHIFTING
-        return is_shifting and has_shifted(now - progress.phase_since)
-
-    def _is_at_ramp(self, progress: Progress, now: float) -> bool:
-        is_shifting = progress.phase is Phase.SHIFTING
-        return is_shifting and is_ramp(now - progress.phase_since)
-
     def group(
         self, service: str, lives: Sequence[str], others: int, now: float
     ) -> set[str]:
@@ -349,7 +344,7 @@
         """
         progress = self._progress_by_service[service]
         size = max(1, int(SPENT_SHARE * self._rules.share * others))
-        if self._is_at_ramp(progress, now):
+        if progress.phase is Phase.RAMP:
             size = max(size, round(RAMP_GROUP * len(lives)))
         ordered = sorted(
             lives, key=lambda life: parts_hash([service.encode(), life.encode()])
@@ -361,32 +356,49 @@
 
     # What is seen.
 
-    def note_answer(
-        self, service: str, row: Row | None, route: str, kind: AnswerKind, now: float
-    ) -> None:
+    def row_of(
+        self, service: str, version: str, life_id: str, route: str, now: float
+    ) -> Row | OldRow | None:
+        """Return what an answer is told apart by; asked when its request is sent.
+
+        None if no order of the service is under way.
+
+        Parameters
+        ----------
+        service, version, life_id : str
+            Of the target.
+        route : str
+            Name of the route.
+        now : float
+            Time in seconds.
+        """
+        progress = self._progress_by_service.get(service)
+        if progress is None or not progress.is_open:
+            return None
+        epoch = progress.epoch(now)
+        if version == progress.order.version:
+            return Row(epoch, life_id, route)
+        return OldRow(epoch, route)
+
+    def note_answer(self, service: str, row: Row | OldRow, kind: AnswerKind) -> None:
         """Count an answer.
 
         Parameters
         ----------
         service : str
             Which service.
-        row : Row or None
-            What it is told apart by, if it is one of the new version.
-        route : str
-            Its route.
+        row : Row or OldRow
+            What it is told apart by.
         kind : AnswerKind
             What it says of the version.
-        now : float
-            Time in seconds.
         """
         progress = self._progress_by_service.get(service)
         if progress is None or not progress.is_open:
             return
-        if row is None:
-            old_row = OldRow(progress.epoch(now), route)
-            progress.evidence.note_old(self._router, old_row, kind)
+        if isinstance(row, OldRow):
+            progress.evidence.note_old(self._router, row, kind)
             return
-        if kind is AnswerKind.SLOW and self._has_shifted(progress, now):
+        if kind is AnswerKind.SLOW and row.epoch >= SHIFT_EPOCH:
             # There is nothing left to tell a slow version from a burst by.
             kind = AnswerKind.GOOD
         progress.evidence.note_new(self._router, row, kind)
@@ -550,6 +562,7 @@
                 phase=progress.record.phase,
                 age_s=progress.age_s(now),
                 period_s=progress.order.period_s,
+                phase_for_s=now - progress.phase_since,
                 verdict=self.verdict(progress),
                 longest_answer_s=progress.longest_answer_s,
                 has_been_stopped=progress.is_stopped,
