--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -149,7 +149,6 @@
             dispatcher=Dispatcher(
                 targets,
                 failure_domain=settings.failure_domain,
-                name=settings.name,
                 rollouts=rollouts,
             ),
             allowances=Allowances(settings.allowances, started_at=clock()),
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Collection, Sequence
 from random import random
 
-from berylwalk.affinity import parts_hash
 from berylwalk.dispatch._place_limits import obstacle_for
 from berylwalk.dispatch._placing import (
     RELAYED_REMOTE_FACTOR,
@@ -19,9 +18,6 @@
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
 from berylwalk.rollout import ExposureRules, Rollouts
 
-MOST_ORDERED = 4096
-"""Lives of targets whose place in the own order is remembered."""
-HASHES = 1 << 32
 RANK_SEEN_S = 5.0
 """Time for which places are reserved for a rank after its last request, in seconds."""
 
@@ -35,9 +31,6 @@
         What is known of the targets.
     failure_domain : str
         Where this router runs.
-    name : str
-        Name of this router, by which it prefers other targets than the others do;
-        empty for no preference.
     draw : callable
         Draws from 0 up to 1.
     rollouts : Rollouts or None
@@ -54,7 +47,6 @@
         targets: TargetTable,
         *,
         failure_domain: str,
-        name: str = "",
         draw: Callable[[], float] = random,
         rollouts: Rollouts | None = None,
     ) -> None:
@@ -62,8 +54,6 @@
         self._rollouts = rollouts or Rollouts(ExposureRules())
         self._targets = targets
         self._failure_domain = failure_domain
-        self._name = name.encode()
-        self._order_by_life: dict[str, float] = {}
         self._draw = draw
         self._lines_by_service: dict[str, WaitingLine] = {}
         self._remote_factor = REMOTE_FACTOR
@@ -203,22 +193,9 @@
             failure_domain=self._failure_domain,
             now=now,
             remote_factor=self._remote_factor,
-            own_order=self._own_order,
             draw=self._draw,
         )
 
-    def _own_order(self, life_id: str) -> float:
-        """Return where a target stands in this router's own order, from 0 up to 1."""
-        if not self._name:
-            return 0.0
-        place = self._order_by_life.get(life_id)
-        if place is None:
-            if len(self._order_by_life) >= MOST_ORDERED:
-                self._order_by_life.clear()
-            number = parts_hash([self._name, life_id.encode()])
-            place = self._order_by_life[life_id] = number / HASHES
-        return place
-
     def _request(self, ticket: Ticket, now: float) -> PlaceRequest:
         return PlaceRequest(
             work=ticket.work,
--- a/libs/dispatch/src/berylwalk/dispatch/_placing.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placing.py
@@ -51,10 +51,6 @@
 targets that is, as its divisor."""
 LEAST_APART = 2
 """Targets that such a request is spread over at least."""
-OWN_SPREAD = 0.6
-"""How much dearer at most a target counts by the router's own order of them: among
-targets that seem alike each router prefers others, so that what one of them has sent
-and the rest have not heard of yet meets fewer requests."""
 ERROR_FACTOR = 4.0
 """How much dearer a target counts that fails every answer."""
 
@@ -135,7 +131,6 @@
     failure_domain: str,
     now: float,
     remote_factor: float = REMOTE_FACTOR,
-    own_order: Callable[[str], float] = lambda life_id: 0.0,
     draw: Callable[[], float] = random,
 ) -> Target | None:
     """Return the target with the least cost, or None if no place is fit.
@@ -152,9 +147,6 @@
         Time in seconds.
     remote_factor : float
         How much dearer a target of another failure domain counts.
-    own_order : callable
-        Returns a number from 0 up to 1 for the life of a target, which is the
-        router's own and stays the same.
     draw : callable
         Draws from 0 up to 1, to tell equal targets apart.
     """
@@ -185,7 +177,6 @@
         if _starts_too_late(target, start, within_s):
             continue
         cost = _cost_s(target, request, start, typical_token_s) * (1 + 0.02 * draw())
-        cost *= 1 + OWN_SPREAD * own_order(target.entry.life_id)
         if held_tokens:
             cost *= HELD_FACTOR
         elif target.entry.failure_domain != failure_domain:
