--- a/libs/direct/tests/test_direct_rollout_fleet.py
+++ b/libs/direct/tests/test_direct_rollout_fleet.py
@@ -120,10 +120,21 @@
         return rollouts
 
 
-class NoSharing(Plants):
-    """Routers tell each other nothing."""
+class SeesOneRoute(Rollouts):
+    """Notes the answers of one route only."""
 
-    no_sharing = True
+    def note_answer(self, service, row, kind):
+        """Count an answer, if it is of that route."""
+        if row.route == "r1":
+            super().note_answer(service, row, kind)
+
+
+class EvidenceOfOneRoute(Plants):
+    """What is bad on another route is not seen."""
+
+    def make_rollouts(self, life):
+        """Return the state of a router."""
+        return SeesOneRoute(ExposureRules(), router=life)
 
 
 class LeavesTooSoon(Rollouts):
@@ -155,7 +166,7 @@
         ("plants", "badness"),
         [
             (WholeBudgetEach, Badness(share=0.5, from_s=4.0)),
-            (NoSharing, Badness(share=0.3)),
+            (EvidenceOfOneRoute, Badness(share=0.8, route="r2")),
             (NoAcknowledgement, Badness()),
         ],
     )
@@ -164,7 +175,12 @@
         assert planted_play(badness, plants()) != []
 
     @pytest.mark.parametrize(
-        "badness", [Badness(share=0.5, from_s=4.0), Badness(share=0.3), Badness()]
+        "badness",
+        [
+            Badness(share=0.5, from_s=4.0),
+            Badness(share=0.8, route="r2"),
+            Badness(),
+        ],
     )
     def test_same_play_without_a_fault_is_fine(self, badness):
         """So that it is the fault that is shown."""
