Roll-outs: a bad version is reverted through real routers, and stays so for later ones

Two tests over HTTP and the stand-in store: the exposure of a version that turns bad through two routers, and a version that fails all its answers: the operator is told that it is reverted, a router that starts afterwards sends nothing there, and no caller fails.

--- a/libs/direct/tests/test_direct_rollout_exposure.py
+++ b/libs/direct/tests/test_direct_rollout_exposure.py
@@ -1,12 +1,12 @@
 """A bad version of a service gets little, also through several real routers."""
 
 from asyncio import open_connection
-from json import dumps
+from json import dumps, loads
 
 import pytest
-from anyio import create_task_group, sleep
+from anyio import create_task_group, fail_after, sleep
 
-from direct_fleet import ScriptedTarget, head, read_reply
+from direct_fleet import GENEROUS_S, ScriptedTarget, head, read_reply
 
 pytestmark = pytest.mark.anyio
 EXPOSURE_SHARE = 0.1
@@ -15,6 +15,7 @@
 CALLERS = 8
 PERIOD_S = 12
 ORDER_KEY = b"op/rollout/s"
+STATUS_KEY = b"status/rollout/s"
 
 
 def fails_after(number):
@@ -77,6 +78,56 @@
         writer.close()
 
 
+def state_told(fleet):
+    """Return what the operator was told; None before anything was."""
+    entry = fleet.platform.store.get(STATUS_KEY)
+    return None if entry is None else loads(entry.value)["state"]
+
+
+async def fails(request, writer):
+    """Fail."""
+    writer.write(head(request, status="500 Failed", length=0))
+
+
+class TestRevert:
+    """A version whose answers all fail, through real routers and a real store."""
+
+    async def test_is_reverted_and_stays_so_at_a_router_that_starts_later(
+        self, running, beside, free_port
+    ):
+        """What the store keeps outlives the routers that judged it."""
+
+        async def old(request, writer):
+            await sleep(0.01)
+            writer.write(head(request, length=2) + b"ok")
+
+        def name_versions(fleet):
+            for target in fleet.targets:
+                fleet.put_target(target, version="v1")
+
+        async with running(old, old, prepare=name_versions) as fleet:
+            await fleet.until(lambda: len(fleet.router._context.targets.by_id) == 2)
+            put_order(fleet, "v2", period_s=30)
+            new = await add_version(fleet, free_port, fails, "v2", 3)
+            await fleet.until_ready()
+            address = fleet.settings.caller_address
+            with fail_after(GENEROUS_S):
+                while state_told(fleet) != "reverted":
+                    await call_routers(fleet, [address], calls=CALLERS * 4)
+            exposed = sum(len(target.received) for target in new)
+            async with beside({"name": "edge-2"}) as (second,):
+                context = second._context
+                await fleet.until(lambda: len(context.targets.by_id) == 5)
+                await fleet.until(lambda: context.configuration.current is not None)
+                await fleet.until(lambda: context.rollouts.record("s") is not None)
+                addresses = [address, context.settings.caller_address]
+                statuses = await call_routers(fleet, addresses, calls=CALLERS * 10)
+        assert statuses == [200] * len(statuses)
+        assert sum(len(target.received) for target in new) == exposed
+        total = sum(len(target.received) for target in fleet.targets)
+        assert exposed <= EXPOSURE_SHARE * total + EXPOSURE_SLACK
+
+
 class TestExposure:
     """Requests at targets of a bad version, over all routers."""
 
