What targets state of themselves is read and told: limit, leaving, rest

Nothing acts on it yet.

platform/ decodes Server-Limit, Server-Leaving and Retry-After (with 429 and 503) into one typed statement; what can't be read is a problem and not a limit that is gone. The router logs `target-statement` when a target states something else than before, each attempt in `request-ended` carries what its answer stated, and a counter counts the changes.

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -5,9 +5,9 @@
 from anyio import Event as Signal
 
 from berylwalk.direct._relay import Relay
-from berylwalk.dispatch import AttemptEnd
+from berylwalk.dispatch import NOTHING_STATED, AttemptEnd, TargetStatement
 from berylwalk.forwarding import AnswerEnd, EventSplitter, Headers, header_value
-from berylwalk.platform import REQUEST_ID_HEADER, says_not_run
+from berylwalk.platform import REQUEST_ID_HEADER, read_statement, says_not_run
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 EVENTS_TOLD = 8
@@ -36,6 +36,8 @@
         Called when the first event has arrived.
     on_output : callable
         Called now and then with a number of events and the seconds that they took.
+    on_statement : callable
+        Called with what the head of the answer states of the target, and its status.
 
     Attributes
     ----------
@@ -58,6 +60,7 @@
         clock: Callable[[], float],
         on_first_event: Callable[[], None],
         on_output: Callable[[int, float], None],
+        on_statement: Callable[[TargetStatement, int], None],
     ) -> None:
         self._relay = relay
         self._request_id = request_id
@@ -65,6 +68,7 @@
         self._clock = clock
         self._on_first_event = on_first_event
         self._on_output = on_output
+        self._on_statement = on_statement
         self._events_told = 0
         self._told_at = 0.0
         self._splitter: EventSplitter | None = None
@@ -72,6 +76,7 @@
         self._body_bytes = 0
         self.status = 0
         self.headers: Headers = []
+        self.statement = NOTHING_STATED
         self.done = Signal()
         self.end: AttemptEnd | None = None
         self.detail = ""
@@ -96,6 +101,8 @@
         """Take the status and headers."""
         self.status = status
         self.headers = headers
+        self.statement = read_statement(status, headers)
+        self._on_statement(self.statement, status)
         content_type = header_value(headers, b"content-type") or b""
         if self._expects_stream and status == 200 and EVENT_STREAM in content_type:
             if header_value(headers, REQUEST_ID_HEADER) != self._request_id:
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -5,7 +5,7 @@
 from berylwalk.direct._admission import Admitted, Refusal, Spent
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
-from berylwalk.dispatch import ExpectedStart, Target, Ticket
+from berylwalk.dispatch import ExpectedStart, Target, TargetStatement, Ticket
 from berylwalk.quarantine import Identity
 
 UNKNOWN_KIND = "unknown"
@@ -92,9 +92,25 @@
                 "longest_pause_ms": _ms(attempt.longest_pause_s),
                 "events": attempt.events,
                 "took_ms": _ms(self.context.clock() - sent_at),
+                **_statement_fields(attempt.statement),
             }
         )
 
+    def tell_statement(
+        self, admitted: Admitted, target: Target, statement: TargetStatement
+    ) -> None:
+        """Tell what a target states of itself, where that has changed."""
+        if statement == target.stated:
+            return
+        target.stated = statement
+        self.context.metrics.target_statements.labels(admitted.service).inc()
+        self.context.log.request(
+            "target-statement",
+            admitted.request_id,
+            target=target.entry.target_id,
+            **_statement_fields(statement),
+        )
+
     def tell_repeated(
         self, admitted: Admitted, target: Target, attempt: Attempt, last_event_id: int
     ) -> None:
@@ -238,6 +254,20 @@
     }
 
 
+def _statement_fields(statement: TargetStatement) -> dict[str, object]:
+    """Return what a target states of itself; nothing for most answers."""
+    if statement.is_plain:
+        return {}
+    fields: dict[str, object] = {
+        "limit_per_s": statement.limit_per_s,
+        "is_leaving": statement.is_leaving,
+        "rest_ms": _known_ms(statement.rest_s),
+    }
+    if statement.problem:
+        fields["statement_problem"] = statement.problem
+    return fields
+
+
 def _known_ms(seconds: float | None) -> float | None:
     return None if seconds is None else _ms(seconds)
 
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -56,6 +56,12 @@
             ("service",),
             registry=registry,
         )
+        self.target_statements = Counter(
+            "berylwalk_target_statements",
+            "Times that a target stated something else of itself than before.",
+            ("service",),
+            registry=registry,
+        )
         self.suspended_s = Counter(
             "berylwalk_suspended_seconds",
             "Time for which the VM was suspended.",
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -6,7 +6,7 @@
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._exchange_log import ExchangeLog
-from berylwalk.direct._lesson import Lesson
+from berylwalk.direct._lesson import MISDIRECTED, Lesson
 from berylwalk.direct._relay import Relay
 from berylwalk.direct._version_watch import VersionWatch
 from berylwalk.dispatch import (
@@ -16,6 +16,7 @@
     RouteKind,
     Target,
     TargetState,
+    TargetStatement,
     expected_start,
 )
 from berylwalk.forwarding import TargetConnection, end_to_end, request_head
@@ -106,6 +107,11 @@
             tokens = self._tokens_per_event() * events
             target.note_output(tokens, events, taken_s)
 
+        def on_statement(statement: TargetStatement, status: int) -> None:
+            if status != MISDIRECTED:
+                # What another life at this address states is not said of this one.
+                self._log.tell_statement(self._admitted, target, statement)
+
         return Attempt(
             self._relay,
             request_id=self._admitted.request_id,
@@ -113,6 +119,7 @@
             clock=self._context.clock,
             on_first_event=on_first_event,
             on_output=on_output,
+            on_statement=on_statement,
         )
 
     def _watch_version(self, target: Target, start: ExpectedStart) -> None:
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -41,6 +41,7 @@
 from berylwalk.dispatch._return_times import return_time_s
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
 from berylwalk.dispatch._start_model import StartModel
+from berylwalk.dispatch._statements import NOTHING_STATED, TargetStatement
 from berylwalk.dispatch._target import ExpectedStart, Target, TargetSpeed
 from berylwalk.dispatch._target_entries import (
     Obstacle,
@@ -53,6 +54,7 @@
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
 
 __all__ = [
+    "NOTHING_STATED",
     "PEERS_OF_ONE_MESH",
     "Account",
     "AllowanceRules",
@@ -88,6 +90,7 @@
     "TargetEntry",
     "TargetSpeed",
     "TargetState",
+    "TargetStatement",
     "TargetTable",
     "Ticket",
     "WaitingLine",
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from berylwalk.dispatch._start_model import StartModel
+from berylwalk.dispatch._statements import NOTHING_STATED, TargetStatement
 from berylwalk.dispatch._target_entries import (
     Obstacle,
     TargetEntry,
@@ -142,6 +143,8 @@
         Since when requests are there without any byte of the target.
     is_replaced : bool
         Whether another life was found to answer at its address.
+    stated : TargetStatement
+        What its last answer stated of it.
     on_life_ended : set of callable
         Called when the target turns out to have started again: what it held is
         gone, and requests in flight there won't be answered.
@@ -166,6 +169,7 @@
     owes_since: float | None = None
     missing_since: float | None = None
     is_replaced: bool = False
+    stated: TargetStatement = NOTHING_STATED
     on_life_ended: set[Callable[[], None]] = field(default_factory=set)
 
     def end_life(self) -> None:
