A limit that a target names is kept by all routers together

Cause: no router read the header. Of an answer it learned the status, the request's id and 'not run'; what the target says that it can take had no place among the beliefs. Ruled out: a sum of routers that each keep to the limit (one alone went beyond it), and answers that are judged too late (nothing judged them at all).

Now each answer's head, when it comes, may name, change or end the limit of the life that gave it; an answer whose request was on its way when another came may lower it, not raise or end it. Routers tell each other what their own answers said, with its age, and never what they heard, so that an observation that goes round can't outlive the limit; relays tell the newest of each target. Of the rate each of a few routers (two and one for each request a second, by a hash of names and target) has an equal part, times the share of the known routers that it hears: the sum holds without any message arriving, and on both sides of a cut. Nothing is saved up at first. All sends pass the one question that placing asks of a target. Where all targets of a service have said when they take more, the request is sent at that moment or gets its answer at once, with that time in Retry-After.

--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -57,6 +57,8 @@
         Time that goes on while the VM is suspended, in seconds.
     on_placed : callable
         Called with the target of each send.
+    on_statement_news : callable
+        Called when a target has stated something new of itself.
     """
 
     settings: RouterSettings
@@ -74,6 +76,7 @@
     suspension: SuspensionWatch
     clock: Callable[[], float]
     on_placed: Callable[[Target], None] = lambda _: None
+    on_statement_news: Callable[[], None] = lambda: None
 
     def note_suspension(self) -> None:
         """Take a suspension of the VM for no silence of targets; asked before judging.
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -92,6 +92,7 @@
             context, store, reach, reading=reading, role=role
         )
         context.on_placed = self._peering.tell_placed
+        context.on_statement_news = self._peering.tell_soon
         context.rollouts.on_news = self._peering.tell_soon
         context.rollouts.on_orders = self._rollout_note.wake
         self._exchanges_by_connection: dict[CallerConnection, Exchange] = {}
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -1,5 +1,6 @@
 """The life of one request: check, place, send, relay, repeat, answer."""
 
+from asyncio import get_running_loop
 from collections.abc import Awaitable, Callable
 from random import random
 
@@ -27,6 +28,8 @@
 
 TakeTrial = Callable[[Identity], Awaitable[bool]]
 """Asks for the permit to send a request once under which targets ended."""
+OPENING_MARGIN_S = 0.001
+"""Timers of the loop may be early by its resolution."""
 NO_ANSWER = 0
 """Logged in place of a status where the caller got no whole answer."""
 
@@ -124,6 +127,7 @@
         self._sending = Sending(
             context, admitted, relay=self._relay, attempts=self._attempts, log=log
         )
+        self._opens_at = float("-inf")
         self.is_settled = False
 
     async def run(self) -> None:
@@ -200,8 +204,9 @@
             target.note_sent(admitted.facts.work, started_at)
             self._log.note_waited(admitted, 0.0)
             return target
+        wait_until = self._worth_waiting_until(ticket, patience, started_at)
         try:
-            with move_on_after(patience.wait_until - started_at):
+            with move_on_after(wait_until - started_at):
                 await placed.wait()
         except BaseException:
             if not context.dispatcher.withdraw(ticket) and granted:
@@ -215,6 +220,25 @@
         self._log.tell_not_placed(admitted, ticket)
         return None
 
+    def _worth_waiting_until(
+        self, ticket: Ticket, patience: Patience, now: float
+    ) -> float:
+        """Return until when to wait for a place; no longer than it can help.
+
+        Where all targets have said from when on they take requests, the first of them
+        is asked at that moment, or the request gets its answer now.
+        """
+        context, service = self._context, self._admitted.service
+        self._opens_at = opens_at = context.dispatcher.opens_at(ticket, now)
+        if opens_at > patience.wait_until:
+            return now
+        if opens_at > now:
+            get_running_loop().call_later(
+                opens_at - now + OPENING_MARGIN_S,
+                lambda: context.dispatcher.pump(service, context.clock()),
+            )
+        return patience.wait_until
+
     def _canary_target(self, ticket: Ticket, now: float) -> Target | None:
         """Return a target of a version that is to be tried; seldom there is one.
 
@@ -295,7 +319,7 @@
             return self._context.quarantine.retry_after_s(
                 admitted.identity, self._context.clock()
             )
-        return return_time_s(admitted.ends_at - now)
+        return return_time_s(admitted.ends_at - now, opens_in_s=self._opens_at - now)
 
     def _settle(self, status: int, reason: str) -> None:
         self.is_settled = True
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct, field
 
+from berylwalk.direct._statements import StatementNews
 from berylwalk.dispatch import Peer
 from berylwalk.quarantine import QuarantineNews
 from berylwalk.rollout import RolloutNews
@@ -92,6 +93,8 @@
         What the sender sent where since its last message.
     quarantine : QuarantineNews
         What is new of requests under which targets ended.
+    statements : list of StatementNews
+        What targets said to the sender.
     """
 
     news: RouterNews
@@ -100,6 +103,7 @@
     recent: dict[str, list[float]] | None = None
     reads: Reads = field(default_factory=list)
     quarantine: QuarantineNews = field(default_factory=QuarantineNews)
+    statements: list[StatementNews] = field(default_factory=list)
 
 
 class DomainMessage(Struct, array_like=True, tag=2):
@@ -120,6 +124,8 @@
         What they sent where since the relay's last message.
     quarantine : QuarantineNews
         What is new of requests under which targets ended.
+    statements : list of StatementNews
+        What targets said to routers there.
     """
 
     failure_domain: str
@@ -128,6 +134,7 @@
     is_passed_on: bool = False
     reads: Reads = field(default_factory=list)
     quarantine: QuarantineNews = field(default_factory=QuarantineNews)
+    statements: list[StatementNews] = field(default_factory=list)
 
 
 class LoadMessage(Struct, array_like=True, tag=5):
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -27,6 +27,12 @@
     RouterNews,
 )
 from berylwalk.direct._shared_reading import SharedReading
+from berylwalk.direct._statements import (
+    hear_statements,
+    own_statements,
+    share_limits,
+)
+from berylwalk.direct._statements_to_relay import StatementsToRelay
 from berylwalk.direct._store_reach import StoreReach
 from berylwalk.dispatch import PEERS_OF_ONE_MESH, Knowledge, Peer, Read, Target
 from berylwalk.platform import KeyValueClient
@@ -90,6 +96,7 @@
         self._told_at = float("-inf")
         self._news_by_name: dict[str, RouterNews] = {}
         self._reads_to_relay: deque[Read] = deque(maxlen=MOST_READS_RELAYED)
+        self._statements_to_relay = StatementsToRelay()
         self._placed: Loads = {}
         self._urgent = Event()
         self._decoder = msgpack.Decoder(
@@ -187,6 +194,7 @@
         peers, now = context.peers, context.clock()
         context.allowances.set_share(peers.heard(now), peers.known())
         context.dispatcher.set_relayed(bool(peers.far_domains()))
+        share_limits(context)
         counted = self._counted_sources(now)
         for source in context.targets.sources_of_loads():
             if source not in counted:
@@ -215,14 +223,21 @@
         self._reads_to_relay.extend(reads)
         quarantine = context.quarantine.news(context.quarantine.near, context.clock())
         rollouts = [replace(each, age_s=0.0) for each in context.rollouts.news(now)]
-        beliefs = (loads, spent, rollouts)
+        statements = own_statements(context)
+        said = [(each.life_id, each.limit_per_s) for each in statements]
+        beliefs = (loads, spent, rollouts, said)
         is_unchanged = self._told == beliefs and asks is None and not reads
         if is_unchanged and not quarantine and now - self._told_at < TELL_UNCHANGED_S:
             return
         self._told = beliefs
         self._told_at = now
         message = PeerMessage(
-            self._own_news(now), loads, asks, reads=reads, quarantine=quarantine
+            self._own_news(now),
+            loads,
+            asks,
+            reads=reads,
+            quarantine=quarantine,
+            statements=statements,
         )
         self._send(msgpack.encode(message), context.peers.near())
 
@@ -259,6 +274,7 @@
             context.targets.loads_with(heard),
             reads=self._take_reads_to_relay(),
             quarantine=context.quarantine.news(context.quarantine.far, context.clock()),
+            statements=self._statements_to_relay.merged(own_statements(context), now),
         )
 
     def _take_reads_to_relay(self) -> list[Read]:
@@ -336,6 +352,8 @@
             context.dispatcher.prefix_reads.hear(message.reads)
             self._reads_to_relay.extend(message.reads)
             self._hear_of_suspects(message.quarantine, is_near=True)
+            hear_statements(context, message.statements, sender.name)
+            self._statements_to_relay.note(sender.name, message.statements, now)
         if message.asks == context.settings.name:
             self._tell_newcomer(sender, now)
         if message.recent is not None:
@@ -360,6 +378,7 @@
             context.targets.hear_loads(source, message.loads)
         context.dispatcher.prefix_reads.hear(message.reads)
         self._hear_of_suspects(message.quarantine, is_near=False)
+        hear_statements(context, message.statements, message.failure_domain)
         if not message.is_passed_on:
             data = msgpack.encode(replace(message, is_passed_on=True))
             self._send(data, context.peers.near())
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -8,6 +8,7 @@
 from berylwalk.direct._exchange_log import ExchangeLog
 from berylwalk.direct._lesson import MISDIRECTED, Lesson
 from berylwalk.direct._relay import Relay
+from berylwalk.direct._statements import take_statement
 from berylwalk.direct._version_watch import VersionWatch
 from berylwalk.dispatch import (
     AttemptEnd,
@@ -111,6 +112,7 @@
             if status != MISDIRECTED:
                 # What another life at this address states is not said of this one.
                 self._log.tell_statement(self._admitted, target, statement)
+                take_statement(self._context, target, statement, sent_at)
 
         return Attempt(
             self._relay,
--- a/libs/direct/tests/test_direct_statements.py
+++ b/libs/direct/tests/test_direct_statements.py
@@ -1,21 +1,51 @@
 """Targets get what they say that they take: limits, rest, leaving."""
 
+import pytest
 from anyio import sleep
 
+from berylwalk.dispatch import PeerTable, StatedLimit
 from virtual_statements import StatementPlay
 
 
+def limits(*rates, after_s=3.0):
+    """Return a script by which the first targets name limits."""
+
+    async def script(play):
+        await sleep(after_s)
+        for target, rate in zip(play.targets, rates, strict=False):
+            target.name_limit(rate)
+
+    return script
+
+
+def changing_limits(play):
+    """Return a script by which targets name limits that change and end."""
+
+    async def change(target):
+        while True:
+            await sleep(play.random.uniform(2.0, 8.0))
+            low = play.random.random() < 0.6
+            rate = play.random.uniform(0.2, 5.0) if low else play.random.uniform(5, 50)
+            target.name_limit(rate if play.random.random() < 0.8 else None)
+
+    async def script(play):
+        for target in play.targets:
+            play.tasks.start_soon(change, target)
+
+    return script
+
+
+def most_over_limit(play):
+    """Return by how much the limit was passed where it was passed most."""
+    return max(play.most_over_limit(target) for target in play.targets)
+
+
 class TestLimit:
     """A target names the requests a second that it takes of all routers together."""
 
     def test_sum_over_routers_stays_within_the_limit_of_a_target(self):
         """Those that were told send no more than it allows, whoever sends it."""
-
-        async def script(play):
-            await sleep(4.0)
-            play.targets[0].name_limit(1.3)
-            play.targets[1].name_limit(5.0)
-
+        script = limits(1.3, 5.0, after_s=4.0)
         play = StatementPlay(1, routers=6, targets=6, script=script)
         play.play()
         assert [play.most_over_limit(each) <= 0 for each in play.targets[:2]] == [
@@ -23,6 +53,101 @@
             True,
         ]
 
+    @pytest.mark.parametrize("routers", [2, 6, 13])
+    def test_nine_tenths_of_what_the_limits_permit_is_used(self, routers):
+        """Where callers want three times as much, and come unevenly."""
+        rates = (0.5, 1.3, 2.0, 4.6, 8.0, 12.0)
+        play = StatementPlay(
+            routers,
+            routers=routers,
+            targets=len(rates),
+            script=limits(*rates),
+            lasts_s=30.0,
+            requests_per_s=3 * sum(rates),
+        )
+        play.play()
+        used = sum(play.arrived(target, 11.0, 31.0) for target in play.targets)
+        assert used >= 0.9 * 20.0 * sum(rates)
+        assert most_over_limit(play) <= 0
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_limits_that_change_beside_faults(self, seed):
+        """Kills, cuts between routers and lost messages."""
+        play = StatementPlay(
+            seed,
+            routers=(2, 6, 13, 31)[seed],
+            targets=4,
+            script=None,
+            lasts_s=30.0,
+            faults=("kill_one", "cut_one", "lose"),
+        )
+        play.script = changing_limits(play)
+        play.play()
+        assert most_over_limit(play) <= 0
+
+    def test_all_that_name_none_any_more_get_all_again(self):
+        """The others are told also by routers that sent nothing there."""
+
+        async def script(play):
+            await sleep(3.0)
+            play.targets[0].name_limit(0.5)
+            await sleep(8.0)
+            play.targets[0].name_limit(None)
+
+        play = StatementPlay(
+            3, routers=6, targets=2, script=script, requests_per_s=150.0
+        )
+        play.play()
+        # Half of the load is its part.
+        assert play.arrived(play.targets[0], 18.0, 21.0) > 0.25 * 3.0 * 150.0
+
+    def test_callers_hear_at_once_that_nothing_is_left(self):
+        """They are not kept for a place that nobody will give before they are late."""
+        play = StatementPlay(
+            2, routers=6, targets=2, script=limits(0.5, 0.5), requests_per_s=40.0
+        )
+        figures = play.play()
+        kept_s = sorted(figures.refused_after_s)
+        assert figures.statuses[503] > 300
+        assert kept_s[len(kept_s) // 2] <= 0.001
+
+
+class TestPlantedFaults:
+    """The counts at the targets show what they are for."""
+
+    def passes(self):
+        """Return whether the sum of requests stays within limits."""
+        script = limits(1.3, 5.0, after_s=4.0)
+        play = StatementPlay(
+            1, routers=6, targets=3, script=script, requests_per_s=150.0
+        )
+        play.play()
+        return most_over_limit(play) <= 0
+
+    def test_without_a_fault(self):
+        """The same play is sound."""
+        assert self.passes()
+
+    def test_each_router_at_the_whole_rate(self, monkeypatch):
+        """The sum is six times the rate."""
+        monkeypatch.setattr(PeerTable, "part_of", lambda *_: 1.0)
+        assert not self.passes()
+
+    def test_sends_that_are_not_counted(self, monkeypatch):
+        """Nothing of the limit is ever used."""
+        monkeypatch.setattr(StatedLimit, "note_sent", lambda *_: None)
+        assert not self.passes()
+
+    def test_any_answer_ends_it(self, monkeypatch):
+        """One that was overtaken, too; and what ended is named again at once."""
+
+        def forget(limit, per_s, *, sent_at, now):
+            limit._believe(None, now)
+            return False
+
+        monkeypatch.setattr(StatedLimit, "note_answer", forget)
+        assert not self.passes()
+
 
 class TestRest:
     """A target turns a request away and says for how long it wants no other."""
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -41,6 +41,7 @@
 from berylwalk.dispatch._return_times import return_time_s
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
 from berylwalk.dispatch._start_model import StartModel
+from berylwalk.dispatch._stated_limit import NEWS_KEPT_S, StatedLimit, most_senders
 from berylwalk.dispatch._statements import NOTHING_STATED, TargetStatement
 from berylwalk.dispatch._target import ExpectedStart, Target, TargetSpeed
 from berylwalk.dispatch._target_entries import (
@@ -54,6 +55,7 @@
 from berylwalk.dispatch._waiting_line import Ticket, WaitingLine
 
 __all__ = [
+    "NEWS_KEPT_S",
     "NOTHING_STATED",
     "PEERS_OF_ONE_MESH",
     "Account",
@@ -86,6 +88,7 @@
     "SharedPrefix",
     "SocketAddress",
     "StartModel",
+    "StatedLimit",
     "Target",
     "TargetEntry",
     "TargetSpeed",
@@ -99,6 +102,7 @@
     "choose_target",
     "expected_start",
     "mean_token_s",
+    "most_senders",
     "patience_after_failure",
     "patience_at_arrival",
     "place_limit",
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -163,6 +163,18 @@
                 found[target_id] = obstacle
         return found
 
+    def opens_at(self, ticket: Ticket, now: float) -> float:
+        """Return when the first target takes requests again, in seconds.
+
+        Now, unless each of them has said from when on, or how seldom, it takes any.
+        """
+        openings = [
+            target.opens_at(now)
+            for target in self._candidates(ticket, now)
+            if target.entry.life_id not in ticket.excluded
+        ]
+        return min(openings, default=now)
+
     def place_among(
         self, ticket: Ticket, lives: Collection[str], now: float
     ) -> Target | None:
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_view.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_view.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from heapq import nsmallest
 from random import choice
 
+from berylwalk.affinity import parts_hash
+
 HEARD_WITHIN_S = 0.7
 """A peer without a message for this long, in seconds, is taken for silent."""
 
@@ -171,6 +174,35 @@
         peer.heard_at = now
         return True
 
+    def part_of(self, life_id: str, senders: int, now: float) -> float:
+        """Return this router's part of what a target takes of all routers.
+
+        Few of them send: those that come first by a hash of their names and the
+        target's life, so that none needs to be told. Routers that are not heard keep
+        their part, for they may send it behind a cut.
+
+        Parameters
+        ----------
+        life_id : str
+            The life of the target.
+        senders : int
+            How many routers send to it.
+        now : float
+            Time in seconds.
+        """
+        names = [self._own_name]
+        names += [
+            name for name, peer in self.by_name.items() if self.is_heard(peer, now)
+        ]
+        first = nsmallest(
+            senders,
+            names,
+            key=lambda name: parts_hash([life_id.encode(), name.encode()]),
+        )
+        if self._own_name not in first:
+            return 0.0
+        return len(names) / self.known() / len(first)
+
     def known(self) -> int:
         """Return the number of routers, this one included."""
         return len(self.by_name) + 1
--- a/libs/dispatch/src/berylwalk/dispatch/_return_times.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_return_times.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from math import isinf
 from random import uniform
 
 SOONEST_S = 0.1
@@ -17,7 +18,12 @@
 """Part of their time left up to which callers wait as told."""
 
 
-def return_time_s(left_s: float, *, draw: Callable[[float, float], float] = uniform):
+def return_time_s(
+    left_s: float,
+    *,
+    opens_in_s: float = 0.0,
+    draw: Callable[[float, float], float] = uniform,
+) -> float:
     """Return the seconds after which a caller should come back.
 
     What is refused at the same moment must not come back at the same moment.
@@ -26,8 +32,13 @@
     ----------
     left_s : float
         Time that the caller still has, in seconds.
+    opens_in_s : float
+        Time until the first target takes requests again, in seconds, where all have
+        said so. Infinite where other routers send to them: any may be asked.
     draw : callable
         Draws a number between two bounds.
     """
     latest_s = min(LATEST_S, left_s * SHARE_OF_TIME_LEFT)
-    return draw(min(SOONEST_S, latest_s), latest_s)
+    after_s = draw(min(SOONEST_S, latest_s), latest_s)
+    # Another router may have a place sooner than this one, but none at once.
+    return after_s if isinf(opens_in_s) else max(opens_in_s, 0.0) + after_s
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from berylwalk.dispatch._start_model import StartModel
+from berylwalk.dispatch._stated_limit import StatedLimit
 from berylwalk.dispatch._statements import NOTHING_STATED, TargetStatement
 from berylwalk.dispatch._target_entries import (
     Obstacle,
@@ -145,6 +146,8 @@
         Whether another life was found to answer at its address.
     stated : TargetStatement
         What its last answer stated of it.
+    limit : StatedLimit
+        The requests a second that it takes of all routers.
     on_life_ended : set of callable
         Called when the target turns out to have started again: what it held is
         gone, and requests in flight there won't be answered.
@@ -170,6 +173,7 @@
     missing_since: float | None = None
     is_replaced: bool = False
     stated: TargetStatement = NOTHING_STATED
+    limit: StatedLimit = field(default_factory=StatedLimit)
     on_life_ended: set[Callable[[], None]] = field(default_factory=set)
 
     def end_life(self) -> None:
@@ -219,6 +223,8 @@
         is_erroneous = self.errors > ERRONEOUS_SHARE
         if is_erroneous and now - self.tried_at < TRIAL_GAP_S:
             return Obstacle.ERRORS
+        if not self.limit.may_send(now):
+            return Obstacle.LIMITED
         return None
 
     def note_sent(self, work: Work, now: float) -> None:
@@ -226,6 +232,7 @@
         self.in_flight += 1
         self.waiting_tokens += work.prompt_tokens
         self.tried_at = now
+        self.limit.note_sent(now)
         if self.owes_since is None:
             self.owes_since = now
 
@@ -347,6 +354,31 @@
         """
         self.is_replaced = True
 
+    def note_statement(
+        self, statement: TargetStatement, *, sent_at: float, now: float
+    ) -> bool:
+        """Take what an answer states of this life; returns whether beliefs changed.
+
+        Parameters
+        ----------
+        statement : TargetStatement
+            Of the head of the answer.
+        sent_at, now : float
+            When its request was sent and the head came, in seconds.
+        """
+        if not statement.limit_is_readable:
+            return False
+        return self.limit.note_answer(statement.limit_per_s, sent_at=sent_at, now=now)
+
+    def opens_at(self, now: float) -> float:
+        """Return when it takes requests again, in seconds, as far as it has said.
+
+        Now, where what keeps them back may end at any moment.
+        """
+        if self.obstacle(now) is Obstacle.LIMITED:
+            return self.limit.opens_at(now)
+        return now
+
     def note_full(self, now: float, pause_s: float) -> None:
         """Leave the target alone for a moment after it refused work."""
         self.aside_until = max(self.aside_until, now + pause_s)
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -24,6 +24,9 @@
     REPLACED = "replaced"
     """Another life answers at its address: it has ended, whatever its entry says."""
 
+    LIMITED = "limited"
+    """It names a limit, and this router's part of it is used."""
+
     SILENT = "silent"
     ERRORS = "errors"
     FULL = "full"
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -198,6 +198,10 @@
                 loads[target_id] = (count + load[0], tokens + load[1])
         return loads
 
+    def limited(self) -> list[Target]:
+        """Return the targets that name a limit."""
+        return [each for each in self.by_id.values() if each.limit.per_s is not None]
+
     def in_flight_elsewhere(self, service: str, version: str) -> int:
         """Return the own requests at a service's targets of all versions but one."""
         return sum(
