A router leaves a target alone for as long as it asks for rest

What callers and targets saw: three targets turned all away and asked each router for 3 s of rest.

Each refusal set the target aside for 0.1 s. With nothing in flight it was then the cheapest choice, so each pause ended with a send. Ruled out: that it is kept for one request only (the counts by half second show 4 to 6 sends of one router, not all).

Now what a life of a target has said is one state (StatedNeeds) that every send asks: the limit, and the rest, up to its latest end that was named. It is asked again after the opening of a connection. A shorter rest that comes later, or an answer to an older request, takes nothing back. After a rest a router sends one request, and twice as many with each that is taken. Where all targets of a service rest, callers hear at once when the first takes requests again. What was stated stays with a life whose entry is gone for a time.

--- a/libs/direct/src/berylwalk/direct/_lesson.py
+++ b/libs/direct/src/berylwalk/direct/_lesson.py
@@ -9,6 +9,8 @@
 FULL_PAUSE_S = 0.1
 """Time for which a target that refused work gets none."""
 
+TURNED_AWAY = 429
+"""Status by which a target says that this caller asks too much."""
 MISDIRECTED = 421
 """Status by which a target says that it is not the life that is meant."""
 
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -224,7 +224,7 @@
         quarantine = context.quarantine.news(context.quarantine.near, context.clock())
         rollouts = [replace(each, age_s=0.0) for each in context.rollouts.news(now)]
         statements = own_statements(context)
-        said = [(each.life_id, each.limit_per_s) for each in statements]
+        said = [each.belief for each in statements]
         beliefs = (loads, spent, rollouts, said)
         is_unchanged = self._told == beliefs and asks is None and not reads
         if is_unchanged and not quarantine and now - self._told_at < TELL_UNCHANGED_S:
--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -6,7 +6,7 @@
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._exchange_log import ExchangeLog
-from berylwalk.direct._lesson import MISDIRECTED, Lesson
+from berylwalk.direct._lesson import MISDIRECTED, TURNED_AWAY, Lesson
 from berylwalk.direct._relay import Relay
 from berylwalk.direct._statements import take_statement
 from berylwalk.direct._version_watch import VersionWatch
@@ -113,6 +113,8 @@
                 # What another life at this address states is not said of this one.
                 self._log.tell_statement(self._admitted, target, statement)
                 take_statement(self._context, target, statement, sent_at)
+                if status < 500 and status != TURNED_AWAY:
+                    target.needs.rest.note_taken(target.entry.slots)
 
         return Attempt(
             self._relay,
@@ -142,9 +144,11 @@
         standing = quarantine.standing(self._admitted.identity, now)
         if standing.is_held_back and not self._admitted.is_trial:
             return False
-        # While the connection was opened, the target may have said that it leaves.
+        # While the connection was opened, the target may have said that it leaves, or
+        # asked for rest.
         is_known = self._context.targets.by_id.get(target.entry.target_id) is target
-        return is_known and target.entry.state is TargetState.READY
+        takes_any = target.needs.takes_any(self._context.clock())
+        return is_known and takes_any and target.entry.state is TargetState.READY
 
     async def _transfer(
         self, target: Target, connection: TargetConnection, attempt: Attempt
--- a/libs/direct/src/berylwalk/direct/_statements.py
+++ b/libs/direct/src/berylwalk/direct/_statements.py
@@ -10,7 +10,13 @@
 from msgspec import Meta, Struct
 
 from berylwalk.direct._context import RouterContext
-from berylwalk.dispatch import Target, TargetStatement, most_senders
+from berylwalk.dispatch import (
+    Need,
+    NeedsNews,
+    Target,
+    TargetStatement,
+    most_senders,
+)
 
 MOST_TOLD = 64
 """Statements in one message at most, a few kilobytes; of more, others in each turn."""
@@ -27,16 +33,24 @@
     ----------
     life_id : str
         The life of the target.
-    age_s : float
-        How long ago, in seconds.
+    limit_age_s : float or None
+        How long ago they said something of a limit, in seconds; None if they never did.
     limit_per_s : float or None
         Requests a second that it takes of all routers; None if it names no limit
         any more.
+    is_leaving : bool
+        Whether it leaves.
     """
 
     life_id: Annotated[str, Meta(max_length=200)]
-    age_s: Annotated[float, Meta(ge=0)]
+    limit_age_s: Annotated[float, Meta(ge=0)] | None = None
     limit_per_s: Annotated[float, Meta(ge=0)] | None = None
+    is_leaving: bool = False
+
+    @property
+    def belief(self) -> tuple[str, float | None, bool]:
+        """What it says, its age left out."""
+        return self.life_id, self.limit_per_s, self.is_leaving
 
 
 def take_statement(
@@ -44,9 +58,9 @@
 ) -> None:
     """Take what an answer states of a target; the other routers are told soon."""
     now = context.clock()
-    former = target.limit.per_s
-    if target.note_statement(statement, sent_at=sent_at, now=now):
-        _note_limit(context, target, former, told_by="target", age_s=0.0)
+    changed = target.needs.note_answer(statement, sent_at=sent_at, now=now)
+    _note_changed(context, target, changed, told_by="target")
+    if Need.LIMIT in changed or Need.LEAVING in changed:
         context.on_statement_news()
 
 
@@ -59,21 +73,28 @@
         target = context.targets.by_life_id.get(each.life_id)
         if target is None:
             continue
-        former = target.limit.per_s
-        if target.limit.hear(each.limit_per_s, now - each.age_s, now):
-            _note_limit(context, target, former, told_by=told_by, age_s=each.age_s)
+        heard = NeedsNews(
+            limit_per_s=each.limit_per_s,
+            limit_age_s=each.limit_age_s,
+            is_leaving=each.is_leaving,
+        )
+        changed = target.needs.hear(heard, now)
+        _note_changed(context, target, changed, told_by=told_by)
 
 
 def own_statements(context: RouterContext) -> list[StatementNews]:
     """Return what own answers said lately, to be told."""
     now = context.clock()
-    news = []
+    told = []
     for life_id, target in context.targets.by_life_id.items():
-        observed = target.limit.news(now)
-        if observed is not None:
-            per_s, age_s = observed
-            news.append(StatementNews(life_id, age_s, per_s))
-    return in_turn(news, MOST_TOLD, now)
+        news = target.needs.news(now)
+        if news is not None:
+            told.append(
+                StatementNews(
+                    life_id, news.limit_age_s, news.limit_per_s, news.is_leaving
+                )
+            )
+    return in_turn(told, MOST_TOLD, now)
 
 
 def in_turn(news: list[StatementNews], most: int, now: float) -> list[StatementNews]:
@@ -91,28 +112,29 @@
 
 
 def _share_limit(context: RouterContext, target: Target) -> None:
-    per_s, now = target.limit.per_s, context.clock()
-    if per_s is not None:
-        senders = most_senders(per_s)
+    limit, now = target.needs.limit, context.clock()
+    if limit.per_s is not None:
+        senders = most_senders(limit.per_s)
         share = context.peers.part_of(target.entry.life_id, senders, now)
-        target.limit.set_share(share, now)
+        limit.set_share(share, now)
 
 
-def _note_limit(
-    context: RouterContext,
-    target: Target,
-    former_per_s: float | None,
-    *,
-    told_by: str,
-    age_s: float,
+def _note_changed(
+    context: RouterContext, target: Target, changed: list[Need], *, told_by: str
 ) -> None:
+    if not changed:
+        return
     _share_limit(context, target)
+    needs, now = target.needs, context.clock()
     context.log.process(
-        "target-limit",
+        "target-needs",
         target=target.entry.target_id,
-        limit_per_s=target.limit.per_s,
-        former_per_s=former_per_s,
+        changed=changed,
         told_by=told_by,
-        age_ms=round(age_s * 1000),
-        share=round(target.limit.share, 3),
+        limit_per_s=needs.limit.per_s,
+        limit_share=round(needs.limit.share, 3),
+        rest_ms=max(0, round((needs.rest.until - now) * 1000))
+        if needs.rest.is_on(now)
+        else 0,
+        is_leaving=needs.is_leaving,
     )
--- a/libs/direct/src/berylwalk/direct/_statements_to_relay.py
+++ b/libs/direct/src/berylwalk/direct/_statements_to_relay.py
@@ -20,16 +20,33 @@
             self._heard_by_router.pop(router, None)
 
     def merged(self, own: list[StatementNews], now: float) -> list[StatementNews]:
-        """Return the newest of each target, its age as of now."""
-        newest = {each.life_id: each for each in own}
+        """Return what was said of each target: its limit by the newest, as of now."""
+        merged = {each.life_id: each for each in own}
         for router, (heard_at, news) in list(self._heard_by_router.items()):
             if now - heard_at > NEWS_KEPT_S:
                 del self._heard_by_router[router]
                 continue
             for each in news:
-                age_s = each.age_s + now - heard_at
-                known = newest.get(each.life_id)
-                if known is None or age_s < known.age_s:
-                    newest[each.life_id] = replace(each, age_s=age_s)
-        fresh = [each for each in newest.values() if each.age_s <= NEWS_KEPT_S]
-        return in_turn(fresh, MOST_RELAYED, now)
+                aged = _aged(each, now - heard_at)
+                known = merged.get(each.life_id)
+                merged[each.life_id] = aged if known is None else _both(known, aged)
+        return in_turn(list(merged.values()), MOST_RELAYED, now)
+
+
+def _aged(news: StatementNews, by_s: float) -> StatementNews:
+    if news.limit_age_s is None:
+        return news
+    age_s = news.limit_age_s + by_s
+    if age_s > NEWS_KEPT_S:
+        return replace(news, limit_age_s=None, limit_per_s=None)
+    return replace(news, limit_age_s=age_s)
+
+
+def _both(one: StatementNews, other: StatementNews) -> StatementNews:
+    """Return the newer word on the limit, and that it leaves if either says so."""
+    ages = [
+        float("inf") if each.limit_age_s is None else each.limit_age_s
+        for each in (one, other)
+    ]
+    newer = one if ages[0] <= ages[1] else other
+    return replace(newer, is_leaving=one.is_leaving or other.is_leaving)
--- a/libs/direct/tests/test_direct_statements.py
+++ b/libs/direct/tests/test_direct_statements.py
@@ -152,6 +152,23 @@
 class TestRest:
     """A target turns a request away and says for how long it wants no other."""
 
+    def rests(self, seed, *, routers=6, targets=9, resting=3, until_s=12.0, **options):
+        """Return the play of some targets that ask for rest for some seconds."""
+
+        async def script(play):
+            await sleep(3.0)
+            for target in play.targets[:resting]:
+                target.rest_s = 3.0
+            await sleep(until_s - 4.0)
+            for target in play.targets[:resting]:
+                target.rest_s = None
+
+        play = StatementPlay(
+            seed, routers=routers, targets=targets, script=script, **options
+        )
+        play.play()
+        return play
+
     def test_target_at_rest_gets_nothing_of_the_router_that_it_told(self):
         """Not even one after the other, each refused."""
 
@@ -164,17 +181,45 @@
         play.play()
         assert max(play.most_in_rest(each) for each in play.targets) <= 2
 
+    @pytest.mark.parametrize("seed", range(3))
+    def test_callers_are_served_by_the_others(self, seed):
+        """Where these have room, nobody is refused."""
+        play = self.rests(seed)
+        assert play.figures.statuses == {200: play.requests}
+
+    def test_those_that_wait_do_not_all_come_at_its_end(self):
+        """Each router sends one, and more with each that is taken."""
+        play = self.rests(1, targets=2, resting=2, requests_per_s=120.0)
+        ends = sorted(told_at + rest_s for told_at, _, rest_s in play.targets[0].rests)
+        last = ends[-1]
+        assert play.arrived(play.targets[0], last, last + 0.05) <= 2 * 6
+
+    def test_all_are_in_use_again_after_it(self):
+        """Within a second or two."""
+        play = self.rests(1, targets=2, resting=2, requests_per_s=60.0)
+        last = max(told_at + rest_s for told_at, _, rest_s in play.targets[0].rests)
+        both = sum(play.arrived(each, last + 2, last + 5) for each in play.targets)
+        assert both > 0.8 * 3 * 60.0
+
+    def test_callers_are_told_when_the_first_returns(self):
+        """At once, and not each at the same moment."""
+        play = self.rests(1, targets=2, resting=2, requests_per_s=60.0)
+        told_s = [each.retry_after_s for each in play.refusals if each.kept_s < 0.01]
+        assert max(told_s) > 2.0
+        assert len({round(each, 2) for each in told_s}) > 50
+
 
 class TestLeaving:
     """A target says in its answers that it leaves; its entry says nothing."""
 
+    @staticmethod
+    async def script(play):
+        """Let one target say that it leaves."""
+        await sleep(3.0)
+        play.targets[0].is_leaving = True
+
     def test_target_that_leaves_gets_nothing_once_it_has_said_so(self):
         """Of no router that passed such an answer on."""
-
-        async def script(play):
-            await sleep(3.0)
-            play.targets[0].is_leaving = True
-
-        play = StatementPlay(1, routers=6, targets=6, script=script)
+        play = StatementPlay(1, routers=6, targets=6, script=self.script)
         play.play()
         assert play.sent_while_leaving(play.targets[0]) == 0
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -399,6 +399,22 @@
     refused_after_s: list = field(default_factory=list)
 
 
+@dataclass(frozen=True)
+class Refused:
+    """What a caller heard that was not served.
+
+    Parameters
+    ----------
+    kept_s : float
+        How long it was kept, in seconds.
+    retry_after_s : float
+        When it is to come back, in seconds.
+    """
+
+    kept_s: float
+    retry_after_s: float
+
+
 class StatementPlay(PlayedFleet):
     """A fleet, its callers and what its targets state.
 
@@ -471,6 +487,7 @@
             public=True,
         )
         self.requests = 0
+        self.refusals = []
 
     def play(self):
         """Play it; return its figures."""
@@ -527,6 +544,8 @@
                 self.figures.answered_after_s.append(after_s)
             else:
                 self.figures.refused_after_s.append(after_s)
+                retry_after = dict(headers).get(b"Retry-After", b"0")
+                self.refusals.append(Refused(after_s, float(retry_after)))
 
         async def serve():
             await router.serve(b"q%d" % self.requests, on_done=on_done)
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -42,6 +42,8 @@
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
 from berylwalk.dispatch._start_model import StartModel
 from berylwalk.dispatch._stated_limit import NEWS_KEPT_S, StatedLimit, most_senders
+from berylwalk.dispatch._stated_needs import Need, NeedsNews, StatedNeeds
+from berylwalk.dispatch._stated_rest import StatedRest
 from berylwalk.dispatch._statements import NOTHING_STATED, TargetStatement
 from berylwalk.dispatch._target import ExpectedStart, Target, TargetSpeed
 from berylwalk.dispatch._target_entries import (
@@ -73,6 +75,8 @@
     "Dispatcher",
     "ExpectedStart",
     "Knowledge",
+    "Need",
+    "NeedsNews",
     "Obstacle",
     "Patience",
     "Peer",
@@ -89,6 +93,8 @@
     "SocketAddress",
     "StartModel",
     "StatedLimit",
+    "StatedNeeds",
+    "StatedRest",
     "Target",
     "TargetEntry",
     "TargetSpeed",
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass, field
 
 from berylwalk.dispatch._start_model import StartModel
-from berylwalk.dispatch._stated_limit import StatedLimit
+from berylwalk.dispatch._stated_needs import StatedNeeds
 from berylwalk.dispatch._statements import NOTHING_STATED, TargetStatement
 from berylwalk.dispatch._target_entries import (
+    STATED_OBSTACLES,
     Obstacle,
     TargetEntry,
     TargetState,
@@ -146,8 +147,8 @@
         Whether another life was found to answer at its address.
     stated : TargetStatement
         What its last answer stated of it.
-    limit : StatedLimit
-        The requests a second that it takes of all routers.
+    needs : StatedNeeds
+        What it has said that it takes.
     on_life_ended : set of callable
         Called when the target turns out to have started again: what it held is
         gone, and requests in flight there won't be answered.
@@ -173,7 +174,7 @@
     missing_since: float | None = None
     is_replaced: bool = False
     stated: TargetStatement = NOTHING_STATED
-    limit: StatedLimit = field(default_factory=StatedLimit)
+    needs: StatedNeeds = field(default_factory=StatedNeeds)
     on_life_ended: set[Callable[[], None]] = field(default_factory=set)
 
     def end_life(self) -> None:
@@ -223,16 +224,14 @@
         is_erroneous = self.errors > ERRONEOUS_SHARE
         if is_erroneous and now - self.tried_at < TRIAL_GAP_S:
             return Obstacle.ERRORS
-        if not self.limit.may_send(now):
-            return Obstacle.LIMITED
-        return None
+        return self.needs.obstacle(self.in_flight, now)
 
     def note_sent(self, work: Work, now: float) -> None:
         """Count a request that is sent."""
         self.in_flight += 1
         self.waiting_tokens += work.prompt_tokens
         self.tried_at = now
-        self.limit.note_sent(now)
+        self.needs.note_sent(now)
         if self.owes_since is None:
             self.owes_since = now
 
@@ -354,29 +353,10 @@
         """
         self.is_replaced = True
 
-    def note_statement(
-        self, statement: TargetStatement, *, sent_at: float, now: float
-    ) -> bool:
-        """Take what an answer states of this life; returns whether beliefs changed.
-
-        Parameters
-        ----------
-        statement : TargetStatement
-            Of the head of the answer.
-        sent_at, now : float
-            When its request was sent and the head came, in seconds.
-        """
-        if not statement.limit_is_readable:
-            return False
-        return self.limit.note_answer(statement.limit_per_s, sent_at=sent_at, now=now)
-
     def opens_at(self, now: float) -> float:
-        """Return when it takes requests again, in seconds, as far as it has said.
-
-        Now, where what keeps them back may end at any moment.
-        """
-        if self.obstacle(now) is Obstacle.LIMITED:
-            return self.limit.opens_at(now)
+        """Return when it takes requests again, in seconds, as far as it has said."""
+        if self.obstacle(now) in STATED_OBSTACLES:
+            return self.needs.opens_at(self.in_flight, now)
         return now
 
     def note_full(self, now: float, pause_s: float) -> None:
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -24,6 +24,15 @@
     REPLACED = "replaced"
     """Another life answers at its address: it has ended, whatever its entry says."""
 
+    RESTING = "resting"
+    """It has asked this router for rest."""
+
+    RETURNING = "returning"
+    """It has rested, and takes a few requests at first."""
+
+    LEAVING = "leaving"
+    """It says in its answers that it leaves."""
+
     LIMITED = "limited"
     """It names a limit, and this router's part of it is used."""
 
@@ -37,6 +46,12 @@
     """It was tried for this request."""
 
 
+STATED_OBSTACLES = frozenset(
+    {Obstacle.LEAVING, Obstacle.RESTING, Obstacle.RETURNING, Obstacle.LIMITED}
+)
+"""Those that a target has stated itself."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetEntry:
     """One target as the list of targets has it.
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from berylwalk.dispatch._start_model import StartModel
+from berylwalk.dispatch._stated_needs import StatedNeeds
 from berylwalk.dispatch._target import Target, TargetSpeed
 from berylwalk.dispatch._target_entries import TargetEntry
 
@@ -48,6 +49,7 @@
         self._peer_loads_by_name: dict[str, dict[str, tuple[int, int]]] = {}
         self._ended_lives: list[Target] = []
         self._ended_starts_by_id: dict[str, tuple[int, float]] = {}
+        self._needs_of_gone: dict[str, tuple[StatedNeeds, float]] = {}
 
     def of_service(self, service: str) -> list[Target]:
         """Return the targets of a service."""
@@ -200,7 +202,9 @@
 
     def limited(self) -> list[Target]:
         """Return the targets that name a limit."""
-        return [each for each in self.by_id.values() if each.limit.per_s is not None]
+        return [
+            each for each in self.by_id.values() if each.needs.limit.per_s is not None
+        ]
 
     def in_flight_elsewhere(self, service: str, version: str) -> int:
         """Return the own requests at a service's targets of all versions but one."""
@@ -231,6 +235,9 @@
         new = Target(entry, self._start_model(entry.service))
         if entry.life_id in self._adopted_speeds_by_id:
             new.adopt_speed(self._adopted_speeds_by_id[entry.life_id])
+        if entry.life_id in self._needs_of_gone:
+            # Its entry was gone for a time; the life that said it was not.
+            new.needs, _ = self._needs_of_gone.pop(entry.life_id)
         self._count_peers(new)
         self.by_id[entry.target_id] = new
         if target is not None:
@@ -254,6 +261,7 @@
     def _forget(self, target: Target, now: float) -> None:
         entry = target.entry
         del self.by_id[entry.target_id]
+        self._keep_needs(target, now)
         if entry.started_ms is None:
             return
         self._ended_starts_by_id[entry.target_id] = (entry.started_ms, now)
@@ -261,6 +269,12 @@
             if now - gone_at > ENDED_STARTS_KEPT_S:
                 del self._ended_starts_by_id[target_id]
 
+    def _keep_needs(self, target: Target, now: float) -> None:
+        self._needs_of_gone[target.entry.life_id] = (target.needs, now)
+        for life_id, (_, gone_at) in list(self._needs_of_gone.items()):
+            if now - gone_at > ENDED_STARTS_KEPT_S:
+                del self._needs_of_gone[life_id]
+
     def _count_peers(self, target: Target) -> None:
         """Count what all peers said of this life of a target."""
         loads = [
--- /dev/null
+++ b/libs/dispatch/tests/test_dispatch_stated_needs.py
@@ -0,0 +1,103 @@
+"""What a life of a target has said: rest, leaving, and what outlives its entry."""
+
+from berylwalk.dispatch import (
+    Obstacle,
+    StatedNeeds,
+    StatedRest,
+    Target,
+    TargetEntry,
+    TargetState,
+    TargetStatement,
+    Work,
+)
+
+
+def entry(**changes):
+    """Return an entry of a target."""
+    values = {
+        "target_id": "i-1",
+        "service": "s",
+        "host": "h",
+        "port": 1,
+        "failure_domain": "fd",
+        "slots": 4,
+        "state": TargetState.READY,
+    }
+    return TargetEntry(**{**values, **changes})
+
+
+def said(now=10.0, **statement):
+    """Return the needs of a target that said something once."""
+    needs = StatedNeeds()
+    needs.note_answer(TargetStatement(**statement), sent_at=now - 0.1, now=now)
+    return needs
+
+
+class TestRest:
+    """It wants nothing of this router for a time."""
+
+    def test_nothing_until_its_end(self):
+        """From the answer on."""
+        needs = said(rest_s=3.0)
+        assert needs.obstacle(0, 12.99) is Obstacle.RESTING
+        assert needs.opens_at(0, 11.0) == 13.0
+        assert not needs.takes_any(12.99)
+        assert needs.obstacle(0, 13.0) is None
+
+    def test_shorter_rest_takes_nothing_back(self):
+        """It may have been asked for earlier, on a slower connection."""
+        needs = said(rest_s=3.0)
+        needs.note_answer(TargetStatement(rest_s=0.5), sent_at=10.1, now=10.2)
+        assert needs.obstacle(0, 12.9) is Obstacle.RESTING
+
+    def test_longer_rest_counts(self):
+        """From the later answer on."""
+        needs = said(rest_s=3.0)
+        needs.note_answer(TargetStatement(rest_s=5.0), sent_at=10.1, now=11.0)
+        assert needs.obstacle(0, 15.9) is Obstacle.RESTING
+
+    def test_answer_that_asks_for_none_ends_nothing(self):
+        """A stream that began before may bring its head meanwhile."""
+        needs = said(rest_s=3.0)
+        needs.note_answer(TargetStatement(), sent_at=9.0, now=10.5)
+        needs.rest.note_taken(4)
+        assert needs.obstacle(0, 12.9) is Obstacle.RESTING
+
+    def test_requests_return_one_by_one(self):
+        """Each that is taken doubles what may be there, until all is as before."""
+        rest = StatedRest()
+        rest.note_asked(1.0, 10.0)
+        assert (rest.has_place(0), rest.has_place(1)) == (True, False)
+        rest.note_taken(4)
+        assert (rest.has_place(1), rest.has_place(2)) == (True, False)
+        rest.note_taken(4)
+        assert rest.has_place(100)
+
+    def test_rest_of_no_time(self):
+        """It may be asked again at once."""
+        assert said(rest_s=0.0).obstacle(50, 10.0) is None
+
+
+class TestUnreadableLimit:
+    """A value that is no number."""
+
+    def test_leaves_what_is_known(self):
+        """It is not the end of the limit."""
+        needs = said(limit_per_s=2.0)
+        unreadable = TargetStatement(limit_is_readable=False, problem="p")
+        needs.note_answer(unreadable, sent_at=11.0, now=11.1)
+        assert needs.limit.per_s == 2.0
+
+
+class TestLives:
+    """Statements are of one life."""
+
+    def test_every_send_uses_the_limit(self):
+        """However it got its place."""
+        target = Target(entry())
+        target.needs.limit.hear(2.0, 9.0, 9.0)
+        target.needs.limit.set_share(1.0, 9.0)
+        assert target.takes_work(9.6)
+        target.note_sent(Work(), 9.6)
+        assert target.obstacle(9.6) is Obstacle.LIMITED
+        assert 9.9 < target.opens_at(9.6) < 10.1
