A target that says in its answers that it leaves gets nothing more

What could happen (seen in no record): a target answers with Server-Leaving while the store and its entry say nothing yet; a router that passed such an answer on kept sending there.

Cause: as with limit and rest. The word is kept for the life that gave it, whatever its entry says then or later, also when the entry was gone for a time; a next life takes work again. The other routers are told, through relays too (13 routers in 3 domains: nothing arrives later than 0.5 s after the first answer).

--- a/libs/direct/tests/test_direct_statements.py
+++ b/libs/direct/tests/test_direct_statements.py
@@ -223,3 +223,13 @@
         play = StatementPlay(1, routers=6, targets=6, script=self.script)
         play.play()
         assert play.sent_while_leaving(play.targets[0]) == 0
+
+    @pytest.mark.parametrize("routers", [6, 13])
+    def test_other_routers_need_not_find_out(self, routers):
+        """They are told, in other failure domains through relays."""
+        play = StatementPlay(2, routers=routers, targets=6, script=self.script)
+        play.play()
+        leaving = play.targets[0]
+        told_at = min(leaving.told_leaving_at.values())
+        assert play.arrived(leaving, told_at + 0.5, 100.0) == 0
+        assert play.figures.statuses[503] == 0
--- a/libs/dispatch/src/berylwalk/dispatch/_stated_needs.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_needs.py
@@ -69,6 +69,8 @@
         now : float
             Time in seconds.
         """
+        if self.is_leaving:
+            return Obstacle.LEAVING
         if self.rest.is_on(now):
             return Obstacle.RESTING
         if not self.rest.has_place(in_flight):
@@ -79,7 +81,7 @@
 
     def takes_any(self, now: float) -> bool:
         """Return whether a request that has its place there may still be sent."""
-        return not self.rest.is_on(now)
+        return not self.is_leaving and not self.rest.is_on(now)
 
     def opens_at(self, in_flight: int, now: float) -> float:
         """Return when requests are taken again, in seconds, as far as it was said.
--- a/libs/dispatch/tests/test_dispatch_stated_needs.py
+++ b/libs/dispatch/tests/test_dispatch_stated_needs.py
@@ -1,6 +1,9 @@
 """What a life of a target has said: rest, leaving, and what outlives its entry."""
 
+import pytest
+
 from berylwalk.dispatch import (
+    NeedsNews,
     Obstacle,
     StatedNeeds,
     StatedRest,
@@ -8,6 +11,7 @@
     TargetEntry,
     TargetState,
     TargetStatement,
+    TargetTable,
     Work,
 )
 
@@ -78,6 +82,32 @@
         assert said(rest_s=0.0).obstacle(50, 10.0) is None
 
 
+class TestLeaving:
+    """It says that it leaves."""
+
+    def test_is_not_taken_back(self):
+        """Neither by an answer without it nor by its entry."""
+        needs = said(is_leaving=True)
+        needs.note_answer(TargetStatement(), sent_at=11.0, now=11.1)
+        assert needs.obstacle(0, 1000.0) is Obstacle.LEAVING
+
+    def test_other_routers_word(self):
+        """Counts, and isn't told on."""
+        needs = StatedNeeds()
+        assert needs.hear(NeedsNews(is_leaving=True), 10.0)
+        assert not needs.hear(NeedsNews(is_leaving=True), 10.1)
+        assert needs.obstacle(0, 10.2) is Obstacle.LEAVING
+        assert needs.news(10.2) is None
+
+    def test_own_observation_is_told(self):
+        """It says nothing of a limit that was never named."""
+        news = said(is_leaving=True).news(500.0)
+        assert news == NeedsNews(is_leaving=True)
+        others = said(limit_per_s=2.0)
+        others.hear(news, 10.1)
+        assert others.limit.per_s == 2.0
+
+
 class TestUnreadableLimit:
     """A value that is no number."""
 
@@ -92,6 +122,30 @@
 class TestLives:
     """Statements are of one life."""
 
+    @pytest.mark.parametrize("started_ms", [None, 5000])
+    def test_life_whose_entry_was_gone_for_a_time(self, started_ms):
+        """It is the same life, and has taken nothing back."""
+        table = TargetTable()
+        table.update(entry(started_ms=started_ms), 10.0)
+        table.by_id["i-1"].needs.is_leaving = True
+        table.remove("i-1", 11.0)
+        table.update(entry(started_ms=started_ms), 12.0)
+        assert table.by_id["i-1"].obstacle(12.0) is Obstacle.LEAVING
+
+    def test_next_life_takes_all(self):
+        """At the same address and under the same id."""
+        table = TargetTable()
+        table.update(entry(started_ms=5000), 10.0)
+        table.by_id["i-1"].needs.is_leaving = True
+        table.update(entry(started_ms=9000), 12.0)
+        assert table.by_id["i-1"].takes_work(12.0)
+
+    def test_entry_that_says_ready(self):
+        """It was written before, or by one that doesn't know."""
+        target = Target(entry())
+        target.needs.is_leaving = True
+        assert target.obstacle(10.0) is Obstacle.LEAVING
+
     def test_every_send_uses_the_limit(self):
         """However it got its place."""
         target = Target(entry())
