--- a/libs/direct/src/berylwalk/direct/_gauges.py
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -1,9 +1,12 @@
 """What is believed, written into the gauges when they are asked for."""
 
 from berylwalk.direct._context import RouterContext
+from berylwalk.dispatch import Target
 
 LONGEST_AGE_S = 1e6
 """Shown for what was never heard."""
+NO_LIMIT = -1.0
+"""Shown for a target that names none: a limit of 0 is one."""
 
 
 def refresh_gauges(context: RouterContext) -> None:
@@ -24,6 +27,7 @@
         metrics.target_errors.labels(target_id).set(target.errors)
         heard_s = min(now - target.heard_at, LONGEST_AGE_S)
         metrics.target_heard_age_s.labels(target_id).set(heard_s)
+        _refresh_needs(context, target, now)
     for name, spent in context.allowances.spent_in_window(now).items():
         metrics.allowance_spent.labels(name).set(spent)
     quarantine = context.quarantine
@@ -36,6 +40,16 @@
     metrics.log_lines_dropped.set(context.log.dropped)
 
 
+def _refresh_needs(context: RouterContext, target: Target, now: float) -> None:
+    metrics, needs, target_id = context.metrics, target.needs, target.entry.target_id
+    limit = needs.limit
+    limit_per_s = NO_LIMIT if limit.per_s is None else limit.per_s
+    metrics.target_limit_per_s.labels(target_id).set(limit_per_s)
+    metrics.target_limit_share.labels(target_id).set(limit.share)
+    metrics.target_rest_s.labels(target_id).set(max(0.0, needs.rest.until - now))
+    metrics.target_leaving.labels(target_id).set(needs.is_leaving)
+
+
 def _refresh_rollouts(context: RouterContext) -> None:
     metrics = context.metrics
     metrics.rollout_phase.clear()
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -128,6 +128,22 @@
         self.target_heard_age_s = self._gauge(
             "target_heard_age_seconds", "Time since bytes came from it.", "target"
         )
+        self.target_limit_per_s = self._gauge(
+            "target_limit_per_s",
+            "Requests a second of all routers that a target names; -1 for no limit.",
+            "target",
+        )
+        self.target_limit_share = self._gauge(
+            "target_limit_share", "This router's part of that limit.", "target"
+        )
+        self.target_rest_s = self._gauge(
+            "target_rest_seconds",
+            "For how long a target still wants nothing of this router.",
+            "target",
+        )
+        self.target_leaving = self._gauge(
+            "target_leaving", "Whether a target's answers say that it leaves.", "target"
+        )
         self.retries_left = self._gauge(
             "retries_left", "Repeated sends allowed now.", "service"
         )
@@ -166,6 +182,10 @@
             self.target_token_s,
             self.target_errors,
             self.target_heard_age_s,
+            self.target_limit_per_s,
+            self.target_limit_share,
+            self.target_rest_s,
+            self.target_leaving,
         ):
             with suppress(KeyError):
                 gauge.remove(target_id)
--- a/libs/direct/tests/test_direct_soak.py
+++ b/libs/direct/tests/test_direct_soak.py
@@ -6,7 +6,7 @@
 
 import os
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from json import dumps
@@ -55,16 +55,20 @@
     runs: Counter = field(default_factory=Counter)
     answers: list = field(default_factory=list)
 
-    async def run(self, request, writer):
-        """Run a request as a target does; the answer tells its number."""
+    async def run(self, request, writer, *, states=""):
+        """Run a request as a target does; the answer tells its number.
+
+        ``states`` are header lines by which the target says what it takes.
+        """
         number = request.headers["attempt-id"]
         self.runs[number] += 1
         if "/streaming/" not in request.path:
             await sleep(RUN_S)
             body = f"answer of {number}".encode()
-            writer.write(head(request, length=len(body)) + body)
+            writer.write(head(request, length=len(body), more=states) + body)
             return
-        writer.write(head(request, kind=EVENTS, more="Transfer-Encoding: chunked\r\n"))
+        more = f"Transfer-Encoding: chunked\r\n{states}"
+        writer.write(head(request, kind=EVENTS, more=more))
         first = int(request.headers.get("last-event-id", 0)) + 1
         for each in range(first, EVENTS_OF_A_STREAM + 1):
             writer.write(chunk(event(each)))
@@ -119,6 +123,45 @@
         assert self.sent_in_touch <= SENDS_ALLOWED
 
 
+@dataclass
+class StatedNeeds:
+    """What targets say that they take, and who passed on that one leaves.
+
+    A call that begins after a router has passed such an answer on must not reach that
+    target from the same process.
+    """
+
+    by_target: dict = field(default_factory=dict)
+    told_by_router: dict = field(default_factory=lambda: defaultdict(set))
+    barred_by_id: dict = field(default_factory=dict)
+    reached_after: list = field(default_factory=list)
+
+    def headers(self, target):
+        """Return what a target states in its answers."""
+        lines = [f"X-Target: {target.target_id}"]
+        match self.by_target.get(target.target_id):
+            case "limit":
+                lines.append("Server-Limit: 2.5")
+            case "leaving":
+                lines.append("Server-Leaving: 1")
+        return "".join(f"{line}\r\n" for line in lines)
+
+    def note_begun(self, number, router):
+        """Note what the router of a call has passed on before."""
+        self.barred_by_id[number] = frozenset(self.told_by_router[router])
+
+    def note_reached(self, request, target):
+        """Note that a call reached a target."""
+        number = request.headers["attempt-id"]
+        if target.target_id in self.barred_by_id.get(number, ()):
+            self.reached_after.append((number, target.target_id))
+
+    def note_answered(self, router, reply):
+        """Note what a router passed on."""
+        if reply is not None and "server-leaving" in reply.headers:
+            self.told_by_router[router].add(reply.headers["x-target"])
+
+
 class Routers:
     """Processes of the direct router."""
 
@@ -163,7 +206,11 @@
         self.calls_random = Random(random.random())
         self.guilty_random = Random("guilty")
         self.guilty = GuiltyRequest()
+        self.needs = StatedNeeds()
+        self.needs_random = Random("needs")
         self.addresses = []
+        self.settings = []
+        self.lives_by_name = Counter()
         self.targets_made = []
 
     async def add_target(self):
@@ -180,7 +227,7 @@
     def _script_of(self, target):
         async def script(request, writer):
             if request.body != GUILTY:
-                await self.ledger.run(request, writer)
+                await self._run(target, request, writer)
                 return
             is_down = self.fleet.platform.faults.down
             self.guilty.note_sent(request.headers["attempt-id"], is_down)
@@ -192,6 +239,22 @@
 
         return script
 
+    async def _run(self, target, request, writer):
+        self.needs.note_reached(request, target)
+        if self.needs.by_target.get(target.target_id) == "rest":
+            asks = "Not-Executed: 1\r\nRetry-After: 0.4\r\n"
+            writer.write(head(request, status="503 Rest", length=0, more=asks))
+            return
+        states = self.needs.headers(target)
+        await self.ledger.run(request, writer, states=states)
+
+    def change_needs(self):
+        """Let a target state something else; one always takes all."""
+        target = self.needs_random.choice(self.fleet.targets[1:])
+        stated = self.needs_random.choice(("limit", "rest", "leaving", None))
+        if self.needs.by_target.get(target.target_id) != "leaving":
+            self.needs.by_target[target.target_id] = stated
+
     async def call_guilty(self, number):
         """Send the guilty request once more, to some router."""
         router = self.guilty_random.randrange(len(self.addresses))
@@ -209,6 +272,7 @@
         """End a router by a signal and start it again."""
         self.routers.restart(router, signal)
         self.guilty.disturbed_at_by_router[router] = monotonic()
+        self.lives_by_name[self.settings[router].name] += 1
 
     async def step(self):
         """Do one thing that may go wrong in production."""
@@ -244,12 +308,16 @@
         """Make one call at some router and note what came back."""
         kind = self.calls_random.choice(KINDS)
         self.fleet.settings = self.calls_random.choice(self.addresses)
+        name = self.fleet.settings.name
+        life = (name, self.lives_by_name[name])
+        self.needs.note_begun(number, life)
         try:
             reply = await self.fleet.call(
                 f"/{kind}/", request_id=number, Deadline_Ms="2000"
             )
         except (ConnectionError, EOFError):
             reply = None
+        self.needs.note_answered(life, reply)
         self.ledger.answers.append((number, kind, reply))
         return reply
 
@@ -289,7 +357,7 @@
             fleet.put_configuration()
             routers = Routers(files)
             soak = Soak(fleet, routers, ledger, Random(seed))
-            soak.addresses = settings
+            soak.addresses = soak.settings = settings
             try:
                 for _ in range(targets):
                     await soak.add_target()
@@ -320,7 +388,7 @@
     }
 
 
-async def run_steps(soak, *, with_guilty=False):
+async def run_steps(soak, *, with_guilty=False, with_needs=False):
     """Make calls and faults side by side, then heal and hold all against the rules."""
     for step in range(STEPS):
         async with create_task_group() as calls:
@@ -329,11 +397,14 @@
             if with_guilty:
                 calls.start_soon(soak.call_guilty, f"g{step}")
             await sleep(RUN_S / 2)
+            if with_needs:
+                soak.change_needs()
             await soak.step()
     await soak.until_served()
     assert all(process.poll() is None for process in soak.routers.processes)
     soak.ledger.check()
     soak.guilty.check()
+    assert soak.needs.reached_after == []
     statuses = Counter(
         None if reply is None else reply.status for _, _, reply in soak.ledger.answers
     )
@@ -349,6 +420,13 @@
         async with soaking(seed) as soak:
             await run_steps(soak)
 
+    @pytest.mark.parametrize("seed", GUILTY_SEEDS)
+    async def test_targets_in_need_among_random_faults(self, soaking, seed):
+        """They name limits, ask for rest and leave, and what else holds goes on to."""
+        async with soaking(seed, targets=4) as soak:
+            await run_steps(soak, with_needs=True)
+            assert any(soak.needs.told_by_router.values())
+
     @pytest.mark.parametrize("seed", GUILTY_SEEDS)
     async def test_guilty_request_among_random_faults(self, soaking, seed):
         """It ends a few targets, and what else holds goes on to hold.
