Only targets that have said something are looked at for telling

Each message and each look at the parts of limits went over all targets: 2,000 in the fleet that we design for, several times a second, of which few or none are in need.

--- a/libs/direct/src/berylwalk/direct/_statements.py
+++ b/libs/direct/src/berylwalk/direct/_statements.py
@@ -86,12 +86,15 @@
     """Return what own answers said lately, to be told."""
     now = context.clock()
     told = []
-    for life_id, target in context.targets.by_life_id.items():
+    for target in context.targets.in_need():
         news = target.needs.news(now)
         if news is not None:
             told.append(
                 StatementNews(
-                    life_id, news.limit_age_s, news.limit_per_s, news.is_leaving
+                    target.entry.life_id,
+                    news.limit_age_s,
+                    news.limit_per_s,
+                    news.is_leaving,
                 )
             )
     return in_turn(told, MOST_TOLD, now)
@@ -107,7 +110,7 @@
 
 def share_limits(context: RouterContext) -> None:
     """Give each limit the part of it that is for this router."""
-    for target in context.targets.limited():
+    for target in context.targets.in_need():
         _share_limit(context, target)
 
 
@@ -124,6 +127,7 @@
 ) -> None:
     if not changed:
         return
+    context.targets.note_in_need(target)
     _share_limit(context, target)
     needs, now = target.needs, context.clock()
     context.log.process(
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -50,6 +50,7 @@
         self._ended_lives: list[Target] = []
         self._ended_starts_by_id: dict[str, tuple[int, float]] = {}
         self._needs_of_gone: dict[str, tuple[StatedNeeds, float]] = {}
+        self._lives_in_need: set[str] = set()
 
     def of_service(self, service: str) -> list[Target]:
         """Return the targets of a service."""
@@ -200,11 +201,14 @@
                 loads[target_id] = (count + load[0], tokens + load[1])
         return loads
 
-    def limited(self) -> list[Target]:
-        """Return the targets that name a limit."""
-        return [
-            each for each in self.by_id.values() if each.needs.limit.per_s is not None
-        ]
+    def note_in_need(self, target: Target) -> None:
+        """Note that a target has said what it takes, or was said to."""
+        self._lives_in_need.add(target.entry.life_id)
+
+    def in_need(self) -> list[Target]:
+        """Return the targets that have said so; few of many do."""
+        self._lives_in_need &= self.by_life_id.keys()
+        return [self.by_life_id[life_id] for life_id in sorted(self._lives_in_need)]
 
     def in_flight_elsewhere(self, service: str, version: str) -> int:
         """Return the own requests at a service's targets of all versions but one."""
@@ -238,6 +242,7 @@
         if entry.life_id in self._needs_of_gone:
             # Its entry was gone for a time; the life that said it was not.
             new.needs, _ = self._needs_of_gone.pop(entry.life_id)
+            self.note_in_need(new)
         self._count_peers(new)
         self.by_id[entry.target_id] = new
         if target is not None:
--- a/libs/dispatch/tests/test_dispatch_stated_needs.py
+++ b/libs/dispatch/tests/test_dispatch_stated_needs.py
@@ -146,6 +146,18 @@
         target.needs.is_leaving = True
         assert target.obstacle(10.0) is Obstacle.LEAVING
 
+    def test_those_in_need_are_known(self):
+        """Also once an entry has come back; not those that are gone."""
+        table = TargetTable()
+        table.update(entry(), 10.0)
+        table.update(entry(target_id="i-2"), 10.0)
+        table.note_in_need(table.by_id["i-1"])
+        assert table.in_need() == [table.by_id["i-1"]]
+        table.remove("i-1", 11.0)
+        assert table.in_need() == []
+        table.update(entry(), 12.0)
+        assert table.in_need() == [table.by_id["i-1"]]
+
     def test_every_send_uses_the_limit(self):
         """However it got its place."""
         target = Target(entry())
