Plays of targets in need: a fault excuses a router while it lasts, and not for all before

The count at the targets asked for the last fault of a router only, so that whatever it had sent before that was excused.

Targets, rules and routers of these plays stand apart.

--- a/libs/direct/tests/test_direct_statements.py
+++ b/libs/direct/tests/test_direct_statements.py
@@ -3,6 +3,7 @@
 import pytest
 from anyio import sleep
 
+import statement_rules as rules
 from berylwalk.dispatch import PeerTable, StatedLimit
 from virtual_statements import StatementPlay
 
@@ -37,7 +38,9 @@
 
 def most_over_limit(play):
     """Return by how much the limit was passed where it was passed most."""
-    return max(play.most_over_limit(target) for target in play.targets)
+    return max(
+        rules.most_over_limit(target, play.disturbances) for target in play.targets
+    )
 
 
 class TestLimit:
@@ -48,7 +51,10 @@
         script = limits(1.3, 5.0, after_s=4.0)
         play = StatementPlay(1, routers=6, targets=6, script=script)
         play.play()
-        assert [play.most_over_limit(each) <= 0 for each in play.targets[:2]] == [
+        assert [
+            rules.most_over_limit(each, play.disturbances) <= 0
+            for each in play.targets[:2]
+        ] == [
             True,
             True,
         ]
@@ -66,7 +72,7 @@
             requests_per_s=3 * sum(rates),
         )
         play.play()
-        used = sum(play.arrived(target, 11.0, 31.0) for target in play.targets)
+        used = sum(target.arrived(11.0, 31.0) for target in play.targets)
         assert used >= 0.9 * 20.0 * sum(rates)
         assert most_over_limit(play) <= 0
 
@@ -99,7 +105,7 @@
         )
         play.play()
         # Half of the load is its part.
-        assert play.arrived(play.targets[0], 18.0, 21.0) > 0.25 * 3.0 * 150.0
+        assert play.targets[0].arrived(18.0, 21.0) > 0.25 * 3.0 * 150.0
 
     def test_callers_hear_at_once_that_nothing_is_left(self):
         """They are not kept for a place that nobody will give before they are late."""
@@ -179,7 +185,10 @@
 
         play = StatementPlay(1, routers=6, targets=9, script=script)
         play.play()
-        assert max(play.most_in_rest(each) for each in play.targets) <= 2
+        assert (
+            max(rules.most_in_rest(each, play.disturbances) for each in play.targets)
+            <= 2
+        )
 
     @pytest.mark.parametrize("seed", range(3))
     def test_callers_are_served_by_the_others(self, seed):
@@ -192,13 +201,13 @@
         play = self.rests(1, targets=2, resting=2, requests_per_s=120.0)
         ends = sorted(told_at + rest_s for told_at, _, rest_s in play.targets[0].rests)
         last = ends[-1]
-        assert play.arrived(play.targets[0], last, last + 0.05) <= 2 * 6
+        assert play.targets[0].arrived(last, last + 0.05) <= 2 * 6
 
     def test_all_are_in_use_again_after_it(self):
         """Within a second or two."""
         play = self.rests(1, targets=2, resting=2, requests_per_s=60.0)
         last = max(told_at + rest_s for told_at, _, rest_s in play.targets[0].rests)
-        both = sum(play.arrived(each, last + 2, last + 5) for each in play.targets)
+        both = sum(each.arrived(last + 2, last + 5) for each in play.targets)
         assert both > 0.8 * 3 * 60.0
 
     def test_callers_are_told_when_the_first_returns(self):
@@ -222,7 +231,7 @@
         """Of no router that passed such an answer on."""
         play = StatementPlay(1, routers=6, targets=6, script=self.script)
         play.play()
-        assert play.sent_while_leaving(play.targets[0]) == 0
+        assert rules.sent_while_leaving(play.targets[0], play.disturbances) == 0
 
     @pytest.mark.parametrize("routers", [6, 13])
     def test_other_routers_need_not_find_out(self, routers):
@@ -230,6 +239,6 @@
         play = StatementPlay(2, routers=routers, targets=6, script=self.script)
         play.play()
         leaving = play.targets[0]
-        told_at = min(leaving.told_leaving_at.values())
-        assert play.arrived(leaving, told_at + 0.5, 100.0) == 0
+        told_at = leaving.first_told_leaving_at()
+        assert leaving.arrived(told_at + 0.5, 100.0) == 0
         assert play.figures.statuses[503] == 0
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -6,9 +6,8 @@
 
 import random
 from asyncio import Runner, get_running_loop
-from collections import Counter, defaultdict
+from collections import Counter
 from dataclasses import dataclass, field
-from itertools import pairwise
 from random import Random
 from types import SimpleNamespace
 
@@ -34,8 +33,6 @@
     RouterSettings,
     ServiceShare,
     SocketAddress,
-    TargetEntry,
-    TargetState,
     TargetTable,
     WindowedRetryBudget,
 )
@@ -43,200 +40,15 @@
 from berylwalk.platform import REQUEST_ID_HEADER, read_call
 from berylwalk.quarantine import Quarantine
 from berylwalk.rollout import ExposureRules, Rollouts
-from virtual_play import DOMAINS, PlayedFleet
-from virtual_time import SimulatedTransport, VirtualLoop
-
-SERVICE = "s"
-CONTACT_S = 3.0
-"""Time after a fault of a router until the rules bind it, and after a target first
-states a limit until it binds at all."""
-TOLD_S = 0.5
-"""Time after an answer from which its router is held to what it stated."""
-WINDOW_S = 4.0
-DRAIN_S = 2.0
-WAY_S = 0.002
+from statement_rules import Disturbances
+from stating_targets import SERVICE, PlayedLoop, StatingTarget
+from virtual_play import PlayedFleet
+
 SWEEP_S = 0.25
 LIMIT_S = 8.0
 OBJECTIVE_S = 0.4
 
 
-class SocketStandin:
-    """Takes options."""
-
-    def setsockopt(self, *_):
-        """Do nothing."""
-
-
-class TargetTransport(SimulatedTransport):
-    """A connection to a played target."""
-
-    def get_extra_info(self, name):
-        """Return what the pool asks for."""
-        return SocketStandin() if name == "socket" else None
-
-
-class PlayedLoop(VirtualLoop):
-    """Opens connections to played targets."""
-
-    async def create_connection(self, protocol_factory, host=None, port=None, **_):
-        """Open a connection, unless the target is gone."""
-        target = self._server.targets_by_host.get(host)
-        if target is None or target.is_gone:
-            raise ConnectionRefusedError
-        protocol = protocol_factory()
-        transport = TargetTransport(self, protocol, self._server, host)
-        protocol.connection_made(transport)
-        return transport, protocol
-
-
-@dataclass(frozen=True)
-class Arrival:
-    """A request that reached a target."""
-
-    at: float
-    router: str
-
-
-class StatingTarget:
-    """A target, and what it states of itself.
-
-    Attributes
-    ----------
-    limit : str or None
-        Value of the header that names its limit.
-    limits : list of (float, float or None)
-        When it named which limit, or none any more.
-    is_leaving : bool
-        Whether it says that it leaves.
-    rest_s : float or None
-        Rest that it asks for as it refuses all requests; None while it serves.
-    """
-
-    def __init__(self, play, number, *, run_s, slots):
-        self.play = play
-        self.target_id = f"i-{number}"
-        self.host = f"10.0.0.{number}"
-        self.domain = DOMAINS[number % len(DOMAINS)]
-        self.run_s = run_s
-        self.slots = slots
-        self.is_gone = False
-        self.limit = None
-        self.limits = []
-        self.is_leaving = False
-        self.rest_s = None
-        self.arrivals = []
-        self.told_limit_at = {}
-        self.told_leaving_at = {}
-        self.rests = []
-        self.running = 0
-
-    def entry(self, state=TargetState.READY):
-        """Return its entry."""
-        return TargetEntry(
-            target_id=self.target_id,
-            service=SERVICE,
-            host=self.host,
-            port=1,
-            failure_domain=self.domain,
-            slots=self.slots,
-            state=state,
-        )
-
-    def name_limit(self, limit):
-        """Name a limit from now on; None for no longer."""
-        self.limit = None if limit is None else f"{limit:.2f}"
-        self.limits.append((self.play.clock(), limit))
-
-    def receive(self, transport, data):
-        """Take a request: its head and body come at once."""
-        head = data.split(b"\r\n\r\n", 1)[0].decode()
-        headers = dict(
-            line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line
-        )
-        loop = get_running_loop()
-        loop.call_later(WAY_S, self._arrive, transport, headers)
-
-    def _arrive(self, transport, headers):
-        router = headers["x-router"]
-        self.arrivals.append(Arrival(self.play.clock(), router))
-        self.play.figures.arrivals[self.target_id] += 1
-        request_id = headers["attempt-id"]
-        if self.rest_s is not None:
-            self._answer(transport, router, request_id, "503 Unavailable", b"")
-            return
-        self.running += 1
-        crowd = max(1.0, self.running / self.slots)
-        takes_s = self.run_s * crowd * self.play.random.uniform(0.5, 1.5)
-        if self.play.random.random() < 0.5:
-            # The head of a stream comes with its first event.
-            get_running_loop().call_later(
-                0.2 * takes_s, self._stream, transport, router, request_id, takes_s
-            )
-        else:
-            get_running_loop().call_later(
-                takes_s, self._end, transport, router, request_id
-            )
-
-    def _end(self, transport, router, request_id):
-        self.running -= 1
-        self._answer(transport, router, request_id, "200 OK", b"ok")
-
-    def _stream(self, transport, router, request_id, takes_s):
-        self._send_head(
-            transport,
-            router,
-            request_id,
-            "200 OK",
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
-            b"f\r\nid: 1\ndata: 1\n\n\r\n",
-        )
-        get_running_loop().call_later(0.8 * takes_s, self._end_stream, transport)
-
-    def _end_stream(self, transport):
-        self.running -= 1
-        get_running_loop().call_later(WAY_S, transport.deliver, b"0\r\n\r\n")
-
-    def _answer(self, transport, router, request_id, status, body):
-        self._send_head(
-            transport,
-            router,
-            request_id,
-            status,
-            f"Content-Length: {len(body)}\r\n",
-            body,
-        )
-
-    def _send_head(self, transport, router, request_id, status, more, body):
-        lines = [
-            f"HTTP/1.1 {status}",
-            f"Attempt-Id: {request_id}",
-            "Keep-Alive: timeout=5",
-        ]
-        if self.limit is not None:
-            lines.append(f"Server-Limit: {self.limit}")
-        if self.is_leaving:
-            lines.append("Server-Leaving: 1")
-        if status.startswith("503"):
-            lines += ["Not-Executed: 1", f"Retry-After: {self.rest_s}"]
-        data = ("\r\n".join(lines) + "\r\n" + more + "\r\n").encode() + body
-        said = (self.limit is not None, self.is_leaving, self.rest_s)
-        get_running_loop().call_later(
-            WAY_S, self._deliver, transport, router, data, status, said
-        )
-
-    def _deliver(self, transport, router, data, status, said):
-        now = self.play.clock()
-        names_limit, is_leaving, rest_s = said
-        life = self.play.life_of(router)
-        if names_limit:
-            self.told_limit_at.setdefault(life, now)
-        if is_leaving:
-            self.told_leaving_at.setdefault(life, now)
-        if status.startswith("503"):
-            self.rests.append((now, router, rest_s))
-        transport.deliver(data)
-
-
 class CallerStandin:
     """A caller's connection."""
 
@@ -486,6 +298,7 @@
             max_attempts=3,
             public=True,
         )
+        self.disturbances = Disturbances()
         self.requests = 0
         self.refusals = []
 
@@ -519,11 +332,6 @@
         """Return one life of a router."""
         return StatementRouter(self, name, domain, life)
 
-    def life_of(self, name):
-        """Return the present life of a router."""
-        router = self.routers_by_name.get(name)
-        return (name, None if router is None else router.life)
-
     async def _calls(self):
         names = list(self.domains_by_name)
         while True:
@@ -561,93 +369,14 @@
     async def _cut_one(self):
         name = self.random.choice(sorted(self.domains_by_name))
         self.cut.add(name)
-        await sleep(self.random.uniform(1.0, 6.0))
+        since, lasts_s = self.clock(), self.random.uniform(1.0, 6.0)
+        self.disturbances.note(name, since, since + lasts_s)
+        await sleep(lasts_s)
         self.cut.discard(name)
-        self.disturbed_at_by_name[name] = self.clock()
-
-    # What the rules count.
 
-    def is_excused(self, router, at):
-        """Return whether a fault of a router excuses it at a time."""
-        disturbed_at = self.disturbed_at_by_name.get(router, float("-inf"))
-        return router in self.cut or at < disturbed_at + CONTACT_S
-
-    def most_over_limit(self, target):
-        """Return the largest excess over what a target's limit allows in a window.
-
-        Counted are requests of routers that had passed on an answer with a limit half
-        a second before; up to 0 the rule holds.
-        """
-        counted = [
-            arrival.at
-            for arrival in target.arrivals
-            if self._is_held_to_limit(target, arrival)
-        ]
-        worst = float("-inf")
-        first = 0
-        for last, at in enumerate(counted):
-            while counted[first] <= at - WINDOW_S:
-                first += 1
-            limit = highest_limit(target, at - WINDOW_S, at)
-            if limit is not None and at >= target.limits[0][0] + CONTACT_S:
-                allowed = 1.5 * limit * WINDOW_S + 5
-                worst = max(worst, last - first + 1 - allowed)
-        return worst
-
-    def _is_held_to_limit(self, target, arrival):
-        told_at = min(
-            (
-                at
-                for (name, _), at in target.told_limit_at.items()
-                if name == arrival.router
-            ),
-            default=float("inf"),
-        )
-        is_told = arrival.at >= told_at + TOLD_S
-        return is_told and not self.is_excused(arrival.router, arrival.at)
-
-    def most_in_rest(self, target):
-        """Return the most requests that a router sent a target within a rest."""
-        most = 0
-        by_router = defaultdict(list)
-        for arrival in target.arrivals:
-            by_router[arrival.router].append(arrival.at)
-        for told_at, router, rest_s in target.rests:
-            if self.is_excused(router, told_at):
-                continue
-            within = [
-                at
-                for at in by_router[router]
-                if told_at + TOLD_S < at < told_at + rest_s
-            ]
-            most = max(most, len(within))
-        return most
-
-    def sent_while_leaving(self, target):
-        """Return the requests of routers that had been told that a target leaves."""
-        return sum(
-            arrival.at > told_at + DRAIN_S
-            for arrival in target.arrivals
-            for (name, _), told_at in target.told_leaving_at.items()
-            if name == arrival.router
-            and not self.is_excused(arrival.router, arrival.at)
-        )
-
-    def arrived(self, target, since, until):
-        """Return the requests that reached a target in a time."""
-        return sum(since <= arrival.at < until for arrival in target.arrivals)
-
-
-def highest_limit(target, since, until):
-    """Return the highest limit that was named in a time; None if none was for a part.
-
-    A router may hear a change half a second late.
-    """
-    highest = None
-    changes = [*target.limits, (float("inf"), None)]
-    for (begins_at, limit), (ends_at, _) in pairwise(changes):
-        if begins_at < until and ends_at > since - TOLD_S:
-            if limit is None:
-                return None
-            highest = limit if highest is None else max(highest, limit)
-    return highest
+    def kill(self, names):
+        """Kill routers; they are back after a second or so."""
+        super().kill(names)
+        for name in names:
+            until = self.disturbed_at_by_name.get(name, self.clock())
+            self.disturbances.note(name, self.clock(), until)
