After a rest a target gets its trial, whatever it still has from before

Found by reading: the number of own requests at a target was bounded after its rest. Streams that it had from before could keep it from getting any, and the heads of those lifted the bound as if it had taken requests since. Now the requests that are sent after the rest are counted: one, then two more with each of them that it takes, and one more half a second after one that brought nothing.

The unit tests show both cases (they ask the new count and can't run on the old one).

--- a/libs/direct/src/berylwalk/direct/_sending.py
+++ b/libs/direct/src/berylwalk/direct/_sending.py
@@ -114,7 +114,8 @@
                 self._log.tell_statement(self._admitted, target, statement)
                 take_statement(self._context, target, statement, sent_at)
                 if status < 500 and status != TURNED_AWAY:
-                    target.needs.rest.note_taken(target.entry.slots)
+                    slots = target.entry.slots
+                    target.needs.rest.note_taken(slots, sent_at=sent_at)
 
         return Attempt(
             self._relay,
--- a/libs/direct/tests/test_direct_statements.py
+++ b/libs/direct/tests/test_direct_statements.py
@@ -210,6 +210,29 @@
         both = sum(each.arrived(last + 2, last + 5) for each in play.targets)
         assert both > 0.8 * 3 * 60.0
 
+    def test_streams_that_run_on_do_not_keep_it_at_rest(self):
+        """What it had before its rest is no reason to send it nothing after."""
+
+        async def script(play):
+            await sleep(4.0)
+            play.targets[0].rest_s = 1.0
+            await sleep(0.3)
+            play.targets[0].rest_s = None
+
+        play = StatementPlay(
+            5,
+            routers=2,
+            targets=2,
+            script=script,
+            requests_per_s=30.0,
+            run_s=4.0,
+            slots=60,
+        )
+        play.play()
+        resting = play.targets[0]
+        ends_at = max(told_at + rest_s for told_at, _, rest_s in resting.rests)
+        assert resting.arrived(ends_at, ends_at + 2.0) >= 15
+
     def test_callers_are_told_when_the_first_returns(self):
         """At once, and not each at the same moment."""
         play = self.rests(1, targets=2, resting=2, requests_per_s=60.0)
--- a/libs/dispatch/src/berylwalk/dispatch/_stated_needs.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_needs.py
@@ -59,21 +59,13 @@
     is_leaving: bool = False
     said_leaving: bool = False
 
-    def obstacle(self, in_flight: int, now: float) -> Obstacle | None:
-        """Return why no request may be sent.
-
-        Parameters
-        ----------
-        in_flight : int
-            Own requests at the target.
-        now : float
-            Time in seconds.
-        """
+    def obstacle(self, now: float) -> Obstacle | None:
+        """Return why no request may be sent."""
         if self.is_leaving:
             return Obstacle.LEAVING
         if self.rest.is_on(now):
             return Obstacle.RESTING
-        if not self.rest.has_place(in_flight):
+        if not self.rest.may_send(now):
             return Obstacle.RETURNING
         if not self.limit.may_send(now):
             return Obstacle.LIMITED
@@ -83,12 +75,12 @@
         """Return whether a request that has its place there may still be sent."""
         return not self.is_leaving and not self.rest.is_on(now)
 
-    def opens_at(self, in_flight: int, now: float) -> float:
+    def opens_at(self, now: float) -> float:
         """Return when requests are taken again, in seconds, as far as it was said.
 
         Now, where what keeps them back may end at any moment.
         """
-        match self.obstacle(in_flight, now):
+        match self.obstacle(now):
             case Obstacle.RESTING:
                 return self.rest.until
             case Obstacle.LIMITED:
@@ -98,6 +90,7 @@
     def note_sent(self, now: float) -> None:
         """Count a request that is sent."""
         self.limit.note_sent(now)
+        self.rest.note_sent(now)
 
     def note_answer(
         self, statement: TargetStatement, *, sent_at: float, now: float
--- a/libs/dispatch/src/berylwalk/dispatch/_stated_rest.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_rest.py
@@ -5,6 +5,10 @@
 and twice as many with each that it takes: what waited for it must not all come at once.
 """
 
+RETRIAL_S = 0.5
+"""Time after which a target that has rested is sent one more request though it has not
+taken the last one: that may have been lost on its way."""
+
 
 class StatedRest:
     """For how long a target wants nothing of this router.
@@ -13,13 +17,14 @@
     ----------
     until : float
         No request is sent before, in seconds.
-    places : int or None
-        Own requests that may be at the target since its rest; None for no bound.
+    sends_left : int or None
+        Requests that may be sent since its rest before it takes one; None for no bound.
     """
 
     def __init__(self) -> None:
         self.until = float("-inf")
-        self.places: int | None = None
+        self.sends_left: int | None = None
+        self._sent_at = float("-inf")
 
     def note_asked(self, rest_s: float, now: float) -> bool:
         """Take a rest that is asked for; returns whether it ends later than known.
@@ -31,20 +36,37 @@
         if is_longer:
             self.until = until
         if rest_s > 0:
-            self.places = 1
+            self.sends_left = 1
+            self._sent_at = float("-inf")
         return is_longer
 
-    def note_taken(self, slots: int) -> None:
-        """Note that the target took a request."""
-        if self.places is not None:
-            self.places *= 2
-            if self.places >= slots:
-                self.places = None
+    def note_sent(self, now: float) -> None:
+        """Count a request that is sent."""
+        if self.sends_left is not None:
+            self.sends_left = max(0, self.sends_left - 1)
+            self._sent_at = now
+
+    def note_taken(self, slots: int, *, sent_at: float) -> None:
+        """Note that the target took a request.
+
+        Parameters
+        ----------
+        slots : int
+            Requests that it works on at the same time.
+        sent_at : float
+            When the request was sent: one that it had before its rest says nothing.
+        """
+        if self.sends_left is None or sent_at < self.until:
+            return
+        self.sends_left += 2
+        if self.sends_left >= slots:
+            self.sends_left = None
 
     def is_on(self, now: float) -> bool:
         """Return whether it wants nothing."""
         return now < self.until
 
-    def has_place(self, in_flight: int) -> bool:
-        """Return whether one more of the own requests may be at the target."""
-        return self.places is None or in_flight < self.places
+    def may_send(self, now: float) -> bool:
+        """Return whether one more may be sent after its rest."""
+        is_unbounded = self.sends_left is None or self.sends_left > 0
+        return is_unbounded or now - self._sent_at >= RETRIAL_S
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -224,7 +224,7 @@
         is_erroneous = self.errors > ERRONEOUS_SHARE
         if is_erroneous and now - self.tried_at < TRIAL_GAP_S:
             return Obstacle.ERRORS
-        return self.needs.obstacle(self.in_flight, now)
+        return self.needs.obstacle(now)
 
     def note_sent(self, work: Work, now: float) -> None:
         """Count a request that is sent."""
@@ -356,7 +356,7 @@
     def opens_at(self, now: float) -> float:
         """Return when it takes requests again, in seconds, as far as it has said."""
         if self.obstacle(now) in STATED_OBSTACLES:
-            return self.needs.opens_at(self.in_flight, now)
+            return self.needs.opens_at(now)
         return now
 
     def note_full(self, now: float, pause_s: float) -> None:
--- a/libs/dispatch/tests/test_dispatch_stated_needs.py
+++ b/libs/dispatch/tests/test_dispatch_stated_needs.py
@@ -43,43 +43,67 @@
     def test_nothing_until_its_end(self):
         """From the answer on."""
         needs = said(rest_s=3.0)
-        assert needs.obstacle(0, 12.99) is Obstacle.RESTING
-        assert needs.opens_at(0, 11.0) == 13.0
+        assert needs.obstacle(12.99) is Obstacle.RESTING
+        assert needs.opens_at(11.0) == 13.0
         assert not needs.takes_any(12.99)
-        assert needs.obstacle(0, 13.0) is None
+        assert needs.obstacle(13.0) is None
 
     def test_shorter_rest_takes_nothing_back(self):
         """It may have been asked for earlier, on a slower connection."""
         needs = said(rest_s=3.0)
         needs.note_answer(TargetStatement(rest_s=0.5), sent_at=10.1, now=10.2)
-        assert needs.obstacle(0, 12.9) is Obstacle.RESTING
+        assert needs.obstacle(12.9) is Obstacle.RESTING
 
     def test_longer_rest_counts(self):
         """From the later answer on."""
         needs = said(rest_s=3.0)
         needs.note_answer(TargetStatement(rest_s=5.0), sent_at=10.1, now=11.0)
-        assert needs.obstacle(0, 15.9) is Obstacle.RESTING
+        assert needs.obstacle(15.9) is Obstacle.RESTING
 
     def test_answer_that_asks_for_none_ends_nothing(self):
         """A stream that began before may bring its head meanwhile."""
         needs = said(rest_s=3.0)
         needs.note_answer(TargetStatement(), sent_at=9.0, now=10.5)
-        needs.rest.note_taken(4)
-        assert needs.obstacle(0, 12.9) is Obstacle.RESTING
+        needs.rest.note_taken(4, sent_at=9.0)
+        assert needs.obstacle(12.9) is Obstacle.RESTING
 
     def test_requests_return_one_by_one(self):
-        """Each that is taken doubles what may be there, until all is as before."""
+        """Each that is taken makes room for two, until all is as before."""
         rest = StatedRest()
         rest.note_asked(1.0, 10.0)
-        assert (rest.has_place(0), rest.has_place(1)) == (True, False)
-        rest.note_taken(4)
-        assert (rest.has_place(1), rest.has_place(2)) == (True, False)
-        rest.note_taken(4)
-        assert rest.has_place(100)
+        assert rest.may_send(11.0)
+        rest.note_sent(11.0)
+        assert not rest.may_send(11.1)
+        rest.note_taken(4, sent_at=11.0)
+        rest.note_sent(11.1)
+        assert rest.may_send(11.1)
+        rest.note_sent(11.1)
+        assert not rest.may_send(11.1)
+        rest.note_taken(4, sent_at=11.1)
+        rest.note_taken(4, sent_at=11.1)
+        for _ in range(100):
+            rest.note_sent(11.2)
+        assert rest.may_send(11.2)
+
+    def test_lost_trial_is_made_again(self):
+        """A target that has rested must not wait for an answer that never comes."""
+        rest = StatedRest()
+        rest.note_asked(1.0, 10.0)
+        rest.note_sent(11.0)
+        assert not rest.may_send(11.4)
+        assert rest.may_send(11.5)
+
+    def test_answer_to_what_it_had_before_its_rest(self):
+        """Says nothing of what it takes after."""
+        rest = StatedRest()
+        rest.note_asked(1.0, 10.0)
+        rest.note_sent(11.0)
+        rest.note_taken(4, sent_at=9.9)
+        assert not rest.may_send(11.1)
 
     def test_rest_of_no_time(self):
         """It may be asked again at once."""
-        assert said(rest_s=0.0).obstacle(50, 10.0) is None
+        assert said(rest_s=0.0).obstacle(10.0) is None
 
 
 class TestLeaving:
@@ -89,14 +113,14 @@
         """Neither by an answer without it nor by its entry."""
         needs = said(is_leaving=True)
         needs.note_answer(TargetStatement(), sent_at=11.0, now=11.1)
-        assert needs.obstacle(0, 1000.0) is Obstacle.LEAVING
+        assert needs.obstacle(1000.0) is Obstacle.LEAVING
 
     def test_other_routers_word(self):
         """Counts, and isn't told on."""
         needs = StatedNeeds()
         assert needs.hear(NeedsNews(is_leaving=True), 10.0)
         assert not needs.hear(NeedsNews(is_leaving=True), 10.1)
-        assert needs.obstacle(0, 10.2) is Obstacle.LEAVING
+        assert needs.obstacle(10.2) is Obstacle.LEAVING
         assert needs.news(10.2) is None
 
     def test_own_observation_is_told(self):
