Agents keep what their targets state: limit, rest, leaving

All work for its target passes through it, so it asks the same StatedNeeds with the whole rate as its part. A slot is offered when a request may be sent; a turn that is given up gives its request back; a target at rest gets not even what has its slot; leaving is told to routers as the agent's own, and ends when the target answers again after it was away. Waits that routers are told hold the time until it takes more.

--- a/libs/agent/src/berylwalk/agent/__init__.py
+++ b/libs/agent/src/berylwalk/agent/__init__.py
@@ -16,6 +16,7 @@
     StartDispatch,
     TargetChanged,
     TargetProgress,
+    TargetStated,
     Tick,
     TiersChanged,
 )
@@ -41,6 +42,7 @@
     "StartDispatch",
     "TargetChanged",
     "TargetProgress",
+    "TargetStated",
     "Tick",
     "TiersChanged",
     "run_agent",
--- a/libs/agent/src/berylwalk/agent/_digests.py
+++ b/libs/agent/src/berylwalk/agent/_digests.py
@@ -56,7 +56,7 @@
             sequence=self._sequence,
             resources=target.resources,
             failure_domain=self._failure_domain,
-            leaving=target.leaving,
+            leaving=target.takes_nothing_new,
             slow=slots.straggler.slow,
             running=len(slots.running_by_id),
             ready=slots.held,
@@ -75,7 +75,7 @@
         if nobody_before and self._slots.has_room(rank, highest):
             return 0.0
         ahead = self._waiting.work_before(rank)
-        return self._slots.speed.wait_s(ahead, self._slots.limit)
+        return self._slots.wait_s(ahead)
 
     def may_push(self, now: float) -> bool:
         """Return whether a change may be waiting to be told, and it is time."""
@@ -130,7 +130,8 @@
             slots.limit,
             slots.straggler.slow,
             len(self._waiting),
-            self._target.leaving,
+            self._target.takes_nothing_new,
+            slots.is_held_back,
             self._target.reachable,
             self._target.resources,
         )
--- a/libs/agent/src/berylwalk/agent/_dispatch.py
+++ b/libs/agent/src/berylwalk/agent/_dispatch.py
@@ -13,10 +13,16 @@
     answer_headers,
     target_headers,
 )
-from berylwalk.agent._events import DispatchEnd, DispatchEnded, TargetProgress
+from berylwalk.agent._events import (
+    DispatchEnd,
+    DispatchEnded,
+    TargetProgress,
+    TargetStated,
+)
 from berylwalk.agent._observing import DispatchedCall, DispatchObserver
 from berylwalk.agent._shell import AgentShell
 from berylwalk.model import Refusal, RefusalReason
+from berylwalk.platform import read_statement
 from berylwalk.transport import (
     AbortConnection,
     BodyFailure,
@@ -42,6 +48,8 @@
 DISCONNECT = "http.disconnect"
 TURNS_TO_SEE_END = 2
 REFUSED_STATUS = 409
+TURNED_AWAY = 429
+SERVER_ERROR = 500
 MAX_BODY_BYTES = 64 << 20
 BODY_TIMEOUT_S = 60.0
 RETRY_AFTER_MS = 1000
@@ -153,6 +161,7 @@
     ) -> DispatchEnd:
         grant = call.grant
         is_model = grant.resource.startswith(MODEL_PREFIX)
+        sent_at = self._clock()
         stream = await self._client.open_stream(
             grant.method,
             self._target_url + grant.path,
@@ -163,7 +172,7 @@
         if isinstance(stream, RequestFailed):
             return self._note_failure(grant, stream)
         try:
-            return await self._pass_on(call, stream, send)
+            return await self._pass_on(call, stream, send, sent_at)
         except StreamBrokenError as error:
             logging.warning("answer of %s broke: %s", grant.request_id, error)
             return DispatchEnd.BROKEN
@@ -172,9 +181,10 @@
                 await stream.close()
 
     async def _pass_on(
-        self, call: DispatchedCall, stream: HttpStream, send: Send
+        self, call: DispatchedCall, stream: HttpStream, send: Send, sent_at: float
     ) -> DispatchEnd:
         call.status = stream.status
+        self._note_statement(stream, sent_at)
         meter = AnswerMeter(
             stream.headers.get("content-type", ""),
             is_model=call.grant.resource.startswith(MODEL_PREFIX),
@@ -201,6 +211,18 @@
         progress.finish(0 if meter.is_stream else meter.reported_tokens)
         return DispatchEnd.COMPLETE
 
+    def _note_statement(self, stream: HttpStream, sent_at: float) -> None:
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in stream.headers.items()
+        ]
+        statement = read_statement(stream.status, headers)
+        if statement.problem:
+            logging.warning("the target states: %s", statement.problem)
+        if not statement.is_plain or self._shell.machine.awaits_statement:
+            is_taken = stream.status < SERVER_ERROR and stream.status != TURNED_AWAY
+            self._shell.handle(TargetStated(statement, sent_at, is_taken))
+
     def _note_failure(self, grant: Grant, failure: RequestFailed) -> DispatchEnd:
         logging.warning("call of %s failed: %s", grant.request_id, failure.reason)
         if failure.state is SendState.NOT_SENT:
--- a/libs/agent/src/berylwalk/agent/_events.py
+++ b/libs/agent/src/berylwalk/agent/_events.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from berylwalk.dispatch import TargetStatement
 from berylwalk.model import Refusal, RequestId, TierPolicy
 from berylwalk.wire import ControlMessage, Datagram, Grant
 
@@ -43,6 +44,25 @@
     tokens: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class TargetStated:
+    """The head of an answer came, with what it states of the target.
+
+    Parameters
+    ----------
+    statement : TargetStatement
+        What it states.
+    sent_at : float
+        When its request was sent, in seconds.
+    is_taken : bool
+        Whether the target took the request.
+    """
+
+    statement: TargetStatement
+    sent_at: float
+    is_taken: bool
+
+
 class DispatchEnd(StrEnum):
     """How a dispatched call ended."""
 
@@ -91,6 +111,7 @@
     DatagramArrived
     | GrantArrived
     | TargetProgress
+    | TargetStated
     | DispatchEnded
     | TiersChanged
     | TargetChanged
--- a/libs/agent/src/berylwalk/agent/_grants.py
+++ b/libs/agent/src/berylwalk/agent/_grants.py
@@ -76,8 +76,10 @@
             return RefusalReason.DUPLICATE
         if router_gone or self._is_dead(grant):
             return RefusalReason.TOMBSTONE
-        if self._target.leaving:
+        if self._target.takes_nothing_new:
             return RefusalReason.LEAVING
+        if self._slots.is_at_rest:
+            return RefusalReason.NO_SLOT
         if not self._target.serves(grant.resource):
             return RefusalReason.NOT_SERVED
         if not self._can_finish(grant):
--- a/libs/agent/src/berylwalk/agent/_machine.py
+++ b/libs/agent/src/berylwalk/agent/_machine.py
@@ -18,6 +18,7 @@
     StartDispatch,
     TargetChanged,
     TargetProgress,
+    TargetStated,
     Tick,
     TiersChanged,
 )
@@ -95,6 +96,11 @@
         """Slots of the target at present."""
         return self._slots.limit
 
+    @property
+    def awaits_statement(self) -> bool:
+        """Whether an answer that states nothing of the target would be news."""
+        return self._slots.awaits_statement
+
     @property
     def is_slow(self) -> bool:
         """Whether the target is slower than its own baseline."""
@@ -124,7 +130,10 @@
         """
         if not self._reservations.is_active:
             return inf
+        self._slots.look(now)
+        opens_in_s = self._slots.opens_in_s()
         return min(
+            now + opens_in_s if opens_in_s > 0 else inf,
             self._reservations.next_due(),
             self._slots.limit_due,
             self._digests.next_due(),
@@ -149,6 +158,7 @@
             # By far the most frequent event; it changes nothing to act on.
             self._slots.progress(event, now)
             return []
+        self._slots.look(now)
         actions = self._handle(event, now)
         self._reservations.fill(now)
         self._push_digest(now)
@@ -172,6 +182,10 @@
                 if version > self._tiers_version:
                     self._tiers_version = version
                     self._slots.tiers = tiers
+            case TargetStated():
+                if self._slots.note_stated(event):
+                    self._target.says_leaving = True
+                    self._reservations.refuse_all(RefusalReason.LEAVING, now)
             case TargetChanged(resources, reachable):
                 self._change_target(resources, reachable, now)
             case DrainRequested():
@@ -236,6 +250,10 @@
     def _change_target(
         self, resources: tuple[str, ...], reachable: bool, now: float
     ) -> None:
+        if reachable and not self._target.reachable:
+            # What it said before it was away may be of its last life.
+            self._slots.forget_needs()
+            self._target.says_leaving = False
         self._target.resources = resources
         self._target.reachable = reachable
         self._reservations.refuse_all(
--- a/libs/agent/src/berylwalk/agent/_messages.py
+++ b/libs/agent/src/berylwalk/agent/_messages.py
@@ -65,7 +65,7 @@
             self._reservations.answer_again(reservation, message.attempt, now)
         elif self._ledger.is_forgotten(request_id):
             self._send_refused(message, RefusalReason.TOMBSTONE)
-        elif self._target.leaving:
+        elif self._target.takes_nothing_new:
             self._reservations.refuse_message(message, RefusalReason.LEAVING, now)
         elif not self._target.serves(message.resource):
             self._reservations.refuse_message(message, RefusalReason.NOT_SERVED, now)
--- a/libs/agent/src/berylwalk/agent/_reservations.py
+++ b/libs/agent/src/berylwalk/agent/_reservations.py
@@ -86,7 +86,7 @@
         ahead = self.waiting.work_before_account(
             rank, message.client_account, message.weight
         )
-        return self._slots.speed.wait_s(ahead, self._slots.limit)
+        return self._slots.wait_s(ahead)
 
     def add(self, message: Reserve, now: float) -> None:
         """Add a reservation, or refuse it when it cannot meet its deadline."""
@@ -231,7 +231,7 @@
 
     def _send_queued(self, reservation: Reservation) -> None:
         ahead = self.waiting.work_before(reservation.rank)
-        wait_s = self._slots.speed.wait_s(ahead, self._slots.limit)
+        wait_s = self._slots.wait_s(ahead)
         message = Queued(reservation.key, reservation.attempt, int(wait_s * 1000))
         self._outbox.send(reservation.router, message)
 
--- a/libs/agent/src/berylwalk/agent/_slots.py
+++ b/libs/agent/src/berylwalk/agent/_slots.py
@@ -12,7 +12,8 @@
     open_slots,
 )
 from berylwalk.agent._config import AgentConfig
-from berylwalk.agent._events import DispatchEnd, TargetProgress
+from berylwalk.agent._events import DispatchEnd, TargetProgress, TargetStated
+from berylwalk.dispatch import Need, StatedNeeds
 from berylwalk.model import RequestId, TierPolicy
 from berylwalk.wire import Grant
 
@@ -61,6 +62,9 @@
         self.straggler = StragglerDetector()
         self.tiers: tuple[TierPolicy, ...] = ()
         self.running_by_id: dict[RequestId, Running] = {}
+        self._now = 0.0
+        self._needs = StatedNeeds()
+        self.forget_needs()
         self._held = 0
         # Running requests and held slots.
         self._in_use_by_rank: Counter[int] = Counter()
@@ -75,6 +79,49 @@
         """Slots held for grants."""
         return self._held
 
+    @property
+    def is_held_back(self) -> bool:
+        """Whether the target has said that it takes nothing at this moment."""
+        return self._needs.obstacle(self._now) is not None
+
+    @property
+    def is_at_rest(self) -> bool:
+        """Whether it wants nothing, not even what has its slot already."""
+        return self._needs.rest.is_on(self._now)
+
+    @property
+    def awaits_statement(self) -> bool:
+        """Whether an answer that states nothing would be news."""
+        needs = self._needs
+        return needs.limit.per_s is not None or needs.rest.sends_left is not None
+
+    def opens_in_s(self) -> float:
+        """Return the time until the target takes more, as far as it has said."""
+        return max(0.0, self._needs.opens_at(self._now) - self._now)
+
+    def wait_s(self, ahead: Work) -> float:
+        """Return the expected wait behind some work, in seconds."""
+        return max(self.speed.wait_s(ahead, self.limit), self.opens_in_s())
+
+    def look(self, now: float) -> None:
+        """Tell the time, before anything is asked."""
+        self._now = now
+
+    def note_stated(self, event: TargetStated) -> bool:
+        """Take what the target states; returns whether it says that it leaves."""
+        changed = self._needs.note_answer(
+            event.statement, sent_at=event.sent_at, now=self._now
+        )
+        if event.is_taken:
+            self._needs.rest.note_taken(self.limit, sent_at=event.sent_at)
+        return Need.LEAVING in changed
+
+    def forget_needs(self) -> None:
+        """Begin with a target that has said nothing: it has started again."""
+        self._needs = StatedNeeds()
+        # All work for the target passes through here.
+        self._needs.limit.set_share(1.0, self._now)
+
     @property
     def limit(self) -> int:
         """Slots of the target at present."""
@@ -100,6 +147,8 @@
         highest_waiting : int or None
             The highest tier that waits.
         """
+        if self.is_held_back:
+            return False
         return self.in_use < self._open_slots(rank, highest_waiting)
 
     def may_overcommit(self, rank: int, highest_waiting: int | None) -> bool:
@@ -107,6 +156,8 @@
 
         Tiers that leave headroom to others may not.
         """
+        if self.is_held_back:
+            return False
         open_to_rank = self._open_slots(rank, highest_waiting)
         if open_to_rank < self.limit:
             return self.in_use < open_to_rank
@@ -134,16 +185,19 @@
     def hold(self, rank: int) -> None:
         """Hold a slot for a grant."""
         self._held += 1
+        self._needs.note_sent(self._now)
         self._in_use_by_rank[rank] += 1
 
     def release(self, rank: int) -> None:
         """Give a held slot back."""
         self._held -= 1
+        self._needs.note_not_sent(self._now)
         self._in_use_by_rank[rank] -= 1
 
     def start(self, grant: Grant, now: float) -> None:
         """Record a dispatch."""
         self.running_by_id[grant.request_id] = Running(grant, now, now)
+        self._needs.note_sent(now)
         self._in_use_by_rank[grant.tier_rank] += 1
 
     def progress(self, event: TargetProgress, now: float) -> None:
--- a/libs/agent/src/berylwalk/agent/_target.py
+++ b/libs/agent/src/berylwalk/agent/_target.py
@@ -15,11 +15,19 @@
         Whether it answers.
     leaving : bool
         Whether the agent is draining.
+    says_leaving : bool
+        Whether the target says in its answers that it leaves.
     """
 
     resources: tuple[str, ...] = ()
     reachable: bool = True
     leaving: bool = False
+    says_leaving: bool = False
+
+    @property
+    def takes_nothing_new(self) -> bool:
+        """Whether no new work is taken, for good."""
+        return self.leaving or self.says_leaving
 
     def serves(self, resource: str) -> bool:
         """Return whether new work for a resource can be sent."""
--- a/libs/agent/tests/test_agent_daemon.py
+++ b/libs/agent/tests/test_agent_daemon.py
@@ -88,6 +88,10 @@
     return RequestId("r1", ROUTER_INCARNATION, serial)
 
 
+STATED_BY_PATH = {"/leaving": [(b"server-leaving", b"1")]}
+"""What the target states of itself, by path."""
+
+
 class Target:
     """A target that answers as the path says, and counts its calls."""
 
@@ -104,7 +108,8 @@
         body = await read_body(receive, 1 << 20, 10.0)
         headers = read_headers(scope)
         self.calls.append((path, headers["berylwalk-request-id"], body))
-        await send_start(send, 200, TARGET_HEADERS)
+        stated = STATED_BY_PATH.get(path, [])
+        await send_start(send, 200, [*TARGET_HEADERS, *stated])
         for event in EVENTS:
             await send_chunk(send, event)
             await sleep(0.1 if path == "/slow" else 0.0)
@@ -306,6 +311,18 @@
                 assert await read_all(stream) == b"".join(EVENTS) + DONE
 
 
+class TestStatements:
+    async def test_target_that_says_that_it_leaves(self):
+        """Its answer is passed on, and nothing more is sent there."""
+        async with fleet() as (target, router, _):
+            async with router.post(router.grant(1, "/leaving")) as stream:
+                assert stream.headers["server-leaving"] == "1"
+                await read_all(stream)
+            refusal = await router.refusal(router.grant(2))
+            assert refusal is RefusalReason.LEAVING
+            assert len(target.calls) == 1
+
+
 class TestDrain:
     async def test_running_answer_is_finished(self):
         """A drain refuses new work and waits for what runs, to its last byte."""
--- a/libs/dispatch/src/berylwalk/dispatch/_stated_limit.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_limit.py
@@ -138,6 +138,15 @@
             self._save(now)
             self._saved -= 1.0
 
+    def note_not_sent(self, now: float) -> None:
+        """Take back a request that was counted and won't be sent."""
+        if self.per_s is not None:
+            self._save(now)
+            self._saved = min(self._most_saved(), self._saved + 1.0)
+
+    def _most_saved(self) -> float:
+        return max(MOST_SAVED, SAVED_S * self._own_per_s())
+
     def _own_per_s(self) -> float:
         return 0.0 if self.per_s is None else self.share * max(self.per_s, LEAST_PER_S)
 
@@ -153,5 +162,5 @@
     def _save(self, now: float) -> None:
         rate = self._own_per_s()
         earned = rate * max(0.0, now - self._saved_at)
-        self._saved = min(max(MOST_SAVED, SAVED_S * rate), self._saved + earned)
+        self._saved = min(self._most_saved(), self._saved + earned)
         self._saved_at = now
--- a/libs/dispatch/src/berylwalk/dispatch/_stated_needs.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_needs.py
@@ -92,6 +92,11 @@
         self.limit.note_sent(now)
         self.rest.note_sent(now)
 
+    def note_not_sent(self, now: float) -> None:
+        """Take back a request that was counted and won't be sent."""
+        self.limit.note_not_sent(now)
+        self.rest.note_not_sent()
+
     def note_answer(
         self, statement: TargetStatement, *, sent_at: float, now: float
     ) -> list[Need]:
--- a/libs/dispatch/src/berylwalk/dispatch/_stated_rest.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_rest.py
@@ -46,6 +46,11 @@
             self.sends_left = max(0, self.sends_left - 1)
             self._sent_at = now
 
+    def note_not_sent(self) -> None:
+        """Take back a request that was counted and won't be sent."""
+        if self.sends_left is not None:
+            self.sends_left += 1
+
     def note_taken(self, slots: int, *, sent_at: float) -> None:
         """Note that the target took a request.
 
