--- a/libs/standins/src/berylwalk/standins/_engine_options.py
+++ b/libs/standins/src/berylwalk/standins/_engine_options.py
@@ -3,6 +3,7 @@
 from argparse import ArgumentParser
 
 from berylwalk.standins._batching import Speed
+from berylwalk.standins._statements import add_options
 
 DEFAULT_PORT = 9000
 DEFAULT_MAX_BATCH = 16
@@ -47,4 +48,5 @@
         action="store_true",
         help="refuse orders that carry an old fencing token",
     )
+    add_options(parser)
     return parser
--- a/libs/standins/src/berylwalk/standins/_serving.py
+++ b/libs/standins/src/berylwalk/standins/_serving.py
@@ -41,6 +41,7 @@
     send: Send
     headers: dict[str, str] = field(default_factory=dict)
     drop_answer: bool = False
+    stated_headers: Mapping[str, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Decode the headers."""
@@ -81,7 +82,11 @@
         self, status: int, content_type: str, headers: Mapping[str, str] | None = None
     ) -> None:
         """Send the status line and headers."""
-        fields = {"content-type": content_type, **(headers or {})}
+        fields = {
+            "content-type": content_type,
+            **self.stated_headers,
+            **(headers or {}),
+        }
         encoded = [
             (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in fields.items()
--- a/libs/standins/src/berylwalk/standins/engine.py
+++ b/libs/standins/src/berylwalk/standins/engine.py
@@ -19,6 +19,7 @@
 from berylwalk.standins._lagging import LaggingValue
 from berylwalk.standins._orders import Orders
 from berylwalk.standins._serving import REQUEST_ID_HEADER, Exchange, serve_forever
+from berylwalk.standins._statements import Statements, stating
 
 DEFAULT_MODEL = "stand-in"
 KIND_BY_PATH = {
@@ -226,7 +227,8 @@
     """Run the stand-in."""
     args = build_parser().parse_args()
     standin = EngineStandin.from_args(args)
-    serve_forever(standin.handle, args.host, args.port, standin.run)
+    handle = stating(standin.handle, Statements.from_args(args))
+    serve_forever(handle, args.host, args.port, standin.run)
 
 
 if __name__ == "__main__":
--- a/libs/standins/src/berylwalk/standins/service.py
+++ b/libs/standins/src/berylwalk/standins/service.py
@@ -11,6 +11,7 @@
 from anyio import sleep
 
 from berylwalk.standins._serving import REQUEST_ID_HEADER, Exchange, serve_forever
+from berylwalk.standins._statements import Statements, add_options, stating
 
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"
 DEFAULT_PORT = 9000
@@ -87,6 +88,7 @@
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=DEFAULT_PORT)
     parser.add_argument("--delay-ms", type=float, default=0.0)
+    add_options(parser)
     return parser
 
 
@@ -94,7 +96,8 @@
     """Run the stand-in."""
     args = build_parser().parse_args()
     standin = ServiceStandin.from_args(args)
-    serve_forever(standin.handle, args.host, args.port)
+    handle = stating(standin.handle, Statements.from_args(args))
+    serve_forever(handle, args.host, args.port)
 
 
 if __name__ == "__main__":
--- a/libs/standins/tests/test_standins_platform.py
+++ b/libs/standins/tests/test_standins_platform.py
@@ -9,8 +9,9 @@
 
 from berylwalk.standins import serving
 from berylwalk.standins._lagging import LaggingValue
+from berylwalk.standins._statements import Statements, stating
 from berylwalk.standins.platform import PlatformStandin
-from berylwalk.standins.service import ServiceStandin
+from berylwalk.standins.service import ServiceStandin, build_parser
 
 HOST = "127.77.1.2"
 PORT = 2379
@@ -189,3 +190,39 @@
         assert (answer["request_id"], answer["count"]) == ("r.1.1", 2)
         assert seen["requests"] == {"r.1.1": 2}
         assert seen["idempotency_keys"] == {"k-1": 2}
+
+
+@pytest.mark.anyio
+class TestStatements:
+    """What the stand-in of a target says that it takes."""
+
+    async def test_limit_and_leaving_are_in_each_answer(self):
+        """Until it says something else."""
+        statements = Statements(limit_per_s=2.5, is_leaving=True)
+        handle = stating(ServiceStandin().handle, statements)
+        async with serving(handle, HOST, PORT), AsyncConnectionPool() as client:
+            first, _ = await call(client, "PUT", "/signs/4")
+            statements.limit_per_s = None
+            second, _ = await call(client, "PUT", "/signs/4")
+        assert dict(first.headers)[b"server-limit"] == b"2.5"
+        assert dict(first.headers)[b"server-leaving"] == b"1"
+        assert b"server-limit" not in dict(second.headers)
+
+    async def test_rest_is_asked_for_and_nothing_runs(self):
+        """It says so, and for how long."""
+        service = ServiceStandin()
+        handle = stating(service.handle, Statements(rest_s=3.0))
+        async with serving(handle, HOST, PORT), AsyncConnectionPool() as client:
+            answer, _ = await call(client, "PUT", "/signs/4")
+        headers = dict(answer.headers)
+        assert (answer.status, headers[b"retry-after"]) == (503, b"3")
+        assert headers[b"not-executed"] == b"1"
+        assert service.count == 0
+
+    def test_options(self):
+        """Those of the command line; nothing is stated without."""
+        plain = Statements.from_args(build_parser().parse_args([]))
+        words = ["--limit-per-s", "1.3", "--leaving", "--rest-s", "3"]
+        stated = Statements.from_args(build_parser().parse_args(words))
+        assert plain == Statements()
+        assert stated == Statements(1.3, True, 3.0)
