--- a/libs/dispatch/src/berylwalk/dispatch/_stated_rest.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_rest.py
@@ -9,6 +9,9 @@
 """Time after which a target that has rested is sent one more request though it has not
 taken the last one: that may have been lost on its way."""
 
+SAME_REST_S = 0.1
+"""Difference up to which two ends of a rest are taken for one, where it is told."""
+
 
 class StatedRest:
     """For how long a target wants nothing of this router.
@@ -27,18 +30,18 @@
         self._sent_at = float("-inf")
 
     def note_asked(self, rest_s: float, now: float) -> bool:
-        """Take a rest that is asked for; returns whether it ends later than known.
+        """Take a rest that is asked for; returns whether that is news.
 
-        A shorter one that is asked for later takes nothing back.
+        A shorter one that is asked for later takes nothing back. Several requests that
+        are refused at once tell the same.
         """
         until = now + rest_s
-        is_longer = until > self.until
-        if is_longer:
-            self.until = until
+        is_news = until > self.until + SAME_REST_S
+        self.until = max(self.until, until)
         if rest_s > 0:
             self.sends_left = 1
             self._sent_at = float("-inf")
-        return is_longer
+        return is_news
 
     def note_sent(self, now: float) -> None:
         """Count a request that is sent."""
