--- a/libs/direct/tests/test_direct_rollout_fleet.py
+++ b/libs/direct/tests/test_direct_rollout_fleet.py
@@ -110,6 +110,15 @@
         assert sum(completed) >= DECIDED_CALM * len(good)
 
 
+class TestFindings:
+    """Plays that broke a rule, as they were found."""
+
+    def test_version_that_fails_on_one_route_among_bursts(self):
+        """What bursts make late must not hide what fails on one route only."""
+        figures = drawn_play(505, is_bad=True, faults=CALM_FAULTS).play()
+        assert broken_rules(figures, is_bad=True) == []
+
+
 class WholeBudgetEach(Plants):
     """Each router may spend what all of them may."""
 
