A request that no target may take in time gets its answer at once, also while it waits

Found by reading the diff: a request whose targets had all turned it away, each asking for rest, was kept for the second that a repeat may wait, though no target was left for it; so was one that waited while the last target began its rest. A target that had just refused looked as if it might open at any moment (it is set aside for 0.1 s), so that its rest was not told.

Now the question when a target opens goes by what it has said, whatever else keeps it back; a leaving one never opens; a waiting request is looked at each 0.1 s.

--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -28,6 +28,8 @@
 
 TakeTrial = Callable[[Identity], Awaitable[bool]]
 """Asks for the permit to send a request once under which targets ended."""
+LOOK_S = 0.1
+"""Time between two looks at whether a request may still find a place."""
 OPENING_MARGIN_S = 0.001
 """Timers of the loop may be early by its resolution."""
 NO_ANSWER = 0
@@ -204,10 +206,8 @@
             target.note_sent(admitted.facts.work, started_at)
             self._log.note_waited(admitted, 0.0)
             return target
-        wait_until = self._worth_waiting_until(ticket, patience, started_at)
         try:
-            with move_on_after(wait_until - started_at):
-                await placed.wait()
+            await self._until_placed(placed, ticket, patience)
         except BaseException:
             if not context.dispatcher.withdraw(ticket) and granted:
                 granted[0].note_left(admitted.facts.work, had_first_event=False)
@@ -220,6 +220,19 @@
         self._log.tell_not_placed(admitted, ticket)
         return None
 
+    async def _until_placed(
+        self, placed: Event, ticket: Ticket, patience: Patience
+    ) -> None:
+        """Wait for a place; no longer than there may be one in time."""
+        clock = self._context.clock
+        while not placed.is_set():
+            now = clock()
+            wait_until = self._worth_waiting_until(ticket, patience, now)
+            if wait_until <= now:
+                return
+            with move_on_after(min(wait_until - now, LOOK_S)):
+                await placed.wait()
+
     def _worth_waiting_until(
         self, ticket: Ticket, patience: Patience, now: float
     ) -> float:
@@ -229,13 +242,14 @@
         is asked at that moment, or the request gets its answer now.
         """
         context, service = self._context, self._admitted.service
-        self._opens_at = opens_at = context.dispatcher.opens_at(ticket, now)
-        if opens_at > patience.wait_until:
+        dispatcher = context.dispatcher
+        self._opens_at = opens_at = dispatcher.opens_at(ticket, now)
+        if opens_at > patience.wait_until or not dispatcher.may_find_place(ticket, now):
             return now
         if opens_at > now:
             get_running_loop().call_later(
                 opens_at - now + OPENING_MARGIN_S,
-                lambda: context.dispatcher.pump(service, context.clock()),
+                lambda: dispatcher.pump(service, context.clock()),
             )
         return patience.wait_until
 
--- a/libs/direct/tests/test_direct_statements.py
+++ b/libs/direct/tests/test_direct_statements.py
@@ -233,6 +233,12 @@
         ends_at = max(told_at + rest_s for told_at, _, rest_s in resting.rests)
         assert resting.arrived(ends_at, ends_at + 2.0) >= 15
 
+    def test_request_that_all_have_turned_away_gets_its_answer_at_once(self):
+        """There is no target left for it to wait for."""
+        play = self.rests(1, targets=2, resting=2, requests_per_s=60.0)
+        assert len(play.refusals) > 100
+        assert max(each.kept_s for each in play.refusals) < 0.2
+
     def test_callers_are_told_when_the_first_returns(self):
         """At once, and not each at the same moment."""
         play = self.rests(1, targets=2, resting=2, requests_per_s=60.0)
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -167,13 +167,22 @@
         """Return when the first target takes requests again, in seconds.
 
         Now, unless each of them has said from when on, or how seldom, it takes any.
+        Those that were tried for the request count if there are no others: its caller
+        may come back to them.
         """
-        openings = [
-            target.opens_at(now)
-            for target in self._candidates(ticket, now)
-            if target.entry.life_id not in ticket.excluded
-        ]
-        return min(openings, default=now)
+        targets = self._candidates(ticket, now)
+        untried = [each for each in targets if not _is_tried(each, ticket)]
+        return min((each.opens_at(now) for each in untried or targets), default=now)
+
+    def may_find_place(self, ticket: Ticket, now: float) -> bool:
+        """Return whether a target is left for a request that waits.
+
+        Where all were tried, one that takes requests may still be replaced soon.
+        """
+        targets = self._candidates(ticket, now)
+        return not targets or any(
+            not _is_tried(each, ticket) or each.opens_at(now) <= now for each in targets
+        )
 
     def place_among(
         self, ticket: Ticket, lives: Collection[str], now: float
@@ -219,3 +228,7 @@
             longest_pause_s=ticket.longest_pause_s,
             apart_as=ticket.apart_as,
         )
+
+
+def _is_tried(target: Target, ticket: Ticket) -> bool:
+    return target.entry.life_id in ticket.excluded
--- a/libs/dispatch/src/berylwalk/dispatch/_stated_needs.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_needs.py
@@ -78,9 +78,11 @@
     def opens_at(self, now: float) -> float:
         """Return when requests are taken again, in seconds, as far as it was said.
 
-        Now, where what keeps them back may end at any moment.
+        Now, where what keeps them back may end at any moment; never, where it leaves.
         """
         match self.obstacle(now):
+            case Obstacle.LEAVING:
+                return float("inf")
             case Obstacle.RESTING:
                 return self.rest.until
             case Obstacle.LIMITED:
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -7,7 +7,6 @@
 from berylwalk.dispatch._stated_needs import StatedNeeds
 from berylwalk.dispatch._statements import NOTHING_STATED, TargetStatement
 from berylwalk.dispatch._target_entries import (
-    STATED_OBSTACLES,
     Obstacle,
     TargetEntry,
     TargetState,
@@ -355,9 +354,7 @@
 
     def opens_at(self, now: float) -> float:
         """Return when it takes requests again, in seconds, as far as it has said."""
-        if self.obstacle(now) in STATED_OBSTACLES:
-            return self.needs.opens_at(now)
-        return now
+        return self.needs.opens_at(now)
 
     def note_full(self, now: float, pause_s: float) -> None:
         """Leave the target alone for a moment after it refused work."""
--- a/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_entries.py
@@ -46,12 +46,6 @@
     """It was tried for this request."""
 
 
-STATED_OBSTACLES = frozenset(
-    {Obstacle.LEAVING, Obstacle.RESTING, Obstacle.RETURNING, Obstacle.LIMITED}
-)
-"""Those that a target has stated itself."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetEntry:
     """One target as the list of targets has it.
--- a/libs/dispatch/tests/test_dispatch_stated_needs.py
+++ b/libs/dispatch/tests/test_dispatch_stated_needs.py
@@ -114,6 +114,7 @@
         needs = said(is_leaving=True)
         needs.note_answer(TargetStatement(), sent_at=11.0, now=11.1)
         assert needs.obstacle(1000.0) is Obstacle.LEAVING
+        assert needs.opens_at(1000.0) == float("inf")
 
     def test_other_routers_word(self):
         """Counts, and isn't told on."""
