--- a/libs/direct/src/berylwalk/direct/_statements.py
+++ b/libs/direct/src/berylwalk/direct/_statements.py
@@ -110,12 +110,13 @@
 
 def share_limits(context: RouterContext) -> None:
     """Give each limit the part of it that is for this router."""
+    now = context.clock()
     for target in context.targets.in_need():
-        _share_limit(context, target)
+        _share_limit(context, target, now)
 
 
-def _share_limit(context: RouterContext, target: Target) -> None:
-    limit, now = target.needs.limit, context.clock()
+def _share_limit(context: RouterContext, target: Target, now: float) -> None:
+    limit = target.needs.limit
     if limit.per_s is not None:
         senders = most_senders(limit.per_s)
         share = context.peers.part_of(target.entry.life_id, senders, now)
@@ -128,8 +129,9 @@
     if not changed:
         return
     context.targets.note_in_need(target)
-    _share_limit(context, target)
     needs, now = target.needs, context.clock()
+    _share_limit(context, target, now)
+    rest_s = needs.rest.until - now if needs.rest.is_on(now) else 0.0
     context.log.process(
         "target-needs",
         target=target.entry.target_id,
@@ -137,8 +139,6 @@
         told_by=told_by,
         limit_per_s=needs.limit.per_s,
         limit_share=round(needs.limit.share, 3),
-        rest_ms=max(0, round((needs.rest.until - now) * 1000))
-        if needs.rest.is_on(now)
-        else 0,
+        rest_ms=max(0, round(rest_s * 1000)),
         is_leaving=needs.is_leaving,
     )
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_view.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_view.py
@@ -21,6 +21,9 @@
 REPLACED_AFTER_S = 0.3
 """A late message of a life that has ended must not bring it back, in seconds."""
 
+MOST_PARTS_KEPT = 10_000
+"""Bound of the parts that are remembered; targets come and go."""
+
 
 @dataclass(slots=True)
 class Peer:
@@ -66,6 +69,9 @@
         self._own_name = own_name
         self._failure_domain = failure_domain
         self.by_name: dict[str, Peer] = {}
+        self._names: list[str] = []
+        self._names_at: float | None = None
+        self._parts: dict[tuple[str, int], float] = {}
 
     def is_near(self, peer: Peer) -> bool:
         """Return whether a peer is told directly and often."""
@@ -190,18 +196,32 @@
         now : float
             Time in seconds.
         """
-        names = [self._own_name]
-        names += [
-            name for name, peer in self.by_name.items() if self.is_heard(peer, now)
-        ]
-        first = nsmallest(
-            senders,
-            names,
-            key=lambda name: parts_hash([life_id.encode(), name.encode()]),
-        )
-        if self._own_name not in first:
-            return 0.0
-        return len(names) / self.known() / len(first)
+        names = self._heard_names(now)
+        key = (life_id, senders)
+        if key not in self._parts:
+            first = nsmallest(
+                senders,
+                names,
+                key=lambda name: parts_hash([life_id.encode(), name.encode()]),
+            )
+            has_part = self._own_name in first
+            self._parts[key] = 1 / len(first) if has_part else 0.0
+        return self._parts[key] * len(names) / self.known()
+
+    def _heard_names(self, now: float) -> list[str]:
+        """Return the names of the routers that are heard, this one included.
+
+        Many targets are asked about at one moment, and seldom are other ones heard.
+        """
+        if now != self._names_at:
+            names = [self._own_name]
+            names += [
+                name for name, peer in self.by_name.items() if self.is_heard(peer, now)
+            ]
+            if names != self._names or len(self._parts) > MOST_PARTS_KEPT:
+                self._parts.clear()
+            self._names, self._names_at = names, now
+        return self._names
 
     def known(self) -> int:
         """Return the number of routers, this one included."""
