A limit is raised also where answers take longer than the time between two of them

Found by reading the diff: each answer that named a higher limit, and whose request was on its way when the one before came, counted as a word for the lower limit too. At a target with 20 requests a second and answers of a second the limit could fall but never rise. The unit test (20 raised to 50, answers of 1 s each 0.1 s) failed before.

--- a/libs/dispatch/src/berylwalk/dispatch/_stated_limit.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_stated_limit.py
@@ -62,8 +62,8 @@
     def note_answer(self, per_s: float | None, *, sent_at: float, now: float) -> bool:
         """Take what an answer names; returns whether the belief has changed.
 
-        Answers overtake each other. One whose request was on its way when another came
-        may lower the limit, but neither raise nor end it.
+        Answers overtake each other. One whose request was on its way when the limit was
+        last named may lower it, but neither raise nor end it.
 
         Parameters
         ----------
@@ -82,8 +82,11 @@
             self._believe(None, now)
             self.said_at = sent_at
         else:
-            if former is None or is_newer or per_s < former:
-                self._believe(per_s, now)
+            if not is_newer and former is not None and per_s > former:
+                # No word for the lower one either: it would never be raised where
+                # answers take longer than the time between two of them.
+                return False
+            self._believe(per_s, now)
             self.said_at = max(self.said_at, now)
         self.observed = (self.per_s, self.said_at)
         return self.per_s != former
--- a/libs/dispatch/tests/test_dispatch_stated_limit.py
+++ b/libs/dispatch/tests/test_dispatch_stated_limit.py
@@ -92,6 +92,14 @@
         assert limit.note_answer(5.0, sent_at=10.4, now=10.6)
         assert limit.per_s == 5.0
 
+    def test_limit_is_raised_where_answers_take_longer_than_the_gap_between_them(self):
+        """Each was on its way when another one came."""
+        limit = limited(20.0, now=10.0)
+        for step in range(1, 20):
+            now = 10.0 + 0.1 * step
+            limit.note_answer(50.0, sent_at=now - 1.0, now=now)
+        assert limit.per_s == 50.0
+
     def test_answers_that_never_named_one_say_nothing(self):
         """There is nothing to tell the other routers."""
         limit = StatedLimit()
