--- a/libs/direct/tests/stating_targets.py
+++ b/libs/direct/tests/stating_targets.py
@@ -47,6 +47,7 @@
 
     at: float
     router: str
+    request_id: str = ""
 
 
 class SignallingTarget:
@@ -110,9 +111,9 @@
 
     def _arrive(self, transport, headers):
         router = headers["x-router"]
-        self.arrivals.append(Arrival(self.simulation.clock(), router))
-        self.simulation.results.arrivals[self.target_id] += 1
         request_id = headers["attempt-id"]
+        self.arrivals.append(Arrival(self.simulation.clock(), router, request_id))
+        self.simulation.results.arrivals[self.target_id] += 1
         if self.backoff_s is not None:
             self._answer(transport, router, request_id, "503 Unavailable", b"")
             return
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -111,7 +111,7 @@
                 RouterSettings.__dataclass_fields__["allowances"].default_factory(),
                 started_at=clock(),
             ),
-            retries=WindowedRetryBudget(ratio=0.2, slack=50.0, window_s=10.0),
+            retries=self.make_retry_budget(),
             quarantine=Quarantine(),
             rollouts=rollouts,
             peers=PeerTable(name, domain),
@@ -135,6 +135,10 @@
         if hasattr(self.context, "on_signals_changed"):
             self.context.on_signals_changed = self.peering.send_soon
 
+    def make_retry_budget(self):
+        """Return the budget for retries."""
+        return WindowedRetryBudget(ratio=0.2, slack=50.0, window_s=10.0)
+
     def _record_bytes(self, incarnation_id):
         target = self.context.targets.by_incarnation_id.get(incarnation_id)
         if target is not None:
@@ -286,7 +290,7 @@
         self.defect = defect or Defect()
         self.results = Results()
         self.targets = [
-            SignallingTarget(self, number, run_s=run_s, slots=slots)
+            self.make_target(number, run_s=run_s, slots=slots)
             for number in range(targets)
         ]
         self.targets_by_host = {each.host: each for each in self.targets}
@@ -309,9 +313,17 @@
     def simulate(self):
         """Run the simulation and return its results."""
         random.seed(self.seed)
-        with Runner(loop_factory=lambda: SimulatedLoop(self)) as runner:
+        with Runner(loop_factory=self.make_loop) as runner:
             return runner.run(self._main())
 
+    def make_loop(self):
+        """Return the event loop of the simulation."""
+        return SimulatedLoop(self)
+
+    def make_target(self, number, *, run_s, slots):
+        """Return a target."""
+        return SignallingTarget(self, number, run_s=run_s, slots=slots)
+
     async def _main(self):
         self.clock = get_running_loop().time
         async with create_task_group() as self.tasks:
