--- a/libs/direct/tests/virtual_retries.py
+++ b/libs/direct/tests/virtual_retries.py
@@ -21,6 +21,8 @@
 
 STORE_NETWORK = "10.9.0."
 """Addresses of the store; each router uses its own, so that it can be cut off."""
+PEER_NETWORK = "10.1.0."
+"""Addresses of routers for messages of other routers."""
 CALLER_RETRIES = 1
 
 
@@ -163,7 +165,9 @@
         """Return the budget for retries."""
         bound = self.simulation.bound
         return WindowedRetryBudget(
-            ratio=bound.ratio, slack=bound.slack, window_s=bound.window_s
+            ratio=bound.ratio,
+            slack=bound.slack,
+            window_s=bound.window_s,
         )
 
     async def run(self):
@@ -234,6 +238,15 @@
         """Return the address at which a router finds the store."""
         return f"{STORE_NETWORK}{list(self.domains_by_name).index(name)}"
 
+    def peer_host(self, name):
+        """Return the host of a router for messages of other routers."""
+        return f"{PEER_NETWORK}{list(self.domains_by_name).index(name)}"
+
+    def send_datagram(self, sender, receiver, data):
+        """Deliver a datagram to the router with an address, unless it is lost."""
+        name = list(self.domains_by_name)[int(receiver.removeprefix(PEER_NETWORK))]
+        super().send_datagram(sender, name, data)
+
     async def _main(self):
         self.store.start()
         return await super()._main()
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -88,7 +88,7 @@
         self.lines = []
         targets = simulation.defect.make_targets()
         rollouts = Rollouts(ExposureRules())
-        address = SocketAddress(name, 1)
+        address = SocketAddress(simulation.peer_host(name), 1)
         self.context = RouterContext(
             settings=RouterSettings(
                 name=name,
@@ -344,6 +344,10 @@
         """Deliver data of a router to a target."""
         self.targets_by_host[transport.host].receive(transport, data)
 
+    def peer_host(self, name):
+        """Return the host of a router for messages of other routers."""
+        return name
+
     def make_router(self, name, domain, incarnation):
         """Return a new process of a router."""
         return SignalsRouter(self, name, domain, incarnation)
