Soak with signals: a target that signals nothing is added before the end

test_signals_under_random_faults[1] did not end: after its steps i-3, i-4 and i-5 say for good that they leave and i-6 refuses for good, so that the wait for an answered request at each router goes on for ever if the routers know of all three. Whether they do depends on which of their answers they have seen. Ruled out: the retry budget (no change by it; the requests end as no-place).

Each router still has to answer one request, and all records are checked as before; what is added is a target that takes the place of those that leave.

--- a/libs/direct/tests/test_direct_soak.py
+++ b/libs/direct/tests/test_direct_soak.py
@@ -402,6 +402,9 @@
             if with_signals:
                 soak.change_signal()
             await soak.step()
+    if with_signals:
+        # All other targets may be leaving or resting for good by now.
+        await soak.add_target()
     await soak.wait_until_served()
     assert all(process.poll() is None for process in soak.routers.processes)
     soak.run_log.check()
