The retry budget of a service is the fleet's, over all lives of its routers

Callers saw nothing of it; targets got more repeats than the users' bound. Cause: each router counted requests and retries in its own process and took an equal part of the fixed allowance by the routers it knew at the moment. A restart forgot the window and spent the part again; a router that had not read the list of routers took the whole.

Now routers tell each other their retries and, while a service is retried, its requests. In no span up to the window may retries exceed the share of that span's requests by more than the fixed part; the bound holds through partitions, where routers that are not heard keep their part, and a list that shrinks frees nothing for a window. A starting router asks a peer for the window. Without it, without the list of routers, it uses a share of the requests since its start only, so that any series of restarts adds up to the bound. Until all others are heard, a router takes an equal part of the rest.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -158,6 +158,8 @@
                 ratio=settings.retry_ratio,
                 slack=settings.retry_slack,
                 window_s=settings.retry_window_s,
+                started_at=clock(),
+                is_first_start=settings.is_first_start,
             ),
             quarantine=Quarantine(),
             rollouts=rollouts,
@@ -211,7 +213,9 @@
             for listener in (self._readiness, self._callers, self._metrics):
                 await listener.start()
             self._context.log.process(
-                "started", failure_domain=self._context.settings.failure_domain
+                "started",
+                failure_domain=self._context.settings.failure_domain,
+                first_start=self._context.settings.is_first_start,
             )
             await anext(stops)
             await self._stop()
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -142,8 +142,9 @@
         self.retry_fields = {
             "window_requests": round(state.requests),
             "window_retries": round(state.retries),
-            "retries_allowed": round(state.allowed, 1),
-            "budget_routers": state.routers,
+            "retries_left": round(state.left, 1),
+            "budget_share": round(state.share, 3),
+            "window_known": state.is_complete,
         }
 
     def log_refused(self, refusal: Refusal) -> None:
--- a/libs/direct/src/berylwalk/direct/_membership.py
+++ b/libs/direct/src/berylwalk/direct/_membership.py
@@ -158,4 +158,6 @@
         after = set(self._context.peers.by_name)
         if before != after:
             self._context.log.process("members", routers=sorted(after))
-        self._context.retries.set_routers(self._context.peers.known_count())
+        self._context.retries.note_listed(
+            self._context.peers.known_count(), self._context.clock()
+        )
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -6,7 +6,7 @@
 from msgspec import Struct, field
 
 from berylwalk.direct._flow_control import SignalsUpdate
-from berylwalk.dispatch import Peer
+from berylwalk.dispatch import Peer, RetryHistory, RetryTotals
 from berylwalk.quarantine import QuarantineUpdate
 from berylwalk.rollout import RolloutUpdate
 
@@ -49,6 +49,8 @@
         How long the store has been healthy for the router, in seconds.
     rollouts : list of RolloutUpdate
         Its view of the roll-outs in progress.
+    retries : RetryTotals
+        Its retries and requests by service.
     """
 
     name: str
@@ -62,6 +64,7 @@
     demand: dict[str, tuple[int, int]] = field(default_factory=dict)
     store_healthy_s: float = 0.0
     rollouts: list[RolloutUpdate] = field(default_factory=list)
+    retries: RetryTotals = field(default_factory=dict)
 
     def to_peer(self) -> Peer:
         """Return the router as an entry of the peer table."""
@@ -95,6 +98,13 @@
         Changes in the quarantine.
     signals : list of SignalsUpdate
         Signals of targets in the sender's responses.
+    retry_history_from : str or None
+        Name of the peer that is asked for the retries before the sender's start.
+    retry_history : RetryHistory or None
+        Retries and requests of all routers in the window; the response to a router
+        that asked for it.
+    known_routers : int
+        Routers that the sender knows, including itself; with the history.
     """
 
     update: RouterUpdate
@@ -104,6 +114,9 @@
     placements: PrefixPlacements = field(default_factory=list)
     quarantine: QuarantineUpdate = field(default_factory=QuarantineUpdate)
     signals: list[SignalsUpdate] = field(default_factory=list)
+    retry_history_from: str | None = None
+    retry_history: RetryHistory | None = None
+    known_routers: int = 1
 
 
 class DomainMessage(Struct, array_like=True, tag=2):
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -210,7 +210,11 @@
         """Redistribute the quota of silent peers and drop their loads."""
         context = self._context
         peers, now = context.peers, context.clock()
-        context.quotas.set_share(peers.alive_count(now), peers.known_count())
+        alive, known = peers.alive_count(now), peers.known_count()
+        context.quotas.set_share(alive, known)
+        context.retries.set_routers(
+            alive, known, now, all_heard_until=peers.all_heard_until(now)
+        )
         context.dispatcher.set_relayed(bool(peers.relayed_domains()))
         update_limit_shares(context)
         counted = self._counted_sources(now)
@@ -238,7 +242,9 @@
         loads = context.targets.own_loads()
         spent = context.quotas.spent_by_account()
         now = context.clock()
-        history_from = self._history_source(now)
+        source = self._history_source(now)
+        history_from = None if context.quotas.has_full_window(now) else source
+        retry_history_from = None if context.retries.is_complete(now) else source
         placements = context.dispatcher.prefix_cache_index.take_updates()
         self._prefixes_to_relay.extend(placements)
         quarantine = context.quarantine.next_update(
@@ -247,9 +253,13 @@
         rollouts = [replace(each, age_s=0.0) for each in context.rollouts.updates(now)]
         signals = own_signals(context)
         signal_contents = [each.content for each in signals]
-        current = (loads, spent, rollouts, signal_contents)
+        retries = context.retries.own_totals(now)
+        current = (loads, spent, rollouts, signal_contents, retries)
         is_unchanged = (
-            self._last_sent == current and history_from is None and not placements
+            self._last_sent == current
+            and history_from is None
+            and retry_history_from is None
+            and not placements
         )
         if (
             is_unchanged
@@ -266,6 +276,7 @@
             placements=placements,
             quarantine=quarantine,
             signals=signals,
+            retry_history_from=retry_history_from,
         )
         self._send(msgpack.encode(message), context.peers.direct_peers())
 
@@ -287,6 +298,7 @@
             {name: (rank, round(units)) for name, (rank, units) in demand.items()},
             round(self._store_health.healthy_s(now), 1),
             context.rollouts.updates(now),
+            context.retries.own_totals(now),
         )
 
     def _domain_message(self, now: float) -> DomainMessage:
@@ -320,16 +332,16 @@
         for peer in peers:
             self._transport.sendto(data, (peer.host, peer.port))
 
-    # Spending history for routers that have just started
+    # History of the window for routers that have just started
 
     def _history_source(self, now: float) -> str | None:
-        """Return the peer to request the spending history from; None if it is complete.
+        """Return the peer to request the history from; None if it is complete.
 
         A random one each time, because a peer may not have it or its response may be
         lost.
         """
         context = self._context
-        if context.quotas.has_full_window(now):
+        if context.quotas.has_full_window(now) and context.retries.is_complete(now):
             return None
         peers = context.peers
         alive_peers = [
@@ -352,6 +364,20 @@
         )
         self._send(msgpack.encode(message), [receiver])
 
+    def _send_retry_history(self, receiver: Peer, now: float) -> None:
+        """Send the retries of the window to a router that asked for them, if known."""
+        retries = self._context.retries
+        history = retries.history(now)
+        if history is None:
+            return
+        message = PeerMessage(
+            self._own_update(now),
+            self._context.targets.own_loads(),
+            retry_history=history,
+            known_routers=retries.known_routers(),
+        )
+        self._send(msgpack.encode(message), [receiver])
+
     # Receiving
 
     def _receive(self, data: bytes) -> None:
@@ -392,10 +418,16 @@
             self._signals_aggregate.record(sender.name, message.signals, now)
         if message.history_from == context.settings.name:
             self._send_history(sender, now)
+        if message.retry_history_from == context.settings.name:
+            self._send_retry_history(sender, now)
         if message.spending_history is not None:
             context.quotas.restore(
                 message.spending_history, HistoryCoverage.COMPLETE, now
             )
+        if message.retry_history is not None:
+            context.retries.restore(
+                message.retry_history, now, known=message.known_routers
+            )
 
     def _receive_loads(self, message: LoadMessage, now: float) -> None:
         context, name = self._context, message.name
@@ -430,16 +462,18 @@
             return False
         self._updates_by_name[update.name] = update
         self._store_health.update_peer_health(update.store_healthy_s)
+        incarnation = incarnation_of(peer)
+        is_new = update.age_s < now - self._started_at
         self._context.quotas.record_peer_totals(
-            incarnation_of(peer),
-            update.spent,
-            is_new=update.age_s < now - self._started_at,
-            now=now,
+            incarnation, update.spent, is_new=is_new, now=now
+        )
+        self._context.retries.record_peer_totals(
+            incarnation, update.retries, is_new=is_new, now=now
         )
         self._context.quotas.urgent_demand.record_peer_totals(
-            incarnation_of(peer), update.demand, now
+            incarnation, update.demand, now
         )
-        self._context.rollouts.merge(incarnation_of(peer), update.rollouts, now)
+        self._context.rollouts.merge(incarnation, update.rollouts, now)
         return True
 
     def _merge_quarantine(self, update: QuarantineUpdate, *, is_direct: bool) -> None:
--- a/libs/direct/tests/conftest.py
+++ b/libs/direct/tests/conftest.py
@@ -31,6 +31,7 @@
             "metrics_port": free_port(),
             "store_address": SocketAddress(*STORE),
             "allowances": QuotaRules(window_s=0.05),
+            "is_first_start": True,
         }
         return RouterSettings(**{**values, **changes})
 
--- a/libs/direct/tests/test_direct_statements.py
+++ b/libs/direct/tests/test_direct_statements.py
@@ -237,6 +237,8 @@
             await sleep(4.0)
             simulation.targets[0].backoff_s = 1.0
             await sleep(0.3)
+            while not simulation.targets[0].backoffs:
+                await sleep(0.1)
             simulation.targets[0].backoff_s = None
 
         simulation = SignalsSimulation(
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -25,6 +25,7 @@
     QuotaRules,
     QuotaTracker,
     TargetTable,
+    WindowedRetryBudget,
 )
 from berylwalk.platform import Unavailable, UnavailableReason
 from berylwalk.quarantine import Quarantine, QuarantineStatus
@@ -130,6 +131,13 @@
             ),
             targets=targets,
             quotas=QuotaTracker(QuotaRules(), started_at=self.clock()),
+            retries=WindowedRetryBudget(
+                ratio=0.2,
+                slack=50.0,
+                window_s=10.0,
+                started_at=self.clock(),
+                is_first_start=True,
+            ),
             dispatcher=Dispatcher(targets, failure_domain=domain),
             quarantine=self.quarantine,
             rollouts=Rollouts(ExposureRules()),
--- a/libs/direct/tests/virtual_rollout.py
+++ b/libs/direct/tests/virtual_rollout.py
@@ -29,6 +29,7 @@
     QuotaRules,
     QuotaTracker,
     TargetTable,
+    WindowedRetryBudget,
     Work,
 )
 from berylwalk.platform import (
@@ -292,6 +293,13 @@
             targets=self.targets,
             configuration=ConfigurationState(key_trust_s=4.5),
             quotas=QuotaTracker(QuotaRules(), started_at=self.clock()),
+            retries=WindowedRetryBudget(
+                ratio=0.2,
+                slack=50.0,
+                window_s=10.0,
+                started_at=self.clock(),
+                is_first_start=True,
+            ),
             dispatcher=Dispatcher(
                 self.targets, failure_domain=domain, rollouts=self.rollouts
             ),
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -51,7 +51,12 @@
 from berylwalk.dispatch._request_queue import PendingRequest, RequestQueue
 from berylwalk.dispatch._requested_backoff import RequestedBackoff
 from berylwalk.dispatch._retry_after import retry_after_s
-from berylwalk.dispatch._retry_budget import RetryBudgetState, WindowedRetryBudget
+from berylwalk.dispatch._retry_budget import (
+    RetryBudgetState,
+    RetryHistory,
+    RetryTotals,
+    WindowedRetryBudget,
+)
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
 from berylwalk.dispatch._target import FirstEventEstimate, Target, TargetSpeed
 from berylwalk.dispatch._target_entries import (
@@ -99,6 +104,8 @@
     "RequestQueue",
     "RequestedBackoff",
     "RetryBudgetState",
+    "RetryHistory",
+    "RetryTotals",
     "Route",
     "RouteKind",
     "RouterSettings",
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
@@ -228,6 +228,15 @@
             self._names, self._names_at = names, now
         return self._names
 
+    def all_heard_until(self, now: float) -> float:
+        """Return the time of the oldest last message of the live peers."""
+        heard_at = [
+            peer.last_heard_at
+            for peer in self.by_name.values()
+            if self.is_alive(peer, now)
+        ]
+        return min(heard_at, default=now)
+
     def known_count(self) -> int:
         """Return the number of known routers, including this one."""
         return len(self.by_name) + 1
--- a/libs/dispatch/src/berylwalk/dispatch/_router_settings.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_router_settings.py
@@ -51,6 +51,8 @@
         window, and length of the window in seconds.
     exposure : ExposureRules
         Limits on the traffic to a new version.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     name: str
@@ -71,3 +73,4 @@
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
     exposure: ExposureRules = field(default_factory=ExposureRules)
+    is_first_start: bool = False
