Failing tests: streams that go on at another version of a back end

A router's own continuation, a caller that takes a stream up at another router and names the attempt in Resumes, and the same after all routers have ended.

--- /dev/null
+++ b/libs/direct/tests/test_direct_stream_versions.py
@@ -0,0 +1,99 @@
+"""Streams go on only at the version of the software that began them."""
+
+from direct_fleet import event, streams
+
+STREAM = ("streaming",)
+WHOLE = b"".join(map(event, range(1, 21)))
+
+
+def resumable(fleet):
+    """Make the route resumable, with one target for each request."""
+    fleet.routes[0].update({"resumable": True, "max-attempts": 1})
+
+
+def resumable_within(fleet):
+    """Make the route resumable, with several targets for each request."""
+    fleet.routes[0].update({"resumable": True, "max-attempts": 3})
+
+
+async def set_versions(fleet, routers, *versions):
+    """Publish the versions of the targets; earlier targets seem to be faster."""
+    for target, version in zip(fleet.targets, versions, strict=True):
+        fleet.put_target(target, version=version)
+    for router in routers:
+        by_id = router._context.targets.by_id
+        for number, target in enumerate(fleet.targets):
+
+            def is_known(target=target, number=number, by_id=by_id):
+                known = by_id.get(target.target_id)
+                return known is not None and known.entry.version == versions[number]
+
+            await fleet.until(is_known)
+            by_id[target.target_id].fixed_s = 0.01 + 3.0 * number
+
+
+def resumed_at(fleet):
+    """Return the ids of the targets that were asked to go on with a stream."""
+    return [
+        target.target_id
+        for target in fleet.targets
+        for request in target.received
+        if "last-event-id" in request.headers
+    ]
+
+
+CUT = streams(1, 20, until=5)
+GOES_ON = streams(1, 20)
+
+
+class TestStreamsOfTwoVersions:
+    """Targets of two versions serve side by side."""
+
+    async def test_stream_does_not_join_two_versions(self, running):
+        """The router itself goes on at a target of the same version."""
+        async with running(
+            CUT, GOES_ON, GOES_ON, routes=STREAM, prepare=resumable_within
+        ) as fleet:
+            await set_versions(fleet, [fleet.router], "v1", "v2", "v1")
+            reply = await fleet.call("/streaming/")
+        assert resumed_at(fleet) == ["i-2"]
+        assert reply.body == WHOLE
+
+    async def test_stream_taken_up_at_another_router_keeps_its_version(
+        self, running, beside
+    ):
+        """The caller names the attempt that brought the first event."""
+        async with (
+            running(CUT, GOES_ON, GOES_ON, routes=STREAM, prepare=resumable) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            routers = [fleet.router, second]
+            await set_versions(fleet, routers, "v1", "v2", "v1")
+            await fleet.until(
+                lambda: second._context.peers.alive_count(second._context.clock()) == 2
+            )
+            reply = await fleet.call("/streaming/", request_id="first")
+            assert reply.body == WHOLE[: len(reply.body)]
+            second._context.targets.by_id["i-0"].fixed_s = 9.0
+            fleet.settings = second._context.settings
+            reply = await fleet.call("/streaming/", Resumes="first", Last_Event_Id="5")
+        assert set(resumed_at(fleet)) <= {"i-0", "i-2"}
+        assert resumed_at(fleet)
+
+    async def test_stream_taken_up_after_all_routers_ended_keeps_its_version(
+        self, running, beside
+    ):
+        """No router is left that has seen the stream begin."""
+        async with running(
+            CUT, GOES_ON, GOES_ON, routes=STREAM, prepare=resumable
+        ) as fleet:
+            await set_versions(fleet, [fleet.router], "v1", "v2", "v1")
+            await fleet.call("/streaming/", request_id="first")
+            fleet.router._peering.close()
+            async with beside({"name": "edge-2"}) as (second,):
+                await set_versions(fleet, [second], "v1", "v2", "v1")
+                second._context.targets.by_id["i-0"].fixed_s = 9.0
+                fleet.settings = second._context.settings
+                await fleet.call("/streaming/", Resumes="first", Last_Event_Id="5")
+        assert set(resumed_at(fleet)) <= {"i-0", "i-2"}
+        assert resumed_at(fleet)
