Tests of stream versions run, and fail for the fault

Now: the router's own continuation runs at i-1 (v2) or the stream of v1 is cut, and both callers that name the attempt in Resumes are sent to i-1 (v2) instead of i-2 (v1).

--- a/libs/direct/tests/test_direct_stream_versions.py
+++ b/libs/direct/tests/test_direct_stream_versions.py
@@ -1,7 +1,11 @@
 """Streams go on only at the version of the software that began them."""
 
+import pytest
+
 from direct_fleet import event, streams
 
+pytestmark = pytest.mark.anyio
+
 STREAM = ("streaming",)
 WHOLE = b"".join(map(event, range(1, 21)))
 
@@ -30,6 +34,8 @@
 
             await fleet.until(is_known)
             by_id[target.target_id].fixed_s = 0.01 + 3.0 * number
+        versions_seen = router._context.rollouts.versions
+        await fleet.until(lambda seen=versions_seen: not seen.pending("s"))
 
 
 def resumed_at(fleet):
