A router continues a stream at the version that began it, or not at all

Callers got events of two versions of a back end in one answer: after a broken attempt the router sent Last-Event-Id to any target with room. Once the first event has been passed on, the version of its target binds all further attempts; if no target of it is left, the stream is cut as version-gone. In a roll-out such a request does not count as a canary and may go to any version that may get requests at all. request-placed tells the version.

test_stream_does_not_join_two_versions failed before (the stream of v1 went on at i-1 of v2) and passes. Entries whose version changes under one incarnation are not covered; nothing on the platform does that.

--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -124,6 +124,7 @@
         self._acquire_trial_permit = acquire_trial_permit
         self._attempts = Attempts()
         self._excluded: set[str] = set()
+        self._stream_version: str | None = None
         self._response_writer = ResponseWriter(
             connection, last_event_id=admitted.parsed_headers.last_event_id
         )
@@ -152,9 +153,11 @@
         while True:
             target = await self._acquire_target(deadlines)
             if target is None:
-                self._fail(AttemptEnd.NOT_SENT, "no-place")
+                self._fail(AttemptEnd.NOT_SENT, self._unplaced_reason())
                 return
             attempt = await self._attempt_runner.send(target)
+            if self._response_writer.started and self._stream_version is None:
+                self._stream_version = target.entry.version
             if attempt.end is AttemptEnd.ANSWERED:
                 self._complete(attempt)
                 return
@@ -168,6 +171,14 @@
                 admitted, target, attempt, self._response_writer.last_event_id
             )
 
+    def _unplaced_reason(self) -> str:
+        """Return the reason why the request got no target."""
+        version = self._stream_version
+        targets = self._context.targets.of_service(self._admitted.service)
+        if version is None or any(each.entry.version == version for each in targets):
+            return "no-place"
+        return "version-gone"
+
     def _reason_not_to_retry(self, attempt: Attempt) -> str:
         """Return the reason not to retry on another target; empty to retry."""
         now = self._context.clock()
@@ -277,7 +288,8 @@
         Retries are never sent to a canary.
         """
         rollouts, service = self._context.rollouts, self._admitted.service
-        if self._excluded or not rollouts.is_in_progress(service):
+        is_continued = self._stream_version is not None
+        if self._excluded or is_continued or not rollouts.is_in_progress(service):
             return None
         rollouts.count_send(service)
         route = self._admitted.route.name
@@ -314,6 +326,7 @@
             isolation_key=admitted.identity if self._must_run_isolated() else b"",
             arrived_at=admitted.request.arrived_at,
             version_draw=random(),
+            stream_version=self._stream_version,
         )
 
     def _must_run_isolated(self) -> bool:
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -68,6 +68,7 @@
             "request-placed",
             admitted.request_id,
             target=target.entry.target_id,
+            target_version=target.entry.version,
             prompt_tokens=admitted.parsed_headers.work.prompt_tokens,
             output_tokens=admitted.parsed_headers.work.output_tokens,
             ahead_tokens=estimate.ahead_tokens,
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -22,6 +22,10 @@
 """Time after the last request of a rank during which capacity stays reserved for it, in
 seconds."""
 
+LOWEST_DRAW = 0.0
+HIGHEST_DRAW = 1.0 - 1e-9
+"""Draws of requests that go to the newer and to the older version in a roll-out."""
+
 
 class Dispatcher:
     """Assigns requests to targets, or queues them while no target is free.
@@ -124,6 +128,13 @@
         """Return the targets whose version the request may use."""
         service, rollouts = pending.service, self._rollouts
         targets = self._targets.of_service(service)
+        if pending.stream_version is not None:
+            return [
+                target
+                for target in targets
+                if target.entry.version == pending.stream_version
+                and self._serves_any(service, target.entry.version, now)
+            ]
         if not rollouts.restricts(service):
             return targets
         return [
@@ -132,6 +143,14 @@
             if rollouts.allows(service, target.entry.version, pending.version_draw, now)
         ]
 
+    def _serves_any(self, service: str, version: str, now: float) -> bool:
+        """Return whether a version may get any requests of its service."""
+        rollouts = self._rollouts
+        return not rollouts.restricts(service) or any(
+            rollouts.allows(service, version, draw, now)
+            for draw in (LOWEST_DRAW, HIGHEST_DRAW)
+        )
+
     def _is_most_urgent(self, pending: PendingRequest, now: float) -> bool:
         """Return whether the service has no recent request of a higher rank."""
         return not any(
@@ -183,10 +202,13 @@
         """Return whether a queued request may still be assigned to a target.
 
         If all targets are excluded, one that accepts requests may soon be replaced by a
-        new incarnation.
+        new incarnation. If no target of the version of a stream is left, none is
+        expected.
         """
         targets = self._candidates(pending, now)
-        return not targets or any(
+        if not targets:
+            return pending.stream_version is None
+        return any(
             not _is_tried(each, pending) or each.available_at(now) <= now
             for each in targets
         )
--- a/libs/dispatch/src/berylwalk/dispatch/_request_queue.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_request_queue.py
@@ -48,6 +48,8 @@
         Arrival time in seconds.
     version_draw : float
         Random number in [0, 1) that selects the version of the service.
+    stream_version : str or None
+        Version that began the stream and has to continue it; None if any may begin it.
     """
 
     service: str
@@ -61,6 +63,7 @@
     isolation_key: bytes = b""
     arrived_at: float = 0.0
     version_draw: float = 0.0
+    stream_version: str | None = None
     number: int = 0
 
 
