A stream that a caller takes up goes on at the version that began it

Callers that came back with Last-Event-Id were placed at any target, so that events of two versions came to one caller; nothing read Resumes.

A request with Resumes and Last-Event-Id is bound to that version at any router. Without a record it goes on only if the service has one version, otherwise the caller is told at once that it was not run (stream-version-unknown).

Ruled out: deriving the version from the attempt's id (it changes with the set of versions, and the users' bound is two streams); one that the caller does not name stays unbound, as before.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -4,7 +4,14 @@
 from random import random
 
 from berylwalk.direct._context import RouterContext
-from berylwalk.dispatch import Account, Allowed, Denied, QuotaState, Route
+from berylwalk.dispatch import (
+    Account,
+    Allowed,
+    Denied,
+    QuotaState,
+    Route,
+    stream_key,
+)
 from berylwalk.forwarding import CallerRequest
 from berylwalk.platform import InvalidHeaders, RequestHeaders, parse_request_headers
 from berylwalk.quarantine import Identity, QuarantineStatus, request_identity
@@ -64,6 +71,18 @@
         """Id that the caller gave this request."""
         return self.parsed_headers.request_id
 
+    @property
+    def stream_key(self) -> int:
+        """Key of the stream that it begins or takes up."""
+        first = self.parsed_headers.resumes or self.request_id
+        return stream_key(self.account_name, first)
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has events of the stream, and names how it began."""
+        headers = self.parsed_headers
+        return bool(headers.resumes) and headers.last_event_id > 0
+
     @property
     def account_name(self) -> str | None:
         """Name of the account, or None."""
--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -107,6 +107,7 @@
         self._observe_version(target, estimate)
 
         def on_first_event() -> None:
+            self._record_stream(target)
             target.note_first_event(
                 work, estimate, self._attempt_feedback.elapsed_s(sent_at)
             )
@@ -135,6 +136,18 @@
             on_signals=on_signals,
         )
 
+    def _record_stream(self, target: Target) -> None:
+        """Record the version of a stream that the caller may take up."""
+        context, admitted = self._context, self._admitted
+        route = admitted.route
+        if route.kind is RouteKind.STREAMING and route.resumable:
+            context.streams.record(
+                admitted.service,
+                admitted.stream_key,
+                target.entry.version,
+                context.clock(),
+            )
+
     def _observe_version(self, target: Target, estimate: FirstEventEstimate) -> None:
         """Observe the attempt if a version of the service is being rolled out."""
         context, admitted = self._context, self._admitted
--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -1,7 +1,7 @@
 """Shared state of the components of a direct router."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from berylwalk.direct._decision_log import DecisionLog
 from berylwalk.direct._metrics import RouterMetrics
@@ -12,6 +12,7 @@
     PeerTable,
     QuotaTracker,
     RouterSettings,
+    StreamVersions,
     Target,
     TargetTable,
     WindowedRetryBudget,
@@ -55,6 +56,8 @@
         Detects suspensions of the VM.
     clock : callable
         Time including suspensions of the VM, in seconds.
+    streams : StreamVersions
+        Versions of the software at which streams began.
     on_placed : callable
         Called with the target of each attempt.
     on_signals_changed : callable
@@ -75,6 +78,7 @@
     metrics: RouterMetrics
     suspension: SuspensionDetector
     clock: Callable[[], float]
+    streams: StreamVersions = field(default_factory=StreamVersions)
     on_placed: Callable[[Target], None] = lambda _: None
     on_signals_changed: Callable[[], None] = lambda: None
 
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -147,6 +147,9 @@
             self._fail(AttemptEnd.NOT_SENT, QUARANTINED)
             return
         context.retries.record_request(admitted.service, context.clock())
+        if admitted.takes_up_stream and not self._bind_to_stream_version():
+            self._fail(AttemptEnd.NOT_SENT, "stream-version-unknown")
+            return
         deadlines = deadlines_at_arrival(
             admitted.request.arrived_at, admitted.route.objective_s, admitted.deadline
         )
@@ -171,6 +174,22 @@
                 admitted, target, attempt, self._response_writer.last_event_id
             )
 
+    def _bind_to_stream_version(self) -> bool:
+        """Bind the request to the version that began its stream.
+
+        Returns
+        -------
+        bool
+            Whether the version is known, or the service has one version only.
+        """
+        context, admitted = self._context, self._admitted
+        version = context.streams.version_of(admitted.stream_key, context.clock())
+        versions = context.targets.versions_of(admitted.service)
+        if version is None and len(versions) == 1:
+            version = min(versions)
+        self._stream_version = version
+        return version is not None
+
     def _unplaced_reason(self) -> str:
         """Return the reason why the request got no target."""
         version = self._stream_version
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -69,6 +69,7 @@
             admitted.request_id,
             target=target.entry.target_id,
             target_version=target.entry.version,
+            resumes=admitted.parsed_headers.resumes.decode("latin-1"),
             prompt_tokens=admitted.parsed_headers.work.prompt_tokens,
             output_tokens=admitted.parsed_headers.work.output_tokens,
             ahead_tokens=estimate.ahead_tokens,
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -6,7 +6,7 @@
 from msgspec import Struct, field
 
 from berylwalk.direct._flow_control import SignalsUpdate
-from berylwalk.dispatch import Peer, RetryHistory, RetryTotals
+from berylwalk.dispatch import Peer, RetryHistory, RetryTotals, StreamRecords
 from berylwalk.quarantine import QuarantineUpdate
 from berylwalk.rollout import RolloutUpdate
 
@@ -105,6 +105,8 @@
         that asked for it.
     known_routers : int
         Routers that the sender knows, including itself; with the history.
+    streams : list of (int, str)
+        Streams begun since the previous message, with their versions.
     """
 
     update: RouterUpdate
@@ -117,6 +119,7 @@
     retry_history_from: str | None = None
     retry_history: RetryHistory | None = None
     known_routers: int = 1
+    streams: StreamRecords = field(default_factory=list)
 
 
 class DomainMessage(Struct, array_like=True, tag=2):
@@ -138,6 +141,8 @@
         Changes in the quarantine.
     signals : list of SignalsUpdate
         Signals of targets in their responses.
+    streams : list of (int, str)
+        Streams begun since the relay's previous message, with their versions.
     """
 
     failure_domain: str
@@ -147,6 +152,7 @@
     placements: PrefixPlacements = field(default_factory=list)
     quarantine: QuarantineUpdate = field(default_factory=QuarantineUpdate)
     signals: list[SignalsUpdate] = field(default_factory=list)
+    streams: StreamRecords = field(default_factory=list)
 
 
 class LoadMessage(Struct, array_like=True, tag=5):
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -38,6 +38,7 @@
     HistoryCoverage,
     Peer,
     PrefixPlacement,
+    StreamRecords,
     Target,
 )
 from berylwalk.platform import KeyValueClient
@@ -60,6 +61,8 @@
 """How long placements are batched before they are sent."""
 MAX_RELAYED_PREFIXES = 512
 """Bound of the queue of prefix placements to be relayed; the oldest are dropped."""
+MAX_RELAYED_STREAMS = 4_000
+"""Bound of the queue of stream versions to be relayed; the oldest are dropped."""
 DOMAIN_SOURCE = "failure-domain "
 """Prefix of the source name under which the loads of a whole failure domain are
 stored."""
@@ -106,6 +109,9 @@
         self._prefixes_to_relay: deque[PrefixPlacement] = deque(
             maxlen=MAX_RELAYED_PREFIXES
         )
+        self._streams_to_relay: deque[tuple[int, str]] = deque(
+            maxlen=MAX_RELAYED_STREAMS
+        )
         self._signals_aggregate = SignalsAggregate()
         self._pending_placements: Loads = {}
         self._send_requested = Event()
@@ -197,6 +203,7 @@
                 self._send_to_domains(relayed_domains, now)
             else:
                 self._prefixes_to_relay.clear()
+                self._streams_to_relay.clear()
                 self._context.quarantine.relay_outbox.clear()
 
     def _send_to_domains(self, relayed_domains: set[str], now: float) -> None:
@@ -247,6 +254,8 @@
         retry_history_from = None if context.retries.is_complete(now) else source
         placements = context.dispatcher.prefix_cache_index.take_updates()
         self._prefixes_to_relay.extend(placements)
+        streams = context.streams.take_updates(now, is_mixed=self._is_mixed)
+        self._streams_to_relay.extend(streams)
         quarantine = context.quarantine.next_update(
             context.quarantine.direct_outbox, context.clock()
         )
@@ -260,6 +269,7 @@
             and history_from is None
             and retry_history_from is None
             and not placements
+            and not streams
         )
         if (
             is_unchanged
@@ -277,9 +287,13 @@
             quarantine=quarantine,
             signals=signals,
             retry_history_from=retry_history_from,
+            streams=streams,
         )
         self._send(msgpack.encode(message), context.peers.direct_peers())
 
+    def _is_mixed(self, service: str) -> bool:
+        return len(self._context.targets.versions_of(service)) > 1
+
     def _own_update(self, now: float) -> RouterUpdate:
         context = self._context
         settings = context.settings
@@ -321,8 +335,14 @@
                 context.quarantine.relay_outbox, context.clock()
             ),
             signals=self._signals_aggregate.merge(own_signals(context), now),
+            streams=self._take_streams_to_relay(),
         )
 
+    def _take_streams_to_relay(self) -> StreamRecords:
+        streams = list(self._streams_to_relay)
+        self._streams_to_relay.clear()
+        return streams
+
     def _take_prefixes_to_relay(self) -> list[PrefixPlacement]:
         placements = list(self._prefixes_to_relay)
         self._prefixes_to_relay.clear()
@@ -375,6 +395,7 @@
             self._context.targets.own_loads(),
             retry_history=history,
             known_routers=retries.known_routers(),
+            streams=self._context.streams.recent(),
         )
         self._send(msgpack.encode(message), [receiver])
 
@@ -413,6 +434,8 @@
             context.targets.replace_peer_loads(sender.name, message.loads)
             context.dispatcher.prefix_cache_index.merge(message.placements)
             self._prefixes_to_relay.extend(message.placements)
+            context.streams.merge(message.streams, now)
+            self._streams_to_relay.extend(message.streams)
             self._merge_quarantine(message.quarantine, is_direct=True)
             merge_signals(context, message.signals, sender.name)
             self._signals_aggregate.record(sender.name, message.signals, now)
@@ -449,6 +472,7 @@
             source = DOMAIN_SOURCE + message.failure_domain
             context.targets.replace_peer_loads(source, message.loads)
         context.dispatcher.prefix_cache_index.merge(message.placements)
+        context.streams.merge(message.streams, now)
         self._merge_quarantine(message.quarantine, is_direct=False)
         merge_signals(context, message.signals, message.failure_domain)
         if not message.is_forwarded:
--- a/libs/direct/tests/test_direct_stream_versions.py
+++ b/libs/direct/tests/test_direct_stream_versions.py
@@ -86,6 +86,21 @@
         assert set(resumed_at(fleet)) <= {"i-0", "i-2"}
         assert resumed_at(fleet)
 
+    async def test_stream_of_unknown_version_is_not_taken_up(self, running):
+        """Without a record, no version is guessed; the caller hears at once."""
+        async with running(GOES_ON, GOES_ON, routes=STREAM, prepare=resumable) as fleet:
+            await set_versions(fleet, [fleet.router], "v1", "v2")
+            reply = await fleet.call("/streaming/", Resumes="other", Last_Event_Id="5")
+        assert reply.status == 503
+        assert resumed_at(fleet) == []
+
+    async def test_stream_of_a_service_with_one_version_is_taken_up(self, running):
+        """No record is needed."""
+        async with running(GOES_ON, GOES_ON, routes=STREAM, prepare=resumable) as fleet:
+            await set_versions(fleet, [fleet.router], "v1", "v1")
+            reply = await fleet.call("/streaming/", Resumes="other", Last_Event_Id="5")
+        assert reply.body == b"".join(map(event, range(6, 21)))
+
     async def test_stream_taken_up_after_all_routers_ended_keeps_its_version(
         self, running, beside
     ):
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -24,6 +24,7 @@
     PeerTable,
     QuotaRules,
     QuotaTracker,
+    StreamVersions,
     TargetTable,
     WindowedRetryBudget,
 )
@@ -131,6 +132,7 @@
             ),
             targets=targets,
             quotas=QuotaTracker(QuotaRules(), started_at=self.clock()),
+            streams=StreamVersions(),
             retries=WindowedRetryBudget(
                 ratio=0.2,
                 slack=50.0,
--- a/libs/direct/tests/virtual_rollout.py
+++ b/libs/direct/tests/virtual_rollout.py
@@ -28,6 +28,7 @@
     PeerTable,
     QuotaRules,
     QuotaTracker,
+    StreamVersions,
     TargetTable,
     WindowedRetryBudget,
     Work,
@@ -293,6 +294,7 @@
             targets=self.targets,
             configuration=ConfigurationState(key_trust_s=4.5),
             quotas=QuotaTracker(QuotaRules(), started_at=self.clock()),
+            streams=StreamVersions(),
             retries=WindowedRetryBudget(
                 ratio=0.2,
                 slack=50.0,
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -58,6 +58,11 @@
     WindowedRetryBudget,
 )
 from berylwalk.dispatch._router_settings import RouterSettings, SocketAddress
+from berylwalk.dispatch._stream_versions import (
+    StreamRecords,
+    StreamVersions,
+    stream_key,
+)
 from berylwalk.dispatch._target import FirstEventEstimate, Target, TargetSpeed
 from berylwalk.dispatch._target_entries import (
     IneligibilityReason,
@@ -113,6 +118,8 @@
     "ServiceShare",
     "SharedPrefix",
     "SocketAddress",
+    "StreamRecords",
+    "StreamVersions",
     "Target",
     "TargetEntry",
     "TargetSignals",
@@ -129,4 +136,5 @@
     "max_senders",
     "mean_token_s",
     "retry_after_s",
+    "stream_key",
 ]
--- a/libs/dispatch/src/berylwalk/dispatch/_target_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target_table.py
@@ -57,6 +57,10 @@
         """Return the targets of a service."""
         return self._by_service.get(service, [])
 
+    def versions_of(self, service: str) -> set[str]:
+        """Return the versions of the targets of a service."""
+        return {target.entry.version for target in self.of_service(service)}
+
     def note_confirmed(self, listed_at: float) -> None:
         """Record the time of a confirmed listing."""
         self.confirmed_at = max(self.confirmed_at, listed_at)
