--- a/libs/dispatch/src/berylwalk/dispatch/_advertised_rate_limit.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_advertised_rate_limit.py
@@ -12,9 +12,11 @@
 """Minimum number of routers that send to a target; a single one may have no requests
 for it."""
 MAX_BURST = 1.5
-"""Capacity of the token bucket, in requests."""
+"""Capacity of the token bucket, in requests. With a larger one, the sum over all
+routers would burst after an idle second."""
 BURST_S = 0.1
-"""Capacity of the token bucket at high rates, in seconds of the rate."""
+"""Capacity of the token bucket at high rates, in seconds of the rate: queues are
+dispatched some ten times a second."""
 PEER_AGE_MARGIN_S = 0.5
 """Minimum age difference for one observation to count as newer than another router's,
 in seconds; covers message delays."""
--- a/libs/dispatch/src/berylwalk/dispatch/_concurrency_limits.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_concurrency_limits.py
@@ -6,7 +6,8 @@
 from berylwalk.dispatch._target_entries import IneligibilityReason
 
 MAX_SLOT_WAIT_S = 0.15
-"""Longest expected wait for a slot in a target's own queue, in seconds."""
+"""Longest expected wait for a slot in a target's own queue, in seconds: less than half
+of the latency objectives of interactive requests."""
 MAX_QUEUED_AT_TARGET = 4
 """Maximum number of requests queued at a target beyond its slots."""
 MAX_QUEUED_AT_UNKNOWN_TARGET = 2
--- a/libs/dispatch/src/berylwalk/dispatch/_first_event_model.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_first_event_model.py
@@ -11,8 +11,8 @@
 from collections.abc import Sequence
 
 TOKEN_SCALE = 3e-3
-"""Initial prefill time of one prompt token, as a multiple of the time per output token.
-"""
+"""Initial prefill time of one prompt token, as a multiple of the time per output token:
+batched prefill is some hundred times faster than decoding."""
 PAIR_SCALE = 6e-8
 """Initial attention time per pair of prompt tokens, as the same multiple."""
 FIXED_S = 0.03
@@ -23,7 +23,7 @@
 """Regularization weights of the coefficients. They don't decay, so that coefficients
 without evidence stay at the prior."""
 DECAY = 0.99
-"""Decay factor of the weight of earlier observations."""
+"""Decay factor of the weight of earlier observations: some hundred count."""
 WEIGHT_FLOOR_S = 0.05
 """Observations are weighted by the inverse square of their time, with times below this
 value weighted alike, in seconds."""
--- a/libs/dispatch/src/berylwalk/dispatch/_placement.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_placement.py
@@ -22,7 +22,7 @@
 older, and all routers of a domain would pick the same target."""
 SLOT_TIME_WEIGHT = 0.1
 """Weight of the time that a request occupies its slot, relative to its time to the
-first event."""
+first event: a target that completes a request sooner has a slot for the next sooner."""
 LOAD_WEIGHT = 0.1
 """Additional relative cost of a target whose slots are all in use."""
 PAUSE_FACTOR = 4.0
@@ -41,7 +41,8 @@
 response delays no other request."""
 CACHED_PREFIX_FACTOR = 0.5
 """Cost factor for targets that have cached the shared prefix of the prompt, in addition
-to the saved prefill time."""
+to the saved prefill time: it is saved for the other requests there as well. Traffic
+between failure domains costs less than another prefill."""
 ISOLATION_POOL_DIVISOR = 3
 """Isolated requests are spread over the least loaded 1/N of the targets."""
 MIN_ISOLATION_POOL = 2
--- a/libs/dispatch/src/berylwalk/dispatch/_prefix_cache_index.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_prefix_cache_index.py
@@ -11,7 +11,8 @@
 from berylwalk.dispatch._target_entries import Work
 
 MAX_PREFIXES = 4_096
-"""Maximum number of prefixes; the least recently used are evicted."""
+"""Maximum number of prefixes; the least recently used are evicted. Targets keep some
+tens to hundreds each."""
 MIN_SHARED_TOKENS = 512
 """Minimum length of an indexed prefix, in tokens; prefill of shorter ones takes a few
 milliseconds."""
--- a/libs/dispatch/src/berylwalk/dispatch/_quotas.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_quotas.py
@@ -15,7 +15,8 @@
 """Share of the tolerance that is granted to callers. The rest covers what routers spend
 before they learn of each other's spending."""
 BOOTSTRAP_SHARE = 0.35
-"""Share of the ungranted tolerance that may be spent right after a start."""
+"""Share of the ungranted tolerance that may be spent right after a start. Twice that,
+and what routers spend before they learn of each other, stay within the tolerance."""
 BIN_S = 0.5
 """Resolution of the spending history that routers exchange, in seconds."""
 MAX_SNAPSHOT_AGE_S = 1.5
@@ -23,13 +24,13 @@
 it, in seconds, while the store is reachable."""
 HEAVY_SPENDING_SHARE = 0.6
 """Share of its quota from which the spending of an account is stored, to survive a
-restart of all routers."""
+restart of all routers. The usual spending of an account is below."""
 RANK_RESERVE_SHARE = 0.02
 """Share of the quota that each rank leaves to the next higher one."""
 LOWEST_RANK = 3
 MAX_URGENT_RESERVE_SHARE = 0.8
-"""Upper bound of the rate reserved for the most urgent rank, as a share of the quota.
-"""
+"""Upper bound of the rate reserved for the most urgent rank, as a share of the quota:
+if that rank alone requests more than the quota, the others still get something."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -16,21 +16,21 @@
 INITIAL_BACKOFF_S = 0.4
 """First backoff after a connection failure, in seconds; doubled on each failure."""
 MAX_BACKOFF_S = 3.0
-"""Upper bound of the backoff in seconds."""
+"""Upper bound of the backoff in seconds: a target that returns is soon tried again."""
 ERROR_WEIGHT = 0.12
-"""Weight of one response in the moving average of the error rate."""
+"""Weight of one response in the moving average of the error rate: about eight count."""
 ERROR_RATE_THRESHOLD = 0.3
 """Error rate above which a target receives probe requests only."""
 PROBE_INTERVAL_S = 0.5
 """Time between probe requests to a target with a high error rate, in seconds."""
 SPEED_WEIGHT = 0.12
-"""Weight of one response in the moving averages of times."""
+"""Weight of one response in the moving averages of times: about eight count."""
 QUEUED_SPEED_WEIGHT = 0.03
 """Same for the fixed time of a response that waited for a slot, where the fixed part is
 less certain."""
 HALF_WEIGHT_TOKENS = 400
-"""Number of output tokens that gets a weight of 1/2 in the moving average of the speed.
-"""
+"""Number of output tokens that gets a weight of 1/2 in the moving average of the speed:
+one long response, or a few short ones, show it."""
 MIN_OUTPUT_TOKENS = 30
 """Minimum number of output tokens for a speed observation."""
 MIN_SLOT_S = 0.001
@@ -46,7 +46,8 @@
 SILENCE_FACTOR = 2.0
 """Safety factor on the expected prefill time, during which nothing is sent."""
 DEFAULT_TOKEN_S = 0.004
-"""Time per output token assumed for a target of unknown speed, in seconds."""
+"""Time per output token assumed for a target of unknown speed, in seconds: a step of an
+engine takes some milliseconds."""
 UNKNOWN_SPEED_FACTOR = 3.0
 """Safety factor on the default speed when silence is detected."""
 
--- a/libs/dispatch/src/berylwalk/dispatch/_urgent_demand.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_urgent_demand.py
@@ -13,7 +13,9 @@
 STEP_S = 0.1
 """Resolution of the window, in seconds."""
 DEMAND_WINDOW_S = 2.0
-"""Window over which the demand rate is computed, in seconds."""
+"""Window over which the demand rate is computed, in seconds: shorter than the time in
+which an account at several times its usual rate spends its quota, and long enough for
+some requests of a large account."""
 COST_WEIGHT = 0.1
 """Weight of one request in the moving average of the cost."""
 
--- a/libs/quarantine/src/berylwalk/quarantine/_attribution.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_attribution.py
@@ -6,7 +6,9 @@
 from berylwalk.quarantine._identity import Identity
 
 CRASHES_TO_BLAME = 3
-"""Crashes not explained by another request from which a request is blamed."""
+"""Crashes not explained by another request from which a request is blamed. If each
+target crashes every twenty seconds and a response takes one second, one in ten thousand
+harmless requests meets three crashes."""
 CRASHES_TO_SUSPECT = 2
 """Crashes from which a request is isolated from others, as it may be the cause."""
 
--- a/libs/quarantine/src/berylwalk/quarantine/_identity.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_identity.py
@@ -3,7 +3,8 @@
 from hashlib import blake2b
 
 ACCOUNT_BYTES = 4
-"""Leading bytes of an identity, which identify the client account."""
+"""Leading bytes of an identity, which identify the client account. They bound the
+evidence that one account can fill."""
 CONTENT_BYTES = 12
 """Remaining bytes of an identity, which identify the request."""
 PERSON = b"berylwalk-runs"
--- a/libs/quarantine/src/berylwalk/quarantine/_outbox.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_outbox.py
@@ -5,7 +5,8 @@
 from berylwalk.quarantine._identity import Identity
 
 TRANSMISSIONS = 4
-"""Messages in which each item is sent, as datagrams may be lost."""
+"""Messages in which each item is sent, as datagrams may be lost: if three in a
+hundred are, all of a hundred routers receive it."""
 
 
 class Outbox:
