Plays of streams at targets of two versions, over all tries of a caller

Targets of v1 and v2 serve for the whole time and break a quarter of their streams; callers take them up at any router and name the first attempt.

Identities of simulated requests have 16 bytes: shorter ones made routers drop the whole message in which they told of a broken target.

--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -85,6 +85,7 @@
         self.name = name
         self.incarnation = incarnation
         self.clock = clock = get_running_loop().time
+        self.started_at = clock()
         self.lines = []
         targets = simulation.defect.make_targets()
         rollouts = Rollouts(ExposureRules())
@@ -181,10 +182,14 @@
             await sleep(SWEEP_INTERVAL_S)
             self.context.dispatcher.dispatch_all_queued(self.clock())
 
-    async def serve(self, request_id, *, on_done):
+    async def serve(self, request_id, *, on_done=None, caller=None, headers=()):
         """Run a request to its end."""
         now = self.clock()
-        headers = [(b"Attempt-Id", request_id), (b"X-Router", self.name.encode())]
+        headers = [
+            (b"Attempt-Id", request_id),
+            (b"X-Router", self.name.encode()),
+            *headers,
+        ]
         admitted = Admitted(
             request=CallerRequest(b"GET", b"/", headers, b"", b"", now, True),
             parsed_headers=parse_request_headers(headers),
@@ -194,11 +199,11 @@
             service=SERVICE,
             cost=0.0,
             deadline=now + LIMIT_S,
-            identity=request_id,
+            identity=request_id.rjust(16, b"-"),
         )
         lifecycle = RequestLifecycle(
             self.context,
-            FakeCaller(on_done),
+            caller or FakeCaller(on_done),
             admitted,
             ExchangeLog(self.context, now),
             acquire_trial_permit=None,
