A request whose record was pruned is not reported as not run

Callers could get a second run of a request that may run once: a late attempt of a pruned request was refused and its tombstone made a new record, so that the agent took the request for known and not run, told a revocation so, and the router placed a third attempt. A tombstone makes no record of a request that may have been pruned; all its attempts are refused without one, and a revocation gets no reply, as for other pruned requests.

The 67 other tests of the agent pass.

--- a/libs/agent/src/berylwalk/agent/_attempt_registry.py
+++ b/libs/agent/src/berylwalk/agent/_attempt_registry.py
@@ -91,7 +91,13 @@
         *,
         reason: RefusalReason = RefusalReason.TOMBSTONE,
     ) -> None:
-        """Tombstone an attempt and all lower ones; a dispatch stays recorded."""
+        """Tombstone an attempt and all lower ones; a dispatch stays recorded.
+
+        A request that may have been pruned gets no new record, which would hide that it
+        may have run. All its attempts are refused without one.
+        """
+        if self.may_be_pruned(request_id):
+            return
         record = self._touch(request_id, now)
         if attempt > record.dead_attempt:
             record.dead_attempt = attempt
