A subscription with a shorter interval brings a pending digest forward

A router that subscribed again with a shorter interval got its digest late, by up to the interval of another router: the time of the pending push was not reconsidered.

--- a/libs/agent/src/berylwalk/agent/_digests.py
+++ b/libs/agent/src/berylwalk/agent/_digests.py
@@ -91,6 +91,10 @@
             return inf
         return max(self._pending_at, self._pushed_at + self._interval_s)
 
+    def note_subscribed(self) -> None:
+        """Reconsider a pending push: a router may have asked for a shorter interval."""
+        self._pending_at = float("-inf")
+
     def due_routers(self, now: float, routers: Sequence[tuple[str, Peer]]) -> list[str]:
         """Return the routers to which a change is pushed now, and mark them.
 
--- a/libs/agent/src/berylwalk/agent/_machine.py
+++ b/libs/agent/src/berylwalk/agent/_machine.py
@@ -208,6 +208,7 @@
         for message in datagram.messages:
             if isinstance(message, Hello):
                 self._peers.subscribe_digests(datagram.sender, message.digest_ms)
+                self._digests.note_subscribed()
                 self._outbox.send(datagram.sender, self._digests.build())
             elif _is_from(message, datagram):
                 self._messages.handle(message, now)
