Budget: no way back for a retry that was not sent; streams: only of resumable routes

Reading the diff: release was used by nothing but its test, and a retry given back later than it was taken would loosen the bound of short spans; such retries count until they leave the window. Resumes binds requests of resumable routes only: elsewhere the header means nothing.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -81,7 +81,8 @@
     def takes_up_stream(self) -> bool:
         """Whether the caller has events of the stream, and names how it began."""
         headers = self.parsed_headers
-        return bool(headers.resumes) and headers.last_event_id > 0
+        has_events = bool(headers.resumes) and headers.last_event_id > 0
+        return has_events and self.route.resumable
 
     @property
     def account_name(self) -> str | None:
--- a/libs/dispatch/src/berylwalk/dispatch/_retry_budget.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_retry_budget.py
@@ -12,6 +12,9 @@
 what earlier processes did not tell."""
 BIN_S = 0.5
 """Resolution of the counts, in seconds."""
+RECENT_S = 2.0
+"""How long the times of this router's own retries are kept: longer than a router that
+is not heard counts as alive."""
 FORGET_TOTALS_S = 60.0
 """Time without a message after which the totals of a router process are dropped."""
 
@@ -23,10 +26,6 @@
 """Retries and requests of all routers in each `BIN_S` of the window, by service, latest
 first."""
 
-RECENT_S = 2.0
-"""How long the times of this router's own retries are kept: longer than a router that
-is not heard counts as alive."""
-
 
 @dataclass(slots=True)
 class _Bin:
@@ -226,12 +225,6 @@
         counts.add_own_retry(now)
         return True
 
-    def release(self, service: str, now: float) -> None:
-        """Return a retry that was not sent."""
-        counts = self._counts(service)
-        counts.add(now, retries=-1)
-        counts.own_retries -= 1
-
     # Shared with the other routers
 
     def own_totals(self, now: float) -> RetryTotals:
