Logs name the parts of a prompt and the events that a target's end cut off

The hypotheses of the incident differ by which part of a prompt is there at each crash and whether the answer had begun. shared_prefix hashes all leading parts together, so neither could be read. request-ended and target-ended-under-request now name each part by service, without the last, which no other request shares; the latter also counts the events. No decision reads them yet.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -14,7 +14,12 @@
 )
 from berylwalk.forwarding import CallerRequest
 from berylwalk.platform import InvalidHeaders, RequestHeaders, parse_request_headers
-from berylwalk.quarantine import Identity, QuarantineStatus, request_identity
+from berylwalk.quarantine import (
+    Identity,
+    QuarantineStatus,
+    part_identity,
+    request_identity,
+)
 
 TIMEOUT_MARGIN_S = 0.03
 """How long before a caller's own deadline the response is due."""
@@ -48,6 +53,8 @@
         Deadline of the response, on the router's clock.
     identity : bytes
         Digest that the request shares with its repetitions.
+    prompt_parts : tuple of bytes
+        Identities of the parts of its prompt that other requests may share.
     is_trial : bool
         Whether the request is quarantined and needs a trial permit.
     charge : Charge or None
@@ -63,6 +70,7 @@
     cost: float
     deadline: float
     identity: Identity
+    prompt_parts: tuple[Identity, ...] = ()
     is_trial: bool = False
     charge: "Charge | None" = None
 
@@ -195,6 +203,7 @@
     request: CallerRequest, parsed_headers: RequestHeaders, access: Allowed
 ) -> Admitted:
     route = access.route
+    service = route.service_for(random())
     limit_s = route.timeout_s
     if parsed_headers.time_limit_s is not None:
         limit_s = min(limit_s, parsed_headers.time_limit_s - TIMEOUT_MARGIN_S)
@@ -204,7 +213,7 @@
         route=route,
         account=access.account,
         rank=access.rank,
-        service=route.service_for(random()),
+        service=service,
         cost=_cost(access.account, parsed_headers),
         deadline=request.arrived_at + limit_s,
         identity=request_identity(
@@ -213,6 +222,9 @@
             request.target,
             request.body_digest,
         ),
+        prompt_parts=tuple(
+            part_identity(service, each) for each in parsed_headers.prompt_parts
+        ),
     )
 
 
--- a/libs/direct/src/berylwalk/direct/_attempt_feedback.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_feedback.py
@@ -88,7 +88,7 @@
         identity = self._admitted.identity
         if attempt.target_ended and self._was_active(target):
             if quarantine.record_crash(identity, target.entry.incarnation_id, now):
-                self._log.log_target_ended(self._admitted, target)
+                self._log.log_target_ended(self._admitted, target, attempt)
         elif attempt.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
             self.record_alive(target)
             if quarantine.record_success(identity, now):
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -163,7 +163,9 @@
             **self._quarantine_fields(refusal.identity),
         )
 
-    def log_target_ended(self, admitted: Admitted, target: Target) -> None:
+    def log_target_ended(
+        self, admitted: Admitted, target: Target, attempt: Attempt
+    ) -> None:
         """Log that a target appears to have terminated while running the request."""
         self.context.metrics.ends_under_requests.labels(admitted.service).inc()
         self.context.log.request(
@@ -172,6 +174,8 @@
             target=target.entry.target_id,
             identity=admitted.identity.hex(),
             ended=self.context.quarantine.crashed_incarnations(admitted.identity),
+            prompt_parts=[each.hex() for each in admitted.prompt_parts],
+            events=attempt.events,
         )
 
     def log_cleared(self, admitted: Admitted, target: Target) -> None:
@@ -216,6 +220,7 @@
             rank=admitted.rank,
             account=admitted.account_name,
             identity=admitted.identity.hex(),
+            prompt_parts=[each.hex() for each in admitted.prompt_parts],
             service=admitted.service,
             prompt_tokens=admitted.parsed_headers.work.prompt_tokens,
             output_tokens=admitted.parsed_headers.work.output_tokens,
--- a/libs/quarantine/src/berylwalk/quarantine/__init__.py
+++ b/libs/quarantine/src/berylwalk/quarantine/__init__.py
@@ -9,6 +9,8 @@
     BodyHash,
     Identity,
     account_prefix,
+    is_part,
+    part_identity,
     request_identity,
 )
 from berylwalk.quarantine._messages import QuarantineUpdate, SuspectUpdate
@@ -47,6 +49,8 @@
     "account_prefix",
     "attribute_crashes",
     "identity_from_key",
+    "is_part",
+    "part_identity",
     "record_key",
     "request_identity",
 ]
--- a/libs/quarantine/src/berylwalk/quarantine/_identity.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_identity.py
@@ -1,5 +1,6 @@
-"""Hashes that identify a request across its retries."""
+"""Hashes that identify a request across its retries, and parts of prompts."""
 
+from functools import lru_cache
 from hashlib import blake2b
 
 ACCOUNT_BYTES = 4
@@ -9,9 +10,13 @@
 """Remaining bytes of an identity, which identify the request."""
 PERSON = b"berylwalk-runs"
 """Personalization of the hash function: separates these hashes from others."""
+PART_PREFIX = b"part"
+"""Leading bytes of the identity of a prompt part, in place of an account's hash: parts
+are shared by requests of several accounts."""
+CACHED_PARTS = 4096
 
 Identity = bytes
-"""Hash of a request's account and content."""
+"""Hash of a request's account and content, or of a service and a prompt part."""
 
 
 class BodyHash:
@@ -55,6 +60,27 @@
     return caller.digest() + content.digest()
 
 
+@lru_cache(maxsize=CACHED_PARTS)
+def part_identity(service: str, part_id: bytes) -> Identity:
+    """Return the identity of a prompt part at a service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service: targets of another one may process the same part.
+    part_id : bytes
+        Id of the part, as the caller names it.
+    """
+    content = blake2b(digest_size=CONTENT_BYTES, person=PERSON)
+    content.update(b"%s %s" % (service.encode(), part_id))
+    return PART_PREFIX + content.digest()
+
+
+def is_part(identity: Identity) -> bool:
+    """Return whether an identity is that of a prompt part."""
+    return identity.startswith(PART_PREFIX)
+
+
 def account_prefix(identity: Identity) -> bytes:
     """Return the leading bytes that all requests of an account share."""
     return identity[:ACCOUNT_BYTES]
--- a/tests/platform/test_platform_formats.py
+++ b/tests/platform/test_platform_formats.py
@@ -372,6 +372,21 @@
         assert parsed.work == Work(1460, 80)
         assert parsed.prefix_problem
 
+    @pytest.mark.parametrize(
+        ("value", "parts"),
+        [
+            (b"a:60,b:600,own:9", (b"a", b"b")),
+            (b" A:60 , b:600 ,own:9", (b"a", b"b")),
+            (b"session:900", ()),
+            (b"", ()),
+            (b"a:60,b:many,,a:60,own:9", (b"a", b"b")),
+        ],
+    )
+    def test_prompt_parts_exclude_the_last(self, value, parts):
+        """A part must be recognized however its caller writes the header."""
+        parsed = parse_request_headers([*NO_PARTS, (b"Prompt-Prefix", value)])
+        assert parsed.prompt_parts == parts
+
     def test_request_without_prompt_prefix(self):
         """Without the header there is neither a shared prefix nor a problem."""
         parsed = parse_request_headers(NO_PARTS)
