--- a/libs/direct/tests/test_direct_quarantine.py
+++ b/libs/direct/tests/test_direct_quarantine.py
@@ -20,6 +20,11 @@
 REPEATS = 12
 LAPSE_S = 0.1
 """Time after which the entry of a terminated target lapses."""
+CRASHES_TO_FIND_A_PART = 5
+"""Number of terminated targets after which a part has to be found."""
+FAULTY_PART = "b4d"
+FIRST_PART = "1f"
+"""Part that faulty and harmless requests share."""
 PAUSE_S = 0.4
 """Interval between repetitions, longer than routers need to update each other."""
 
@@ -32,6 +37,13 @@
         self.free_port = free_port
         self.crashed = []
 
+    def is_faulty(self, request):
+        """Return whether a request terminates its target."""
+        parts = request.headers.get("prompt-prefix", "").split(",")[:-1]
+        return request.body == FAULTY_BODY or any(
+            part.split(":")[0] == FAULTY_PART for part in parts
+        )
+
     async def start_target(self):
         """Start a target and list it."""
         number = len(self.fleet.targets)
@@ -43,7 +55,7 @@
 
     def _script_of(self, target):
         async def script(request, writer):
-            if request.body != FAULTY_BODY:
+            if not self.is_faulty(request):
                 await answers("ok")(request, writer)
                 return
             self.crashed.append(target.target_id)
@@ -55,21 +67,22 @@
         return script
 
 
-class TestFaultyRequest:
-    """Limits for a request that terminates targets."""
+@pytest.fixture
+def engines(free_port):
+    """Return a function that starts the targets of a fleet."""
+
+    async def start(fleet):
+        engines = Engines(fleet, free_port)
+        for _ in range(TARGETS):
+            await engines.start_target()
+        await fleet.until_ready()
+        return engines
 
-    @pytest.fixture
-    def engines(self, free_port):
-        """Return a function that starts the targets of a fleet."""
+    return start
 
-        async def start(fleet):
-            engines = Engines(fleet, free_port)
-            for _ in range(TARGETS):
-                await engines.start_target()
-            await fleet.until_ready()
-            return engines
 
-        return start
+class TestFaultyRequest:
+    """Limits for a request that terminates targets."""
 
     async def test_repetitions_at_all_routers_are_bounded(
         self, running, beside, engines
@@ -119,3 +132,59 @@
             context = fleet.router._context
             await fleet.call("/idempotent/x", body=FAULTY_BODY, Deadline_Ms="3000")
             assert len(context.quarantine) == 1
+
+
+def prompt(*parts):
+    """Return a value of the header with the parts of a prompt."""
+    return ",".join(f"{part}:60" for part in parts)
+
+
+class TestFaultyPromptPart:
+    """Limits for a part of prompts that terminates targets, in ever new requests."""
+
+    async def test_new_requests_with_a_faulty_part_are_bounded(
+        self, running, beside, engines
+    ):
+        """No two requests are equal, and harmless ones share their first part."""
+        async with (
+            running(routes=("streaming",)) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            started_engines = await engines(fleet)
+            routers = (fleet.settings, second._context.settings)
+            targets = second._context.targets.by_id
+            await fleet.until(lambda: len(targets) == TARGETS)
+            served = 0
+            for number in range(REPEATS):
+                fleet.settings = routers[number % 2]
+                reply = await fleet.call(
+                    "/streaming/x",
+                    body=b"faulty %d" % number,
+                    Prompt_Prefix=prompt(FIRST_PART, FAULTY_PART, f"e{number}"),
+                )
+                assert reply.status in (502, 503)
+                await sleep(PAUSE_S)
+                other = await fleet.call(
+                    "/streaming/x",
+                    body=b"harmless %d" % number,
+                    Prompt_Prefix=prompt(FIRST_PART, "50", f"d{number}"),
+                )
+                served += other.status == 200
+        assert len(started_engines.crashed) <= CRASHES_TO_FIND_A_PART
+        assert served == REPEATS
+
+    async def test_retries_with_a_faulty_part_are_bounded(self, running, engines):
+        """The router's own retries must stop as well."""
+
+        def many_attempts(fleet):
+            fleet.routes[0]["max-attempts"] = 8
+
+        async with running(prepare=many_attempts, retry_slack=50) as fleet:
+            started_engines = await engines(fleet)
+            for number in range(3):
+                await fleet.call(
+                    "/idempotent/x",
+                    body=b"faulty %d" % number,
+                    Prompt_Prefix=prompt(FAULTY_PART, f"e{number}"),
+                )
+        assert 1 <= len(started_engines.crashed) <= CRASHES_TO_FIND_A_PART
