A part of prompts that crashes targets is found and held back, at all routers

Cause: the quarantine knows a request by its whole content, so that each such request was a first crash. Evidence: 38 of 39 logged crashes have a count of one, and one prefix was there at six crashes, never with a begun answer.

Parts of prompts (without the last) are now subjects of the same quarantine, by service: same evidence, messages, records and trials. Their rule differs, since many share them: a crash accuses only requests whose answer had not begun, a begun answer clears its parts, each part counts for itself, and crashes of one moment count once against a part in use. All blamed parts get a first trial after 0.3 s, which clears a harmless one; one that crashed its target is followed after 1 and 10 minutes; three in all, by the store's conditional write. A single crash under a part is stored, as all routers may end between two. The check is made at arrival, in the queue and at the moment of the send.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -1,5 +1,6 @@
 """Admission of requests: headers, access, quarantine and quota."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from random import random
 
@@ -15,8 +16,11 @@
 from berylwalk.forwarding import CallerRequest
 from berylwalk.platform import InvalidHeaders, RequestHeaders, parse_request_headers
 from berylwalk.quarantine import (
+    FREE,
     Identity,
     QuarantineStatus,
+    Verdict,
+    is_part,
     part_identity,
     request_identity,
 )
@@ -25,6 +29,8 @@
 """How long before a caller's own deadline the response is due."""
 QUARANTINED = "targets-ended-under-it"
 """Reason, in logs and metrics, for rejecting a quarantined request."""
+PART_QUARANTINED = "targets-ended-under-prompt-part"
+"""Reason, in logs and metrics, for rejecting a request with a quarantined part."""
 RETRY_AFTER_UNREADY_S = 1.0
 """``Retry-After`` of requests that arrive while no configuration is in force."""
 
@@ -55,8 +61,8 @@
         Digest that the request shares with its repetitions.
     prompt_parts : tuple of bytes
         Identities of the parts of its prompt that other requests may share.
-    is_trial : bool
-        Whether the request is quarantined and needs a trial permit.
+    verdict : Verdict
+        How it was treated by the quarantine when it was admitted.
     charge : Charge or None
         The charge to the account's quota; None if it has no limit.
     """
@@ -71,9 +77,19 @@
     deadline: float
     identity: Identity
     prompt_parts: tuple[Identity, ...] = ()
-    is_trial: bool = False
+    verdict: Verdict = FREE
     charge: "Charge | None" = None
 
+    @property
+    def subjects(self) -> tuple[Identity, ...]:
+        """Itself and the parts of its prompt: what may have crashed its target."""
+        return (self.identity, *self.prompt_parts)
+
+    @property
+    def is_trial(self) -> bool:
+        """Whether it is quarantined and needs trial permits."""
+        return bool(self.verdict.trial_of)
+
     @property
     def request_id(self) -> bytes:
         """Id that the caller gave this request."""
@@ -114,8 +130,8 @@
         Id of the request; empty if it has none.
     charge : Charge or None
         The charge that exceeded the account's quota.
-    identity : bytes or None
-        Identity of the request, if it is quarantined.
+    blocked_by : tuple of bytes
+        Identities for which it is quarantined.
     """
 
     status: int
@@ -123,7 +139,7 @@
     retry_after_s: float | None
     request_id: bytes
     charge: "Charge | None" = None
-    identity: Identity | None = None
+    blocked_by: tuple[Identity, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,11 +180,10 @@
             access.status, access.reason, retry_after_s, parsed_headers.request_id
         )
     admitted = _admitted(request, parsed_headers, access)
-    match context.quarantine.status(admitted.identity, context.clock()):
-        case QuarantineStatus.BLAMED:
-            return quarantine_refusal(context, admitted)
-        case QuarantineStatus.TRIAL:
-            admitted = replace(admitted, is_trial=True)
+    verdict = context.quarantine.verdict(admitted.subjects, context.clock())
+    if verdict.status is QuarantineStatus.BLAMED:
+        return _quarantine_refusal(context, admitted, verdict)
+    admitted = replace(admitted, verdict=verdict)
     if admitted.account is None:
         return admitted
     account, route, cost = admitted.account, admitted.route, admitted.cost
@@ -182,20 +197,25 @@
     return replace(admitted, charge=charge) if account.rate_per_s > 0 else admitted
 
 
-def quarantine_refusal(context: RouterContext, admitted: Admitted) -> Refusal:
+def quarantine_reason(blocked_by: Sequence[Identity]) -> str:
+    """Return the reason for rejecting a request that is quarantined."""
+    return PART_QUARANTINED if any(map(is_part, blocked_by)) else QUARANTINED
+
+
+def _quarantine_refusal(
+    context: RouterContext, admitted: Admitted, verdict: Verdict
+) -> Refusal:
     """Return the rejection of a quarantined request.
 
     It uses 503 because clients treat a 4xx status as permanent, and the router can't
     tell whether the request itself is invalid.
     """
-    now = context.clock()
-    retry_after_s = context.quarantine.retry_after_s(admitted.identity, now)
     return Refusal(
         503,
-        QUARANTINED,
-        retry_after_s,
+        quarantine_reason(verdict.blocked_by),
+        context.quarantine.retry_after_s(verdict.blocked_by, context.clock()),
         admitted.request_id,
-        identity=admitted.identity,
+        blocked_by=verdict.blocked_by,
     )
 
 
--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -12,6 +12,9 @@
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 SPEED_REPORT_EVENTS = 8
 """Events of a stream after which the output speed of the target is updated."""
+BEGUN_AFTER_S = 0.05
+"""Time from the first event of a stream after which its target has survived the start
+of the response: the event may arrive just before the crash that it belongs to."""
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -33,6 +36,8 @@
         Time of the loop, in seconds.
     on_first_event : callable
         Called when the first event has arrived.
+    on_begun : callable
+        Called once when the target has survived the start of a stream.
     on_output : callable
         Called periodically with a number of events and their duration in seconds.
     on_signals : callable
@@ -58,6 +63,7 @@
         expects_stream: bool,
         clock: Callable[[], float],
         on_first_event: Callable[[], None],
+        on_begun: Callable[[], None],
         on_output: Callable[[int, float], None],
         on_signals: Callable[[TargetSignals, int], None],
     ) -> None:
@@ -66,6 +72,8 @@
         self._expects_stream = expects_stream
         self._clock = clock
         self._on_first_event = on_first_event
+        self._on_begun = on_begun
+        self._begun_reported = False
         self._on_output = on_output
         self._on_signals = on_signals
         self._events_reported = 0
@@ -91,6 +99,16 @@
         """Whether the response is forwarded event by event."""
         return self._splitter is not None
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the target responded with a 2xx status."""
+        return 200 <= self.status < 300
+
+    def has_begun(self, now: float) -> bool:
+        """Return whether the target has survived the start of the response."""
+        started_at = self.first_event_at
+        return started_at is not None and now - started_at >= BEGUN_AFTER_S
+
     @property
     def body(self) -> bytes:
         """Body of a response that is not a stream."""
@@ -134,6 +152,9 @@
             self.first_event_at = self._reported_at = now
             self._events_reported = len(events)
             self._on_first_event()
+        elif not self._begun_reported and self.has_begun(now):
+            self._begun_reported = True
+            self._on_begun()
         self.events += len(events)
         if self.events - self._events_reported >= SPEED_REPORT_EVENTS:
             self._report_output(now)
--- a/libs/direct/src/berylwalk/direct/_attempt_feedback.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_feedback.py
@@ -85,14 +85,28 @@
     def _record_in_quarantine(self, target: Target, attempt: Attempt) -> None:
         """Record whether the target terminated while running the request."""
         quarantine, now = self._context.quarantine, self._context.clock()
-        identity = self._admitted.identity
+        admitted = self._admitted
+        identity = admitted.identity
         if attempt.target_ended and self._was_active(target):
-            if quarantine.record_crash(identity, target.entry.incarnation_id, now):
-                self._log.log_target_ended(self._admitted, target, attempt)
+            parts = () if attempt.has_begun(now) else admitted.prompt_parts
+            if quarantine.record_crashes(
+                (identity, *parts), target.entry.incarnation_id, now
+            ):
+                self._log.log_target_ended(admitted, target, attempt)
         elif attempt.end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
             self.record_alive(target)
             if quarantine.record_success(identity, now):
-                self._log.log_cleared(self._admitted, target)
+                self._log.log_cleared(admitted, target, identity)
+            if attempt.end is AttemptEnd.ANSWERED and attempt.is_success:
+                self.record_begun(target)
+
+    def record_begun(self, target: Target) -> None:
+        """Record that the response has begun, which clears the parts of the prompt."""
+        context, admitted = self._context, self._admitted
+        for part in context.quarantine.record_begun(
+            admitted.prompt_parts, context.clock()
+        ):
+            self._log.log_cleared(admitted, target, part)
 
     def _was_active(self, target: Target) -> bool:
         """Return whether a target is listed and has not announced that it is leaving.
--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -113,6 +113,9 @@
             )
             self._attempt_feedback.record_alive(target)
 
+        def on_begun() -> None:
+            self._attempt_feedback.record_begun(target)
+
         def on_output(events: int, elapsed_s: float) -> None:
             tokens = self._tokens_per_event() * events
             target.note_output(tokens, events, elapsed_s)
@@ -132,6 +135,7 @@
             expects_stream=self._admitted.route.kind is RouteKind.STREAMING,
             clock=self._context.clock,
             on_first_event=on_first_event,
+            on_begun=on_begun,
             on_output=on_output,
             on_signals=on_signals,
         )
@@ -163,10 +167,12 @@
         requires_key = self._admitted.account is not None
         if requires_key and not configuration.trusts_keys(self._context.clock()):
             return False
-        # The request may have been quarantined in the meantime.
-        quarantine, now = self._context.quarantine, self._context.clock()
-        quarantine_status = quarantine.status(self._admitted.identity, now)
-        if quarantine_status.is_blocked and not self._admitted.is_trial:
+        # It may have been quarantined in the meantime, for another reason if it is a
+        # trial.
+        verdict = self._context.quarantine.verdict(
+            self._admitted.subjects, self._context.clock()
+        )
+        if set(verdict.blocked_by) - set(self._admitted.verdict.blocked_by):
             return False
         # The target may have announced in the meantime that it is leaving or wants no
         # requests for a while.
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -13,7 +13,7 @@
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._decision_log import DecisionLog
 from berylwalk.direct._elapsed_time import elapsed_clock
-from berylwalk.direct._exchange import Exchange
+from berylwalk.direct._exchange import Exchange, TrialPermits
 from berylwalk.direct._gauges import refresh_gauges
 from berylwalk.direct._listeners import Listener
 from berylwalk.direct._metrics import RouterMetrics
@@ -262,7 +262,10 @@
             self._context,
             connection,
             request,
-            acquire_trial_permit=self._quarantine_store.acquire_trial_permit,
+            trial_permits=TrialPermits(
+                self._quarantine_store.acquire_trial_permits,
+                self._quarantine_store.return_trial_permits,
+            ),
         )
         self._exchanges_by_connection[connection] = exchange
         self._tasks.start_soon(self._run_exchange, connection, exchange)
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -2,11 +2,12 @@
 
 from asyncio import get_running_loop
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from random import random
 
 from anyio import CancelScope, Event, move_on_after
 
-from berylwalk.direct._admission import QUARANTINED, Admitted, Refusal, admit
+from berylwalk.direct._admission import Admitted, Refusal, admit, quarantine_reason
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._attempt_runner import AttemptRunner
 from berylwalk.direct._context import RouterContext
@@ -24,17 +25,33 @@
 )
 from berylwalk.forwarding import CallerConnection, CallerRequest
 from berylwalk.platform import refusal_headers
-from berylwalk.quarantine import Identity, QuarantineStatus
+from berylwalk.quarantine import Identity, QuarantineStatus, Verdict
 
-AcquireTrialPermit = Callable[[Identity], Awaitable[bool]]
-"""Acquires the permit to send a quarantined request once."""
 PLACEMENT_CHECK_INTERVAL_S = 0.1
+PERMIT_RETURN_TIMEOUT_S = 1.0
+"""How long to try to return an unused trial permit."""
 TIMER_MARGIN_S = 0.001
 """Event loop timers may fire early by up to the clock's resolution."""
 NO_STATUS = 0
 """Logged instead of a status if the caller got no complete response."""
 
 
+@dataclass(frozen=True, slots=True)
+class TrialPermits:
+    """Permits to send a quarantined request once.
+
+    Parameters
+    ----------
+    acquire : callable
+        Acquires the permits for some identities; returns whether it succeeded.
+    give_back : callable
+        Returns the permits of a request that was not sent.
+    """
+
+    acquire: Callable[[tuple[Identity, ...]], Awaitable[bool]]
+    give_back: Callable[[tuple[Identity, ...]], Awaitable[None]]
+
+
 class Exchange:
     """Handles one request of a caller.
 
@@ -46,8 +63,8 @@
         Connection that the response is written to.
     request : CallerRequest
         The complete request.
-    acquire_trial_permit : callable
-        Acquires the permit for the trial of a quarantined request.
+    trial_permits : TrialPermits
+        Permits for trials of quarantined requests.
     """
 
     def __init__(
@@ -56,12 +73,12 @@
         connection: CallerConnection,
         request: CallerRequest,
         *,
-        acquire_trial_permit: AcquireTrialPermit,
+        trial_permits: TrialPermits,
     ) -> None:
         self._context = context
         self._connection = connection
         self._request = request
-        self._acquire_trial_permit = acquire_trial_permit
+        self._trial_permits = trial_permits
         self._scope = CancelScope()
         self._log = ExchangeLog(context, request.arrived_at)
 
@@ -83,7 +100,7 @@
             self._connection,
             admitted,
             self._log,
-            acquire_trial_permit=self._acquire_trial_permit,
+            trial_permits=self._trial_permits,
         )
         with self._scope:
             await lifecycle.run()
@@ -104,8 +121,8 @@
         The request.
     log : ExchangeLog
         Logs the events of the request.
-    acquire_trial_permit : callable
-        Acquires the permit for the trial of a quarantined request.
+    trial_permits : TrialPermits
+        Permits for trials of quarantined requests.
     """
 
     def __init__(
@@ -115,13 +132,13 @@
         admitted: Admitted,
         log: ExchangeLog,
         *,
-        acquire_trial_permit: AcquireTrialPermit,
+        trial_permits: TrialPermits,
     ) -> None:
         self._context = context
         self._connection = connection
         self._admitted = admitted
         self._log = log
-        self._acquire_trial_permit = acquire_trial_permit
+        self._trial_permits = trial_permits
         self._attempts = Attempts()
         self._excluded: set[str] = set()
         self._stream_version: str | None = None
@@ -136,16 +153,29 @@
             log=log,
         )
         self._available_at = float("-inf")
+        self._has_sent = False
         self.is_finished = False
 
     async def run(self) -> None:
+        """Drive the request; a trial that was not sent does not use up its permits."""
+        trial_of = self._admitted.verdict.trial_of
+        if not trial_of:
+            await self._run()
+            return
+        if not await self._trial_permits.acquire(trial_of):
+            blocked_by = self._admitted.verdict.blocked_by
+            self._fail(AttemptEnd.NOT_SENT, quarantine_reason(blocked_by))
+            return
+        try:
+            await self._run()
+        finally:
+            if not self._has_sent:
+                with move_on_after(PERMIT_RETURN_TIMEOUT_S, shield=True):
+                    await self._trial_permits.give_back(trial_of)
+
+    async def _run(self) -> None:
         """Attempt targets until one responds or no further attempt is allowed."""
         context, admitted = self._context, self._admitted
-        if admitted.is_trial and not await self._acquire_trial_permit(
-            admitted.identity
-        ):
-            self._fail(AttemptEnd.NOT_SENT, QUARANTINED)
-            return
         context.retries.record_request(admitted.service, context.clock())
         if admitted.takes_up_stream and not self._bind_to_stream_version():
             self._fail(AttemptEnd.NOT_SENT, "stream-version-unknown")
@@ -158,7 +188,7 @@
             if target is None:
                 self._fail(AttemptEnd.NOT_SENT, self._unplaced_reason())
                 return
-            attempt = await self._attempt_runner.send(target)
+            attempt = await self._send(target)
             if self._response_writer.started and self._stream_version is None:
                 self._stream_version = target.entry.version
             if attempt.end is AttemptEnd.ANSWERED:
@@ -174,6 +204,15 @@
                 admitted, target, attempt, self._response_writer.last_event_id
             )
 
+    async def _send(self, target: Target) -> Attempt:
+        had_sent = self._has_sent
+        # An attempt that is cancelled may have been sent.
+        self._has_sent = True
+        attempt = await self._attempt_runner.send(target)
+        if attempt.end is AttemptEnd.NOT_SENT:
+            self._has_sent = had_sent
+        return attempt
+
     def _bind_to_stream_version(self) -> bool:
         """Bind the request to the version that began its stream.
 
@@ -192,6 +231,8 @@
 
     def _unplaced_reason(self) -> str:
         """Return the reason why the request got no target."""
+        if self._is_newly_quarantined():
+            return quarantine_reason(self._verdict().blocked_by)
         version = self._stream_version
         targets = self._context.targets.of_service(self._admitted.service)
         if version is None or any(each.entry.version == version for each in targets):
@@ -206,8 +247,9 @@
         if not self._attempts.may_retry(self._admitted.route, attempt.end):
             return f"attempt-{attempt.end}"
         is_unused_trial = self._admitted.is_trial and attempt.end is AttemptEnd.NOT_SENT
-        if self._is_quarantined() and not is_unused_trial:
-            return QUARANTINED
+        verdict = self._verdict()
+        if verdict.blocked_by and not is_unused_trial:
+            return quarantine_reason(verdict.blocked_by)
         if attempt.end is AttemptEnd.NOT_SENT:
             return ""
         return "" if self._take_retry(now) else "retry-budget"
@@ -220,13 +262,14 @@
         self._log.record_retry_decision(self._admitted, state, is_granted=is_granted)
         return is_granted
 
-    def _is_quarantined(self) -> bool:
-        """Return whether the request is quarantined by now."""
-        return self._quarantine_status().is_blocked
-
-    def _quarantine_status(self) -> QuarantineStatus:
+    def _verdict(self) -> Verdict:
+        """Return how the quarantine treats the request by now."""
         context = self._context
-        return context.quarantine.status(self._admitted.identity, context.clock())
+        return context.quarantine.verdict(self._admitted.subjects, context.clock())
+
+    def _is_newly_quarantined(self) -> bool:
+        """Return whether the request was quarantined after its admission."""
+        return bool(self._verdict().blocked_by) and not self._admitted.is_trial
 
     async def _acquire_target(self, deadlines: RequestDeadlines) -> Target | None:
         """Return a target that the request already counts against, or None."""
@@ -271,6 +314,8 @@
         """Wait for a placement for as long as one may arrive in time."""
         clock = self._context.clock
         while not placed.is_set():
+            if self._is_newly_quarantined():
+                return
             now = clock()
             wait_until = self._wait_deadline(pending, deadlines, now)
             if wait_until <= now:
@@ -352,7 +397,7 @@
         """Return whether the request may terminate its target."""
         return (
             self._admitted.is_trial
-            or self._quarantine_status() is QuarantineStatus.SUSPECTED
+            or self._verdict().status is QuarantineStatus.SUSPECTED
         )
 
     def _complete(self, attempt: Attempt) -> None:
@@ -392,10 +437,9 @@
         admitted, now = self._admitted, self._context.clock()
         if admitted.account is not None:
             self._context.quotas.refund(admitted.account, admitted.cost, now)
-        if reason == QUARANTINED:
-            return self._context.quarantine.retry_after_s(
-                admitted.identity, self._context.clock()
-            )
+        blocked_by = self._verdict().blocked_by
+        if blocked_by:
+            return self._context.quarantine.retry_after_s(blocked_by, now)
         return retry_after_s(
             admitted.deadline - now, available_in_s=self._available_at - now
         )
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -1,5 +1,6 @@
 """Logs and metrics of one request."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from berylwalk.direct._admission import Admitted, Charge, Refusal
@@ -160,7 +161,7 @@
             status=refusal.status,
             reason=refusal.reason,
             **_refused_charge_fields(refusal.charge),
-            **self._quarantine_fields(refusal.identity),
+            **self._quarantine_fields(refusal.blocked_by),
         )
 
     def log_target_ended(
@@ -178,22 +179,26 @@
             events=attempt.events,
         )
 
-    def log_cleared(self, admitted: Admitted, target: Target) -> None:
-        """Log that the request completed without terminating its target."""
+    def log_cleared(
+        self, admitted: Admitted, target: Target, identity: Identity
+    ) -> None:
+        """Log that the request, or a part of its prompt, is cleared of crashes."""
         self.context.log.request(
             "request-cleared",
             admitted.request_id,
             target=target.entry.target_id,
-            identity=admitted.identity.hex(),
+            identity=identity.hex(),
         )
 
-    def _quarantine_fields(self, identity: Identity | None) -> dict[str, object]:
+    def _quarantine_fields(self, blocked_by: Sequence[Identity]) -> dict[str, object]:
         """Return the evidence for which a request is quarantined."""
-        if identity is None:
+        if not blocked_by:
             return {}
+        identity = blocked_by[-1]
         blame = self.context.quarantine.blames.get(identity)
         fields: dict[str, object] = {
             "identity": identity.hex(),
+            "blocked_by": [each.hex() for each in blocked_by],
             "ended": self.context.quarantine.crashed_incarnations(identity),
         }
         if blame is not None:
--- a/libs/direct/src/berylwalk/direct/_quarantine_store.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_store.py
@@ -5,7 +5,7 @@
 Operators release a request by deleting its record.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from time import time
 
@@ -101,19 +101,40 @@
             self._wake_event = Event()
             await self._sync()
 
-    async def acquire_trial_permit(self, identity: Identity) -> bool:
-        """Acquire the permit to send a quarantined request once.
+    async def acquire_trial_permits(self, identities: Iterable[Identity]) -> bool:
+        """Acquire the permits to send a quarantined request once.
 
         Parameters
         ----------
-        identity : bytes
-            Identity of the request.
+        identities : iterable of bytes
+            Identities that the request is a trial of: its own, or parts of its prompt.
 
         Returns
         -------
         bool
             Whether the request may be sent.
         """
+        acquired: list[Identity] = []
+        for identity in identities:
+            if not await self._acquire_trial_permit(identity):
+                await self.return_trial_permits(acquired)
+                return False
+            acquired.append(identity)
+        return True
+
+    async def return_trial_permits(self, identities: Iterable[Identity]) -> None:
+        """Return the permits of a request that was not sent to any target."""
+        for identity in identities:
+            known = self._stored.get(identity)
+            if known is None or not known.record.trials:
+                continue
+            record = structs.replace(known.record, trials=known.record.trials - 1)
+            if await self._write(identity, record, known.revision):
+                context = self._context
+                context.quarantine.record_trial(identity, record, context.clock())
+                context.log.process("trial-returned", identity=identity.hex())
+
+    async def _acquire_trial_permit(self, identity: Identity) -> bool:
         context = self._context
         item = await self._store_health.track(
             "read-trial", self._store.get(record_key(identity))
@@ -134,12 +155,18 @@
             is not QuarantineStatus.TRIAL
         ):
             return False
-        trials = known.record.trials + 1
-        record = structs.replace(known.record, trials=trials)
+        record = self._record_of(identity)
+        record = structs.replace(
+            record,
+            trials=known.record.trials + 1,
+            crashes_at_trial=len(record.ended),
+        )
         if not await self._write(identity, record, known.revision):
             return False
-        context.quarantine.record_trial(identity, trials, context.clock())
-        context.log.process("trial-permitted", identity=identity.hex(), trials=trials)
+        context.quarantine.record_trial(identity, record, context.clock())
+        context.log.process(
+            "trial-permitted", identity=identity.hex(), trials=record.trials
+        )
         return True
 
     async def _sync(self) -> None:
@@ -155,11 +182,11 @@
             await self._scan()
 
     def _due(self, now: float, *, is_leader: bool) -> list[Identity]:
-        """Return the requests with evidence that is missing in the store."""
+        """Return the identities with evidence that is missing in the store."""
         quarantine = self._context.quarantine
         missing = [
             identity
-            for identity in (*quarantine.blames, *quarantine.suspected)
+            for identity in sorted(quarantine.to_store(now))
             if quarantine.stored_crashes.get(identity, 0)
             < min(CRASHES_TO_BLAME, len(quarantine.crashed_incarnations(identity)))
         ]
@@ -284,9 +311,7 @@
             return None
         known = self._stored[identity] = _StoredRecord(record, item.mod_revision)
         quarantine = self._context.quarantine
-        quarantine.merge_stored(
-            identity, record.ended, record.trials, self._context.clock()
-        )
+        quarantine.merge_stored(identity, record, self._context.clock())
         quarantine.record_stored(identity, len(record.ended))
         return known
 
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -187,7 +187,9 @@
         if status is QuarantineStatus.BLAMED:
             return "held-back"
         is_trial = status is QuarantineStatus.TRIAL
-        if is_trial and not await self.quarantine_store.acquire_trial_permit(identity):
+        if is_trial and not await self.quarantine_store.acquire_trial_permits(
+            [identity]
+        ):
             return "held-back"
         for _ in range(self.simulation.attempts):
             isolated = is_trial or status is QuarantineStatus.SUSPECTED
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -206,7 +206,7 @@
             caller or FakeCaller(on_done),
             admitted,
             ExchangeLog(self.context, now),
-            acquire_trial_permit=None,
+            trial_permits=None,
         )
         await lifecycle.run()
 
--- a/libs/quarantine/src/berylwalk/quarantine/__init__.py
+++ b/libs/quarantine/src/berylwalk/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests that crash the targets which process them."""
+"""Quarantine of requests and prompt parts that crash the targets processing them."""
 
 from berylwalk.quarantine._attribution import (
     CRASHES_TO_BLAME,
@@ -16,12 +16,14 @@
 from berylwalk.quarantine._messages import QuarantineUpdate, SuspectUpdate
 from berylwalk.quarantine._outbox import Outbox
 from berylwalk.quarantine._quarantine import (
+    FREE,
     TRIAL_DELAYS_S,
     Blame,
     ChangeKind,
     Quarantine,
     QuarantineChange,
     QuarantineStatus,
+    Verdict,
 )
 from berylwalk.quarantine._records import (
     RECORDS_PREFIX,
@@ -32,6 +34,7 @@
 
 __all__ = [
     "CRASHES_TO_BLAME",
+    "FREE",
     "RECORDS_PREFIX",
     "TRIAL_DELAYS_S",
     "Attribution",
@@ -46,6 +49,7 @@
     "QuarantineUpdate",
     "Record",
     "SuspectUpdate",
+    "Verdict",
     "account_prefix",
     "attribute_crashes",
     "identity_from_key",
--- a/libs/quarantine/src/berylwalk/quarantine/_evidence.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_evidence.py
@@ -8,9 +8,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from berylwalk.quarantine._identity import Identity, account_prefix
+from berylwalk.quarantine._identity import PART_PREFIX, Identity, account_prefix
 
 MAX_SUSPECTS_PER_ACCOUNT = 256
+MAX_PARTS = 2048
+"""Bound for prompt parts in place of that of an account: callers choose their names."""
 MAX_SUSPECTS = 4096
 MAX_CRASHES_PER_SUSPECT = 16
 """The newest crashes are kept."""
@@ -174,7 +176,9 @@
         return suspect
 
     def _make_room(self, account: bytes) -> None:
-        if self._counts_by_account[account] >= MAX_SUSPECTS_PER_ACCOUNT:
+        is_of_parts = account == PART_PREFIX
+        most = MAX_PARTS if is_of_parts else MAX_SUSPECTS_PER_ACCOUNT
+        if self._counts_by_account[account] >= most:
             self._evict_lowest(account)
         elif len(self._suspects) >= MAX_SUSPECTS:
             ((largest, _),) = self._counts_by_account.most_common(1)
--- a/libs/quarantine/src/berylwalk/quarantine/_outbox.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_outbox.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from berylwalk.quarantine._identity import Identity
+from berylwalk.quarantine._identity import Identity, is_part
 
 TRANSMISSIONS = 4
 """Messages in which each item is sent, as datagrams may be lost: if three in a
@@ -22,8 +22,13 @@
         )
 
     def add(self, identity: Identity) -> None:
-        """Schedule a request, to be sent with its state at that time."""
+        """Schedule a request or part, to be sent with its state at that time.
+
+        Parts go first: each crash implicates few of them, but many requests.
+        """
         self._transmissions_by_identity[identity] = TRANSMISSIONS
+        if is_part(identity):
+            self._transmissions_by_identity.move_to_end(identity, last=False)
 
     def add_once(self, identity: Identity) -> None:
         """Schedule a request for one transmission if none is pending."""
--- a/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
@@ -5,7 +5,7 @@
 narrows them down, and routers exchange what they saw without a shared log.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -15,7 +15,7 @@
     attribute_crashes,
 )
 from berylwalk.quarantine._evidence import Evidence
-from berylwalk.quarantine._identity import Identity
+from berylwalk.quarantine._identity import Identity, is_part
 from berylwalk.quarantine._messages import (
     MAX_CRASHES_PER_UPDATE,
     MAX_SUSPECTS_PER_UPDATE,
@@ -23,12 +23,23 @@
     SuspectUpdate,
 )
 from berylwalk.quarantine._outbox import Outbox
+from berylwalk.quarantine._part_attribution import PartsInUse, attribute_part_crashes
+from berylwalk.quarantine._records import Record
 
 TRIAL_DELAYS_S = (60.0, 600.0)
 """Time from the blame to the first trial, and from there to the second, in seconds."""
 CONTESTED_TRIAL_DELAY_S = 0.3
 """Time to the first trial of a contested request, in seconds: it is likely to be
 harmless and its caller still waits, but routers must have exchanged their crashes."""
+PART_TRIAL_DELAYS_S = (CONTESTED_TRIAL_DELAY_S, 60.0, 600.0)
+"""Time to each trial of a prompt part if the previous one crashed its target, in
+seconds. The first one is early, as it clears a harmless part."""
+INCONCLUSIVE_TRIAL_DELAY_S = 5.0
+"""Time to the next trial of a part if the target of the previous one neither crashed
+nor began to respond, in seconds."""
+PART_STORE_DELAY_S = 0.5
+"""Age from which a single crash under a part is stored, in seconds: by then most
+harmless parts are cleared."""
 REBROADCAST_INTERVAL_S = 1.0
 """Time between two transmissions of all blamed requests, in seconds: routers that were
 partitioned receive them before they count as alive again."""
@@ -64,14 +75,14 @@
 
 @dataclass(frozen=True, slots=True)
 class QuarantineChange:
-    """A request that was blamed, or is no longer.
+    """A request or prompt part that was blamed, or is no longer.
 
     Parameters
     ----------
     kind : ChangeKind
         Which of the two.
     identity : bytes
-        Which request.
+        Which request or part.
     ended : collection of str
         Incarnations of targets whose crashes led to the blame.
     """
@@ -93,11 +104,42 @@
         Trials known to have been granted.
     next_trial_at : float or None
         When the next trial may be granted; None if there is none left.
+    trial_at : float
+        When the last trial became known, in seconds.
+    crashes_at_trial : int
+        Number of crashes that were known when it was granted.
     """
 
     since: float
     trials: int = 0
     next_trial_at: float | None = None
+    trial_at: float = 0.0
+    crashes_at_trial: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """How a request is treated, by its own identity and by the parts of its prompt.
+
+    Parameters
+    ----------
+    status : QuarantineStatus
+        The status.
+    blocked_by : tuple of bytes
+        Identities that are blamed.
+    trial_of : tuple of bytes
+        Identities of which a trial permit is needed, if it is a trial.
+    """
+
+    status: QuarantineStatus
+    blocked_by: tuple[Identity, ...] = ()
+    trial_of: tuple[Identity, ...] = ()
+
+
+FREE = Verdict(QuarantineStatus.FREE)
+"""Verdict on a request that nothing is known against."""
+SUSPECTED = Verdict(QuarantineStatus.SUSPECTED)
+"""Verdict on a request that may have caused some crashes."""
 
 
 class Quarantine:
@@ -121,6 +163,7 @@
     def __init__(self) -> None:
         self._evidence = Evidence()
         self._attribution: Attribution = NO_ATTRIBUTION
+        self._parts_in_use = PartsInUse()
         self._rebroadcast_at = float("-inf")
         self._expired_at = float("-inf")
         self.blames: dict[Identity, Blame] = {}
@@ -146,12 +189,41 @@
             return QuarantineStatus.SUSPECTED
         return QuarantineStatus.FREE
 
-    def retry_after_s(self, identity: Identity, now: float) -> float:
+    def verdict(self, subjects: Sequence[Identity], now: float) -> Verdict:
+        """Return how a request is treated.
+
+        Several blamed parts may occur together only. A first trial is one of the last
+        part, so that the outer ones, which more requests share, keep theirs; later
+        trials are trials of all.
+
+        Parameters
+        ----------
+        subjects : sequence of bytes
+            Identity of the request, then of the parts of its prompt in order.
+        now : float
+            Time in seconds.
+        """
+        blamed = tuple(each for each in subjects if each in self.blames)
+        if not blamed:
+            suspected = self._attribution.suspected
+            is_suspected = any(each in suspected for each in subjects)
+            return SUSPECTED if is_suspected else FREE
+        if any(self.status(each, now) is QuarantineStatus.BLAMED for each in blamed):
+            return Verdict(QuarantineStatus.BLAMED, blamed)
+        untried = [each for each in blamed if not self.blames[each].trials]
+        trial_of = tuple(untried[-1:]) or blamed
+        return Verdict(QuarantineStatus.TRIAL, blamed, trial_of)
+
+    def retry_after_s(self, blocked_by: Iterable[Identity], now: float) -> float:
         """Return the time until a blocked request may be retried, in seconds."""
-        blame = self.blames.get(identity)
-        if blame is None or blame.next_trial_at is None:
-            return TRIAL_DELAYS_S[-1]
-        return max(REBROADCAST_INTERVAL_S, blame.next_trial_at - now)
+        waits_s = [REBROADCAST_INTERVAL_S]
+        for identity in blocked_by:
+            blame = self.blames.get(identity)
+            if blame is None or blame.next_trial_at is None:
+                waits_s.append(TRIAL_DELAYS_S[-1])
+            else:
+                waits_s.append(blame.next_trial_at - now)
+        return max(waits_s)
 
     def crashed_incarnations(self, identity: Identity) -> list[str]:
         """Return the incarnations of targets that crashed under a request."""
@@ -162,23 +234,62 @@
         """Requests that may have caused crashes, but are not blamed."""
         return self._attribution.suspected
 
+    def to_store(self, now: float) -> set[Identity]:
+        """Return the identities whose crashes the store should have."""
+        accused_parts = {
+            identity
+            for identity, crashed_at in self._evidence.crashes_by_identity().items()
+            if is_part(identity)
+            and now - min(crashed_at.values(), default=now) >= PART_STORE_DELAY_S
+        }
+        return accused_parts | set(self.blames) | set(self._attribution.suspected)
+
     # Local observations.
 
     def record_crash(self, identity: Identity, incarnation_id: str, now: float) -> bool:
         """Record that a target crashed under a request; returns whether it is new."""
-        is_new = self._evidence.add_crash(identity, incarnation_id, now)
-        if is_new:
+        return self.record_crashes([identity], incarnation_id, now)
+
+    def record_crashes(
+        self, identities: Iterable[Identity], incarnation_id: str, now: float
+    ) -> bool:
+        """Record that a target crashed under a request and the parts of its prompt.
+
+        The parts belong to the crash only if the response had not begun. Returns
+        whether any of it is new.
+        """
+        new = [
+            identity
+            for identity in identities
+            if self._evidence.add_crash(identity, incarnation_id, now)
+        ]
+        for identity in new:
             self._broadcast(identity)
+        if new:
             self._update_attribution(now)
-        return is_new
+        return bool(new)
+
+    def record_begun(self, parts: Iterable[Identity], now: float) -> list[Identity]:
+        """Record that a response began; returns the parts that this clears."""
+        parts = list(parts)
+        self._parts_in_use.record(parts, now)
+        cleared = [part for part in parts if self._clear(part, now)]
+        if cleared:
+            self._update_attribution(now)
+        return cleared
 
     def record_success(self, identity: Identity, now: float) -> bool:
         """Record that a target completed a request; returns whether that clears it."""
+        if not self._clear(identity, now):
+            return False
+        self._update_attribution(now)
+        return True
+
+    def _clear(self, identity: Identity, now: float) -> bool:
         crashed = list(self._evidence.crashed_incarnations(identity))
         if not crashed or not self._evidence.clear(identity, crashed, now):
             return False
         self._broadcast(identity)
-        self._update_attribution(now)
         return True
 
     def record_alive(self, incarnation_id: str, sent_at: float, now: float) -> bool:
@@ -209,9 +320,6 @@
         if now - self._expired_at < EXPIRY_INTERVAL_S:
             return
         self._expired_at = now
-        for identity in list(self.stored_crashes):
-            if not self._evidence.crashed_incarnations(identity):
-                del self.stored_crashes[identity]
         if self._evidence.expire(now):
             self._update_attribution(now)
 
@@ -246,16 +354,14 @@
             self._update_attribution(now)
         return is_new
 
-    def merge_stored(
-        self, identity: Identity, crashed: Iterable[str], trials: int, now: float
-    ) -> None:
-        """Merge the stored record of a request."""
-        for incarnation_id in crashed:
+    def merge_stored(self, identity: Identity, record: Record, now: float) -> None:
+        """Merge the stored record of a request or part."""
+        for incarnation_id in record.ended:
             self._evidence.add_crash(identity, incarnation_id, now)
         self._update_attribution(now)
         blame = self.blames.get(identity)
-        if blame is not None and trials > blame.trials:
-            _set_trials(blame, trials, now)
+        if blame is not None and record.trials > blame.trials:
+            self.record_trial(identity, record, now)
 
     def record_stored(self, identity: Identity, crashes: int) -> None:
         """Record how many crashes under a request the store has."""
@@ -265,11 +371,14 @@
             self.stored_crashes[identity] = crashes
             self._broadcast(identity)
 
-    def record_trial(self, identity: Identity, trials: int, now: float) -> None:
-        """Record how many trials a request has been granted."""
+    def record_trial(self, identity: Identity, record: Record, now: float) -> None:
+        """Record the trials that a request or part has been granted."""
         blame = self.blames.get(identity)
         if blame is not None:
-            _set_trials(blame, trials, now)
+            blame.trials = record.trials
+            blame.trial_at = now
+            blame.crashes_at_trial = record.crashes_at_trial
+            self._schedule_trial(identity, blame)
 
     # Updates to other routers.
 
@@ -317,13 +426,19 @@
             is_new |= self._evidence.add_crash(
                 suspect.identity, incarnation_id, now - age_s
             )
-        if suspect.stored_crashes > self.stored_crashes.get(suspect.identity, 0):
+        stored = self.stored_crashes.get(suspect.identity, 0)
+        is_accused = bool(self._evidence.crashed_incarnations(suspect.identity))
+        if is_accused and suspect.stored_crashes > stored:
             self.stored_crashes[suspect.identity] = suspect.stored_crashes
             is_new = True
         return is_new
 
     def _update_attribution(self, now: float) -> None:
-        self._attribution = attribute_crashes(self._evidence.crashes_by_identity())
+        self._attribution = self._attribute(now)
+        for identity in list(self.stored_crashes):
+            if not self._evidence.crashed_incarnations(identity):
+                # Its record will be deleted, so that new crashes are stored anew.
+                del self.stored_crashes[identity]
         for identity in list(self.blames):
             if identity not in self._attribution.blamed:
                 del self.blames[identity]
@@ -331,21 +446,57 @@
                     QuarantineChange(ChangeKind.NO_LONGER_BLAMED, identity, ())
                 )
         for identity, crashed in self._attribution.blamed.items():
-            if identity not in self.blames:
+            blame = self.blames.get(identity)
+            if blame is None:
                 blame = self.blames[identity] = Blame(now)
-                _set_trials(blame, 0, now)
-                if identity in self._attribution.contested:
-                    blame.next_trial_at = now + CONTESTED_TRIAL_DELAY_S
+                self._schedule_trial(identity, blame)
                 self.on_change(
                     QuarantineChange(ChangeKind.BLAMED, identity, sorted(crashed))
                 )
+            elif blame.trials:
+                self._schedule_trial(identity, blame)
 
+    def _attribute(self, now: float) -> Attribution:
+        """Attribute the crashes to prompt parts first, then the rest to requests."""
+        crashes_by_identity = self._evidence.crashes_by_identity()
+        by_part = attribute_part_crashes(
+            {
+                identity: crashed_at
+                for identity, crashed_at in crashes_by_identity.items()
+                if is_part(identity)
+            },
+            is_in_use=lambda part: self._parts_in_use.contains(part, now),
+        )
+        explained = frozenset().union(*by_part.blamed.values())
+        by_request = attribute_crashes(
+            {
+                identity: crashed_at.keys() - explained
+                for identity, crashed_at in crashes_by_identity.items()
+                if not is_part(identity)
+            }
+        )
+        return Attribution(
+            {**by_part.blamed, **by_request.blamed},
+            by_part.suspected | by_request.suspected,
+            by_part.contested | by_request.contested,
+        )
 
-def _age_s(time: float, now: float) -> float:
-    return round(min(max(0.0, now - time), MAX_AGE_S), 3)
+    def _schedule_trial(self, identity: Identity, blame: Blame) -> None:
+        delays_s = PART_TRIAL_DELAYS_S if is_part(identity) else TRIAL_DELAYS_S
+        if blame.trials >= len(delays_s):
+            blame.next_trial_at = None
+            return
+        delay_s = delays_s[blame.trials]
+        if not blame.trials:
+            if identity in self._attribution.contested:
+                delay_s = CONTESTED_TRIAL_DELAY_S
+            blame.next_trial_at = blame.since + delay_s
+            return
+        crashes = len(self._evidence.crashed_incarnations(identity))
+        if is_part(identity) and crashes <= blame.crashes_at_trial:
+            delay_s = INCONCLUSIVE_TRIAL_DELAY_S
+        blame.next_trial_at = blame.trial_at + delay_s
 
 
-def _set_trials(blame: Blame, trials: int, now: float) -> None:
-    blame.trials = trials
-    has_more = trials < len(TRIAL_DELAYS_S)
-    blame.next_trial_at = now + TRIAL_DELAYS_S[trials] if has_more else None
+def _age_s(time: float, now: float) -> float:
+    return round(min(max(0.0, now - time), MAX_AGE_S), 3)
--- a/libs/quarantine/src/berylwalk/quarantine/_records.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_records.py
@@ -1,4 +1,4 @@
-"""Records in the store of requests under which targets crashed."""
+"""Records in the store of requests and prompt parts under which targets crashed."""
 
 from typing import Annotated
 
@@ -11,7 +11,7 @@
 
 
 class Record(Struct):
-    """State of one request; its key holds the identity.
+    """State of one request or prompt part; its key holds the identity.
 
     Parameters
     ----------
@@ -21,11 +21,14 @@
         Trials granted to it by all routers.
     noted_s : float
         Time of day at which it was first written, in seconds since the epoch.
+    crashes_at_trial : int
+        Number of crashes that were known when the last trial was granted.
     """
 
     ended: Annotated[list[IncarnationField], Meta(max_length=64)]
     trials: Annotated[int, Meta(ge=0, le=1000)] = 0
     noted_s: float = 0.0
+    crashes_at_trial: Annotated[int, Meta(ge=0, le=1000)] = 0
 
 
 def record_key(identity: Identity) -> bytes:
--- a/libs/quarantine/tests/test_quarantine_state.py
+++ b/libs/quarantine/tests/test_quarantine_state.py
@@ -9,6 +9,7 @@
     Quarantine,
     QuarantineStatus,
     QuarantineUpdate,
+    Record,
 )
 from berylwalk.quarantine._outbox import TRANSMISSIONS
 
@@ -86,21 +87,21 @@
         first, second = TRIAL_DELAYS_S
         assert quarantine.status(REQUEST, first - 1) is QuarantineStatus.BLAMED
         assert quarantine.status(REQUEST, first) is QuarantineStatus.TRIAL
-        quarantine.record_trial(REQUEST, 1, first)
+        quarantine.record_trial(REQUEST, Record([], 1), first)
         assert quarantine.status(REQUEST, first + second - 1) is QuarantineStatus.BLAMED
         assert quarantine.status(REQUEST, first + second) is QuarantineStatus.TRIAL
-        quarantine.record_trial(REQUEST, 2, first + second)
+        quarantine.record_trial(REQUEST, Record([], 2), first + second)
         assert quarantine.status(REQUEST, 1e9) is QuarantineStatus.BLAMED
 
     def test_retry_after_is_the_next_trial(self, quarantine):
         """Callers must not retry before the next trial, if there is one."""
-        assert quarantine.retry_after_s(REQUEST, 20.0) == TRIAL_DELAYS_S[0] - 20.0
-        quarantine.record_trial(REQUEST, 2, 20.0)
-        assert quarantine.retry_after_s(REQUEST, 20.0) == TRIAL_DELAYS_S[1]
+        assert quarantine.retry_after_s([REQUEST], 20.0) == TRIAL_DELAYS_S[0] - 20.0
+        quarantine.record_trial(REQUEST, Record([], 2), 20.0)
+        assert quarantine.retry_after_s([REQUEST], 20.0) == TRIAL_DELAYS_S[1]
 
     def test_trials_in_the_store_count(self, quarantine):
         """Trials that other routers granted must not be granted again."""
-        quarantine.merge_stored(REQUEST, ["a"], 2, 5.0)
+        quarantine.merge_stored(REQUEST, Record(["a"], 2), 5.0)
         assert quarantine.status(REQUEST, 1e9) is QuarantineStatus.BLAMED
 
 
