--- a/libs/direct/src/berylwalk/direct/_quarantine_store.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_store.py
@@ -277,7 +277,10 @@
                 await self._delete(identity)
 
     async def _delete(self, identity: Identity) -> bool:
-        known = self._stored[identity]
+        known = self._stored.get(identity)
+        if known is None:
+            # A trial found that the record was deleted.
+            return True
         result = await self._store_health.track(
             "end-quarantine",
             self._store.delete_if(record_key(identity), known.revision),
@@ -289,7 +292,8 @@
                 known, revision=result.current.mod_revision
             )
             return False
-        del self._stored[identity]
+        if self._stored.get(identity) is known:
+            del self._stored[identity]
         return True
 
     def _load_record(self, identity: Identity, item: KeyValue) -> _StoredRecord | None:
--- a/libs/direct/tests/test_direct_quarantine_records.py
+++ b/libs/direct/tests/test_direct_quarantine_records.py
@@ -89,6 +89,25 @@
 
             await fleet.until(is_written)
 
+    async def test_record_that_a_trial_releases_during_its_deletion(
+        self, running, monkeypatch
+    ):
+        """The router must go on: trials run beside the deletion of cleared records."""
+        async with running(answers("ok"), prepare=stored_record()) as fleet:
+            quarantine = quarantine_of(fleet)
+            await fleet.until(lambda: identity() in quarantine.blames)
+            records = fleet.router._quarantine_store
+            delete_if = records._store.delete_if
+
+            async def delete_beside_a_trial(*arguments):
+                records._release(identity())
+                return await delete_if(*arguments)
+
+            monkeypatch.setattr(records._store, "delete_if", delete_beside_a_trial)
+            quarantine.record_success(identity(), fleet.router._context.clock())
+            await fleet.until(lambda: fleet.platform.store.get(key()) is None)
+            assert (await fleet.call("/idempotent/x", body=b"another")).status == 200
+
     async def test_unreadable_record_is_ignored(self, running):
         """The unreadable record is ignored."""
         prepare = stored_record(value=b'{"ended": 3}')
