Plays of prompt parts that crash targets: 2 to 31 routers, all their lives

Admission, request handling, peering, quarantine and records are the real code; the store is the stand-in. Judged at targets and callers: at most three sends with a part later than 3 s after its fifth crash, harmless requests of the same account or first part served half as often as before at least. Rates of 0.3 to 30 a second, one part or two, apart or together, first or inner, beside crashes of whole domains, resets, kills of one and all, restarts in turn, cuts, losses, a store away.

--- a/libs/direct/tests/virtual_parts.py
+++ b/libs/direct/tests/virtual_parts.py
@@ -7,7 +7,7 @@
 
 from asyncio import get_running_loop
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from anyio import create_task_group, sleep
 
@@ -27,10 +27,13 @@
 from stating_targets import LATENCY_S, SERVICE, Arrival, SignallingTarget
 from virtual_play import DOMAINS
 from virtual_retries import RetryRouter, RetrySimulation
+from virtual_statements import Defect
 
 CONTACT_S = 3.0
 """Age of a fault, or of the fifth crash, from which the bounds apply."""
 CRASHES_TO_FIND = 5
+FEWEST_CALLS = 20
+"""Number of watched calls that a judgement needs."""
 TARGET_LIST_DELAY_S = 0.1
 """Time until routers learn of an ended or new target."""
 EVENT_S = 0.03
@@ -232,7 +235,6 @@
         )
         context.quarantine.on_urgent_update = self.peering.send_soon
         context.quarantine.on_change = lambda change: self.quarantine_store.wake()
-        simulation.defect.prepare(self)
 
     async def run(self):
         """Synchronize the records beside the other tasks of a router."""
@@ -263,27 +265,11 @@
         await exchange.run()
 
 
-class PartDefect:
+class PartDefect(Defect):
     """Defects injected into routers; the base class injects none."""
 
-    no_sharing = False
-
-    def make_targets(self):
-        """Return the target table of a router."""
-        from berylwalk.dispatch import TargetTable
-
-        return TargetTable()
-
-    def prepare(self, router):
-        """Change a router before it runs."""
-
-
-@dataclass
-class Watched:
-    """First attempts of harmless requests of one group, by period."""
-
-    before: list = field(default_factory=list)
-    beside: list = field(default_factory=list)
+    def __init__(self, *, no_sharing=False):
+        self.no_sharing = no_sharing
 
 
 class PartSimulation(RetrySimulation):
@@ -297,6 +283,8 @@
         Rate of requests with a guilty part.
     guilty_parts : tuple of str
         Guilty parts; each guilty request has one of them.
+    are_together : bool
+        Whether each guilty request has all of them instead.
     guilty_from_s : float
         When such requests begin, in seconds.
     is_outer : bool
@@ -311,6 +299,7 @@
         *,
         guilty_per_s=3.0,
         guilty_parts=(GUILTY,),
+        are_together=False,
         guilty_from_s=8.0,
         is_outer=False,
         max_attempts=1,
@@ -325,6 +314,7 @@
         super().__init__(seed, **options)
         self.guilty_per_s = guilty_per_s
         self.guilty_parts = guilty_parts
+        self.are_together = are_together
         self.guilty_from_s = guilty_from_s
         self.is_outer = is_outer
         self.route = replace(
@@ -342,7 +332,6 @@
             limits=CallerLimits(),
         )
         self.guilty_arrivals = []
-        self.crashes_by_part = Counter()
         self.crash_times = defaultdict(list)
         self.calls = []
         self.unstable = []
@@ -398,13 +387,13 @@
         await sleep(self.guilty_from_s)
         while True:
             await sleep(self.random.expovariate(self.guilty_per_s))
-            guilty = self.random.choice(self.guilty_parts)
+            guilty = (self.random.choice(self.guilty_parts),)
+            if self.are_together:
+                guilty = self.guilty_parts
             inner = f"{self.random.randrange(INNER_PARTS):x}0"
-            own = self._own_part()
-            parts = (guilty, inner, own)
-            if not self.is_outer:
-                parts = (OUTER_PARTS[0], guilty, own)
-            self._start(Call(parts, ACCOUNTS[0], is_guilty=True))
+            shared = (*guilty, inner) if self.is_outer else (OUTER_PARTS[0], *guilty)
+            call = Call((*shared, self._own_part()), ACCOUNTS[0], is_guilty=True)
+            self._start(call)
 
     def _own_part(self):
         return f"e{self.random.randrange(1 << 40):x}"
@@ -508,31 +497,31 @@
         float
             Share of first tries that began since twice `CONTACT_S` after the fifth
             crash (the last, if there are fewer), divided by that before the first;
-            1.0 if there are less than 20 of either.
+            1.0 if there are fewer than `FEWEST_CALLS` of either.
         """
-        times = sorted(time for each in self.crash_times.values() for time in each)
-        begin, end = (
-            (times[0], times[min(len(times), CRASHES_TO_FIND) - 1])
-            if times
-            else (self.guilty_from_s, self.guilty_from_s)
-        )
+        begin, end = self._judged_from()
         before, beside = [], []
         for call in self.calls:
             if call.is_guilty or not call.is_first_try or not shares(call):
                 continue
-            if call.status == 0 and not call.has_begun:
-                # It was running when its router ended.
+            was_cut = call.status == 0 and not call.has_begun
+            if was_cut or not self.is_in_touch(call.router, call.at):
                 continue
-            if not self.is_in_touch(call.router, call.at):
-                continue
-            if 3.0 < call.at < begin - 0.5:
+            if CONTACT_S < call.at < begin:
                 before.append(call.has_begun)
             elif end + 2 * CONTACT_S < call.at < self.duration_s:
                 beside.append(call.has_begun)
-        if min(len(before), len(beside)) < 20 or not any(before):
+        if min(len(before), len(beside)) < FEWEST_CALLS or not any(before):
             return 1.0
         return (sum(beside) / len(beside)) / (sum(before) / len(before))
 
+    def _judged_from(self):
+        """Return when guilty requests began, and the fifth or last crash by them."""
+        times = sorted(time for each in self.crash_times.values() for time in each)
+        if not times:
+            return self.guilty_from_s, self.guilty_from_s
+        return self.guilty_from_s, times[min(len(times), CRASHES_TO_FIND) - 1]
+
     def shares_first_part(self, call):
         """Return whether a call has the first part of the guilty ones."""
         return call.parts[0] == OUTER_PARTS[0]
@@ -541,8 +530,8 @@
         """Return whether a call is of the account of the guilty ones."""
         return call.account == ACCOUNTS[0]
 
-    def quarantined_share(self, since, until):
-        """Return the share of harmless first tries that got no beginning."""
+    def unserved_share(self, since, until):
+        """Return the share of harmless first tries to which no response began."""
         tries = [
             call
             for call in self.calls
