A target that ends after the head of an unframed response is not an empty answer

Callers got 200 with a complete, empty response if a target crashed between the head and the first byte of a response that has neither a length nor chunks: the end of the connection completed it. It also cleared the crash as evidence. Two tests fail on the code before (streaming and buffered: 200 instead of 502, no crash recorded).

The end of the connection is now an end of its own kind. It completes a response with bytes; a success without one, or a stream that ends inside an event, is broken off and counts as a crash. A crash between two events can't be told from the end, as the users' page says. Shown to hold before already: complete unframed streams, resets, streams that go on at another target after a partial event, buffered bodies. Such connections are never reused.

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -172,7 +172,10 @@
         if self.end is not None:
             return
         self.target_ended = end is ResponseEnd.CLOSED
-        if end is not ResponseEnd.COMPLETE:
+        if end is ResponseEnd.AT_CLOSE and self._is_truncated():
+            self.target_ended = True
+            self._finish(AttemptEnd.BROKEN, "closed before the end of the response")
+        elif end not in (ResponseEnd.COMPLETE, ResponseEnd.AT_CLOSE):
             self._finish(AttemptEnd.BROKEN, f"{end}: {detail}")
         elif self._splitter is not None:
             if self._splitter.has_partial_event:
@@ -184,6 +187,15 @@
         else:
             self._finish(*self._classify_answer())
 
+    def _is_truncated(self) -> bool:
+        """Return whether a response that ended with its connection is incomplete.
+
+        A success without a single byte can't be told from a crash after the head.
+        """
+        if self._splitter is not None:
+            return self.events == 0 or self._splitter.has_partial_event
+        return self.is_success and self._body_bytes == 0
+
     def record_buffered_answer(self) -> None:
         """Record a buffered response as its own first event."""
         self.first_event_at = self._clock()
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -1,5 +1,8 @@
 """Forwarding of requests to targets that fail, refuse or stall."""
 
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
+
 import pytest
 from anyio import sleep
 
@@ -324,6 +327,86 @@
         assert reply.status == 504
 
 
+def unframed(*parts, kind=EVENTS, is_reset=False):
+    """Return a script whose response ends with its connection.
+
+    With ``is_reset`` the connection is reset instead of closed.
+    """
+
+    async def script(request, writer):
+        writer.write(head(request, kind=kind))
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await sleep(0.001)
+        if is_reset:
+            linger = pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, linger)
+        raise ConnectionResetError
+
+    return script
+
+
+class TestResponsesThatEndWithTheirConnection:
+    """Neither a length nor chunks tell where the response ends."""
+
+    async def test_stream_is_complete(self, running):
+        """The caller gets all events and a proper end, on a new connection each."""
+        script = unframed(event(1), event(2))
+        async with running(script, routes=STREAM) as fleet:
+            replies = [await fleet.call("/streaming/") for _ in range(3)]
+        for reply in replies:
+            assert reply.is_complete
+            assert reply.body == event(1) + event(2)
+
+    async def test_stream_that_is_reset_is_incomplete(self, running):
+        """A reset must not look like the end."""
+        script = unframed(event(1), is_reset=True)
+        async with running(script, routes=STREAM) as fleet:
+            reply = await fleet.call("/streaming/")
+        assert reply.body == event(1)
+        assert not reply.is_complete
+
+    async def test_stream_that_ends_inside_an_event_continues(self, running):
+        """The rest follows from another target, without gaps or duplicates."""
+        count = 0
+
+        async def breaks_first(request, writer):
+            nonlocal count
+            count += 1
+            first = int(request.headers.get("last-event-id", 0)) + 1
+            numbers = range(first, 6 if count == 1 else 11)
+            rest = [b"id: 6\nda"] if count == 1 else []
+            await unframed(*map(event, numbers), *rest)(request, writer)
+
+        async with running(
+            breaks_first, breaks_first, routes=STREAM, prepare=resumable
+        ) as fleet:
+            reply = await fleet.call("/streaming/")
+        assert reply.is_complete
+        assert reply.body == b"".join(map(event, range(1, 11)))
+
+    async def test_buffered_response_is_complete(self, running):
+        """The caller gets the whole body."""
+        script = unframed(b"a", b"b", kind="application/json")
+        async with running(script) as fleet:
+            reply = await fleet.call("/idempotent/")
+        assert (reply.status, reply.body) == (200, b"ab")
+
+    @pytest.mark.parametrize(
+        ("route", "kind"),
+        [("streaming", EVENTS), ("non_idempotent", "application/json")],
+    )
+    async def test_target_that_ends_after_the_head(self, running, route, kind):
+        """A crash before the first byte must not look like an empty response."""
+        async with running(unframed(kind=kind), routes=(route,)) as fleet:
+            reply = await fleet.call(f"/{route}/")
+            quarantine = fleet.router._context.quarantine
+            assert reply.status == 502
+            assert len(quarantine) == 1
+
+
 class TestDisconnectedCallers:
     """Callers that disconnect early."""
 
--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -22,6 +22,9 @@
     """How a response ended."""
 
     COMPLETE = "complete"
+    AT_CLOSE = "at-close"
+    """The target closed the connection, which ends a response without a length. If it
+    crashed, the response may be incomplete."""
     CLOSED = "closed"
     """The target or its VM closed the connection before the response was complete."""
     UNREACHABLE = "unreachable"
@@ -154,7 +157,7 @@
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
         if self._close_delimited and self._head_done and not self._discarding:
-            self._end(ResponseEnd.COMPLETE, "")
+            self._end(ResponseEnd.AT_CLOSE, "")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -196,6 +199,8 @@
             and header_value(headers, b"transfer-encoding") is None
             and status not in (204, 304)
         )
+        if self._close_delimited:
+            self.reusable = False
         self._apply_keep_alive(headers)
         self._sink.on_head(status, headers)
 
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -341,7 +341,7 @@
 
     @pytest.mark.parametrize(
         ("error", "end"),
-        [(None, ResponseEnd.COMPLETE), (ConnectionResetError(), ResponseEnd.CLOSED)],
+        [(None, ResponseEnd.AT_CLOSE), (ConnectionResetError(), ResponseEnd.CLOSED)],
     )
     def test_response_without_a_length(self, error, end):
         """The end of the connection completes the response, a reset must not."""
@@ -351,6 +351,7 @@
             target.connection.eof_received()
         target.connection.connection_lost(error)
         assert (target.sink.body, target.sink.end) == (b"all", end)
+        assert not target.connection.reusable
 
     def test_early_response_closes_the_connection(self):
         """The unsent rest of a request must not be read as the next request."""
