A truncated stream to an HTTP/1.0 caller is reset

Such a caller gets a stream without chunks, which the end of the connection completes: a stream that the router breaks off looked whole. The same kind of fault as that of unframed responses of targets, in the other direction. The test fails on the code before (the read ended as if complete). Ruled out: HTTP/1.1 callers, whose last chunk is missing.

--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -406,6 +406,17 @@
             assert reply.status == 502
             assert len(quarantine) == 1
 
+    async def test_truncated_stream_to_an_old_caller_is_reset(self, running):
+        """Without chunks, the caller can tell a truncated stream by a reset only."""
+        script = streams(1, 20, until=5)
+        async with running(script, routes=STREAM) as fleet:
+            reader, writer = await fleet.connect()
+            request = fleet.encoded("/streaming/").replace(b"HTTP/1.1", b"HTTP/1.0")
+            writer.write(request)
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+            writer.close()
+
 
 class TestDisconnectedCallers:
     """Callers that disconnect early."""
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -4,6 +4,8 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 from typing import Any
 
 import httptools
@@ -15,6 +17,8 @@
 """Number of pipelined requests from which reading is paused."""
 CLOSE_TIMEOUT_S = 5.0
 """Time to flush buffered data to the caller before a closing connection is aborted."""
+RESET_ON_CLOSE = pack("ii", 1, 0)
+"""Socket option by which closing resets the connection."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,14 +314,21 @@
 
     def truncate_response(self) -> None:
         """Close the connection so that the caller detects an incomplete response."""
-        self._active = None
         self.close()
+        self._active = None
 
     def close(self) -> None:
-        """Close the connection once the buffered data is flushed."""
+        """Close the connection once the buffered data is flushed.
+
+        A stream that the end of the connection would complete is reset instead.
+        """
         if self._transport is None:
             return
         transport = self._transport
+        active = self._active
+        if self._streaming and active is not None and active.http_1_0:
+            _reset(transport)
+            return
         transport.close()
         # A caller that does not read must not keep the connection open forever.
         self._call_later(CLOSE_TIMEOUT_S, transport.abort)
@@ -379,3 +390,11 @@
             size = self._head_bytes if partial is not None else 0
         if size > self._limits().max_header_bytes:
             raise _InvalidRequestError(431)
+
+
+def _reset(transport: Transport) -> None:
+    """Close a connection so that its peer sees a reset instead of an end."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
