Quarantine: checks in the queue and at the send have tests; a new leader scans

Both tests fail if the check at arrival is the only one (tried). A router that becomes the leader scans the records once, as the one before may have written records of parts that were cleared since: nobody else deletes them.

--- a/libs/direct/src/berylwalk/direct/_quarantine_store.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_store.py
@@ -81,6 +81,7 @@
         self._stored: dict[Identity, _StoredRecord] = {}
         self._due_since: dict[Identity, float] = {}
         self._scanned_at = context.clock()
+        self._was_leader = True
         self._wake_event = Event()
 
     def wake(self) -> None:
@@ -177,9 +178,13 @@
                 return
         if is_leader:
             await self._delete_cleared()
+        # The previous leader may have written records that are to be deleted by now.
+        is_new_leader = is_leader and not self._was_leader
         has_records = bool(self._stored or self._context.quarantine.blames)
-        if is_leader and has_records and now - self._scanned_at >= SCAN_INTERVAL_S:
+        is_due = now - self._scanned_at >= SCAN_INTERVAL_S
+        if is_leader and (has_records or is_new_leader) and is_due:
             await self._scan()
+        self._was_leader = is_leader
 
     def _due(self, now: float, *, is_leader: bool) -> list[Identity]:
         """Return the identities with evidence that is missing in the store."""
--- a/libs/direct/tests/test_direct_quarantine.py
+++ b/libs/direct/tests/test_direct_quarantine.py
@@ -7,7 +7,9 @@
 import pytest
 from anyio import sleep
 
-from direct_fleet import ScriptedTarget, answers
+from berylwalk.direct._admission import PART_QUARANTINED
+from berylwalk.quarantine import part_identity
+from direct_fleet import ScriptedTarget, answers, read_reply
 
 pytestmark = pytest.mark.anyio
 
@@ -188,3 +190,50 @@
                     Prompt_Prefix=prompt(FAULTY_PART, f"e{number}"),
                 )
         assert 1 <= len(started_engines.crashed) <= CRASHES_TO_FIND_A_PART
+
+    async def test_queued_request_is_rejected_when_its_part_is_blamed(self, running):
+        """It must not wait for a target that it will not be sent to."""
+        async with running(answers("ok")) as fleet:
+            context = fleet.router._context
+            context.targets.by_id["i-0"].in_flight += 100
+            reader, writer = await fleet.connect()
+            parts = prompt(FAULTY_PART, "e1")
+            writer.write(fleet.encoded("/idempotent/", Prompt_Prefix=parts))
+            await fleet.until(lambda: context.dispatcher.queue_length("s") == 1)
+            identity = part_identity("s", FAULTY_PART.encode())
+            for incarnation_id in "abc":
+                context.quarantine.record_crashes(
+                    [identity], incarnation_id, context.clock()
+                )
+            reply = await read_reply(reader)
+            rejected = context.metrics.requests.labels(
+                "idempotent", 0, 503, PART_QUARANTINED
+            )
+            writer.close()
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) >= 1.0
+        assert rejected._value.get() == 1
+        assert fleet.targets[0].received == []
+
+    async def test_placed_request_is_not_sent_when_its_part_is_blamed(
+        self, running, monkeypatch
+    ):
+        """The check at its arrival is not enough: it may be placed much later."""
+        async with running(answers("ok")) as fleet:
+            context = fleet.router._context
+            identity = part_identity("s", FAULTY_PART.encode())
+            open_connection = context.pool.open
+
+            async def open_after_blame(entry):
+                for incarnation_id in "abc":
+                    context.quarantine.record_crashes(
+                        [identity], incarnation_id, context.clock()
+                    )
+                return await open_connection(entry)
+
+            monkeypatch.setattr(context.pool, "open", open_after_blame)
+            reply = await fleet.call(
+                "/idempotent/", Prompt_Prefix=prompt(FAULTY_PART, "e1")
+            )
+        assert reply.status == 503
+        assert fleet.targets[0].received == []
