--- a/libs/direct/tests/virtual_parts.py
+++ b/libs/direct/tests/virtual_parts.py
@@ -138,6 +138,9 @@
                     part,
                 )
             )
+        self.arrivals.append(
+            Arrival(self.simulation.clock(), headers["x-router"], headers["attempt-id"])
+        )
         self.open_transports[transport] = None
         self.running += 1
         load = max(1.0, self.running / self.slots)
@@ -171,6 +174,10 @@
             "Transfer-Encoding: chunked",
             "Keep-Alive: timeout=5",
         ]
+        if self.limit is not None:
+            head.append(f"Server-Limit: {self.limit}")
+            now = self.simulation.clock()
+            self._limit_forwarded_at.setdefault(headers["x-router"], now)
         transport.deliver(("\r\n".join(head) + "\r\n\r\n").encode())
         self._send_event(transport, target_id, 1)
 
