Parts of an advertised limit follow the requests of each router

Cause: the parts were equal by router, so most of each limit lay at routers without callers. Routers now tell each other the rate of their requests for services with limits (nothing is told of others), and share each limit by these, a tenth of the mean at least; the few senders of a low limit are chosen by weighted rendezvous hashing. What a router takes for itself is the value that it told, so that the parts sum to one but for the time of a message; a router that is not heard keeps its part as before.

--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -11,6 +11,7 @@
     Dispatcher,
     PeerTable,
     QuotaTracker,
+    RequestRates,
     RouterSettings,
     StreamVersions,
     Target,
@@ -58,6 +59,8 @@
         Time including suspensions of the VM, in seconds.
     streams : StreamVersions
         Versions of the software at which streams began.
+    request_rates : RequestRates
+        Rates of the requests of this router.
     on_placed : callable
         Called with the target of each attempt.
     on_signals_changed : callable
@@ -79,6 +82,7 @@
     suspension: SuspensionDetector
     clock: Callable[[], float]
     streams: StreamVersions = field(default_factory=StreamVersions)
+    request_rates: RequestRates = field(default_factory=RequestRates)
     on_placed: Callable[[Target], None] = lambda _: None
     on_signals_changed: Callable[[], None] = lambda: None
 
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -177,6 +177,7 @@
         """Attempt targets until one responds or no further attempt is allowed."""
         context, admitted = self._context, self._admitted
         context.retries.record_request(admitted.service, context.clock())
+        context.request_rates.record_request(admitted.service, context.clock())
         if admitted.takes_up_stream and not self._bind_to_stream_version():
             self._fail(AttemptEnd.NOT_SENT, "stream-version-unknown")
             return
--- a/libs/direct/src/berylwalk/direct/_flow_control.py
+++ b/libs/direct/src/berylwalk/direct/_flow_control.py
@@ -13,6 +13,7 @@
 from berylwalk.dispatch import (
     FlowControlSignal,
     FlowControlUpdate,
+    RatesByService,
     Target,
     TargetSignals,
     max_senders,
@@ -111,6 +112,22 @@
     return (updates[begin:] + updates[:begin])[:max_count]
 
 
+def limited_rates(context: RouterContext) -> RatesByService:
+    """Return the rates of requests by which routers share limits, to tell them.
+
+    Nothing is told of services whose targets advertise no limit.
+    """
+    limited = {
+        target.entry.service
+        for target in context.targets.flow_controlled()
+        if target.flow_control.limit.per_s is not None
+    }
+    if not limited:
+        return {}
+    told = context.request_rates.told(context.clock())
+    return {service: rate for service, rate in told.items() if service in limited}
+
+
 def update_limit_shares(context: RouterContext) -> None:
     """Update this router's share of each advertised rate limit."""
     now = context.clock()
@@ -122,7 +139,10 @@
     limit = target.flow_control.limit
     if limit.per_s is not None:
         senders = max_senders(limit.per_s)
-        share = context.peers.rate_share(target.entry.incarnation_id, senders, now)
+        entry = target.entry
+        share = context.peers.rate_share(
+            entry.incarnation_id, senders, now, entry.service
+        )
         limit.set_share(share, now)
 
 
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -6,7 +6,13 @@
 from msgspec import Struct, field
 
 from berylwalk.direct._flow_control import SignalsUpdate
-from berylwalk.dispatch import Peer, RetryHistory, RetryTotals, StreamRecords
+from berylwalk.dispatch import (
+    Peer,
+    RatesByService,
+    RetryHistory,
+    RetryTotals,
+    StreamRecords,
+)
 from berylwalk.quarantine import QuarantineUpdate
 from berylwalk.rollout import RolloutUpdate
 
@@ -51,6 +57,8 @@
         Its view of the roll-outs in progress.
     retries : RetryTotals
         Its retries and requests by service.
+    rates : dict
+        Rates of its requests, by service with targets that advertise limits.
     """
 
     name: str
@@ -65,6 +73,7 @@
     store_healthy_s: float = 0.0
     rollouts: list[RolloutUpdate] = field(default_factory=list)
     retries: RetryTotals = field(default_factory=dict)
+    rates: RatesByService = field(default_factory=dict)
 
     def to_peer(self) -> Peer:
         """Return the router as an entry of the peer table."""
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -17,6 +17,7 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._flow_control import (
+    limited_rates,
     merge_signals,
     own_signals,
     update_limit_shares,
@@ -38,6 +39,7 @@
     HistoryCoverage,
     Peer,
     PrefixPlacement,
+    RatesByService,
     StreamRecords,
     Target,
 )
@@ -263,7 +265,8 @@
         signals = own_signals(context)
         signal_contents = [each.content for each in signals]
         retries = context.retries.own_totals(now)
-        current = (loads, spent, rollouts, signal_contents, retries)
+        rates = limited_rates(context)
+        current = (loads, spent, rollouts, signal_contents, retries, rates)
         is_unchanged = (
             self._last_sent == current
             and history_from is None
@@ -313,8 +316,14 @@
             round(self._store_health.healthy_s(now), 1),
             context.rollouts.updates(now),
             context.retries.own_totals(now),
+            self._own_rates(),
         )
 
+    def _own_rates(self) -> RatesByService:
+        rates = limited_rates(self._context)
+        self._context.peers.record_own_rates(rates)
+        return rates
+
     def _domain_message(self, now: float) -> DomainMessage:
         context = self._context
         peers = context.peers
@@ -485,6 +494,7 @@
         if not self._context.peers.record_message(peer, now):
             return False
         self._updates_by_name[update.name] = update
+        self._context.peers.record_rates(update.name, update.rates)
         self._store_health.update_peer_health(update.store_healthy_s)
         incarnation = incarnation_of(peer)
         is_new = update.age_s < now - self._started_at
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -49,6 +49,7 @@
     deadlines_at_arrival,
 )
 from berylwalk.dispatch._request_queue import PendingRequest, RequestQueue
+from berylwalk.dispatch._request_rates import RatesByService, RequestRates
 from berylwalk.dispatch._requested_backoff import RequestedBackoff
 from berylwalk.dispatch._retry_after import retry_after_s
 from berylwalk.dispatch._retry_budget import (
@@ -105,8 +106,10 @@
     "QuotaRules",
     "QuotaState",
     "QuotaTracker",
+    "RatesByService",
     "RequestDeadlines",
     "RequestQueue",
+    "RequestRates",
     "RequestedBackoff",
     "RetryBudgetState",
     "RetryHistory",
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from heapq import nsmallest
+from math import log
 from random import choice
 
 from berylwalk.affinity import parts_hash
+from berylwalk.dispatch._request_rates import RatesByService
 
 PEER_TIMEOUT_S = 0.7
 """Time without a message after which a direct peer is no longer alive, in seconds."""
@@ -25,6 +27,11 @@
 MAX_CACHED_SHARES = 10_000
 """Maximum number of cached rate shares."""
 
+MIN_WEIGHT = 0.1
+"""Weight of a router without requests, relative to the mean: what it may send before
+the others learn that it has some."""
+HASHES = 2**32
+
 
 @dataclass(slots=True)
 class Peer:
@@ -72,7 +79,8 @@
         self.by_name: dict[str, Peer] = {}
         self._names: list[str] = []
         self._names_at: float | None = None
-        self._shares: dict[tuple[str, int], float] = {}
+        self._shares: dict[tuple[str, int, str], float] = {}
+        self._rates_by_name: dict[str, RatesByService] = {}
 
     def is_direct(self, peer: Peer) -> bool:
         """Return whether messages are sent to a peer directly."""
@@ -151,6 +159,7 @@
             ):
                 ended.append(peer)
                 del self.by_name[name]
+                self._rates_by_name.pop(name, None)
         for name, new in listed_by_name.items():
             self.by_name.setdefault(name, new)
         return ended
@@ -185,12 +194,24 @@
         peer.last_heard_at = now
         return True
 
-    def rate_share(self, incarnation_id: str, senders: int, now: float) -> float:
+    def record_rates(self, name: str, rates: RatesByService) -> None:
+        """Record the rates of requests that a router has told, or told itself."""
+        if self._rates_by_name.get(name) != rates:
+            self._rates_by_name[name] = rates
+            self._shares.clear()
+
+    def record_own_rates(self, rates: RatesByService) -> None:
+        """Record the rates of requests that this router tells the others."""
+        self.record_rates(self._own_name, rates)
+
+    def rate_share(
+        self, incarnation_id: str, senders: int, now: float, service: str = ""
+    ) -> float:
         """Return this router's share of a target's rate limit.
 
-        The senders are chosen by rendezvous hashing, without coordination. Routers that
-        are not alive keep their share, since they may still send behind a network
-        partition.
+        The senders are chosen by rendezvous hashing, without coordination, and share
+        the limit by the rates of their requests for the service. Routers that are not
+        alive keep their share, since they may still send behind a network partition.
 
         Parameters
         ----------
@@ -200,19 +221,31 @@
             Number of routers that send to it.
         now : float
             Current time in seconds.
+        service : str
+            Service of the target.
         """
         names = self._alive_names(now)
-        key = (incarnation_id, senders)
+        key = (incarnation_id, senders, service)
         if key not in self._shares:
-            first = nsmallest(
-                senders,
-                names,
-                key=lambda name: parts_hash([incarnation_id.encode(), name.encode()]),
-            )
-            has_part = self._own_name in first
-            self._shares[key] = 1 / len(first) if has_part else 0.0
+            weights = self._weights(names, service)
+            chosen = _weighted_choice(incarnation_id, senders, weights)
+            total = sum(weights[name] for name in chosen)
+            has_part = self._own_name in chosen
+            own_weight = weights[self._own_name]
+            self._shares[key] = own_weight / total if has_part else 0.0
         return self._shares[key] * len(names) / self.known_count()
 
+    def _weights(self, names: list[str], service: str) -> dict[str, float]:
+        """Return the weights of routers by their rates of requests."""
+        rates = {
+            name: self._rates_by_name.get(name, {}).get(service, 0.0) for name in names
+        }
+        total = sum(rates.values())
+        if total <= 0:
+            return dict.fromkeys(names, 1.0)
+        least = MIN_WEIGHT * total / len(names)
+        return {name: rate + least for name, rate in rates.items()}
+
     def _alive_names(self, now: float) -> list[str]:
         """Return the names of the live routers, including this one.
 
@@ -244,3 +277,17 @@
     def alive_count(self, now: float) -> int:
         """Return the number of live routers, including this one."""
         return 1 + sum(self.is_alive(peer, now) for peer in self.by_name.values())
+
+
+def _weighted_choice(
+    incarnation_id: str, senders: int, weights: dict[str, float]
+) -> list[str]:
+    """Choose routers by weighted rendezvous hashing, the same ones on all routers."""
+    if senders >= len(weights):
+        return list(weights)
+
+    def rank(name: str) -> float:
+        drawn = parts_hash([incarnation_id.encode(), name.encode()])
+        return -log((drawn + 1) / (HASHES + 1)) / weights[name]
+
+    return nsmallest(senders, weights, key=rank)
