Soak: a part of new prompts crashes targets among signals, kills and outages

Each request with it is new, and all requests share its first part. Bound as for the fleet: three sends later than 3 s after the fifth crash, by routers that are connected.

--- a/libs/direct/tests/test_direct_soak.py
+++ b/libs/direct/tests/test_direct_soak.py
@@ -41,9 +41,13 @@
 KINDS = ("idempotent", "non_idempotent", "streaming")
 NOT_RUN = frozenset({408, 421, 429, 503})
 FAULTY_BODY = b"ends who runs it"
+FAULTY_PART = "b4d"
+FIRST_PART = "1f"
+"""Part that all prompts share."""
 GRACE_S = 3.0
 """Grace period after a fault of a router or the store."""
 MAX_CRASHES = 3
+MAX_CRASHES_BY_PART = 5
 MAX_LATE_ATTEMPTS = 3
 """Attempts of a faulty request by connected routers after it terminated three
 targets."""
@@ -95,13 +99,20 @@
 
 @dataclass
 class FaultyRequest:
-    """A request that terminates every target and is repeated."""
+    """A request that terminates every target and is repeated.
 
+    Attributes
+    ----------
+    has_part : bool
+        Whether it is a new request each time, with the same part in its prompt.
+    """
+
+    has_part: bool = False
     router_by_id: dict = field(default_factory=dict)
     last_fault_by_router: Counter = field(default_factory=Counter)
     store_last_fault_at: float = 0.0
     crashes: int = 0
-    third_crash_at: float = float("inf")
+    found_at: float = float("inf")
     sent_while_connected: int = 0
 
     def count_attempt(self, request_id, store_is_down):
@@ -113,11 +124,11 @@
             now if store_is_down else self.store_last_fault_at,
         )
         is_connected = now > last_fault_at + GRACE_S
-        if now > self.third_crash_at + GRACE_S and is_connected:
+        if now > self.found_at + GRACE_S and is_connected:
             self.sent_while_connected += 1
         self.crashes += 1
-        if self.crashes == MAX_CRASHES:
-            self.third_crash_at = now
+        if self.crashes == (MAX_CRASHES_BY_PART if self.has_part else MAX_CRASHES):
+            self.found_at = now
 
     def check(self):
         """Check the number of attempts."""
@@ -194,6 +205,17 @@
             process.wait()
 
 
+def prompt(*parts):
+    """Return a value of the header with the parts of a prompt."""
+    return ",".join(f"{part}:60" for part in parts)
+
+
+def is_faulty(request):
+    """Return whether a request terminates its target."""
+    parts = request.headers.get("prompt-prefix", "").split(",")[:-1]
+    return request.body == FAULTY_BODY or f"{FAULTY_PART}:60" in parts
+
+
 class Soak:
     """One run with faults of a seed and concurrent callers."""
 
@@ -227,7 +249,7 @@
 
     def _script_of(self, target):
         async def script(request, writer):
-            if request.body != FAULTY_BODY:
+            if not is_faulty(request):
                 await self._run(target, request, writer)
                 return
             is_down = self.fleet.platform.faults.down
@@ -261,9 +283,15 @@
         router = self.faulty_random.randrange(len(self.addresses))
         self.faulty.router_by_id[number] = router
         self.fleet.settings = self.addresses[router]
+        content = {"body": FAULTY_BODY}
+        if self.faulty.has_part:
+            content = {
+                "body": number.encode(),
+                "Prompt_Prefix": prompt(FIRST_PART, FAULTY_PART, f"a{number}"),
+            }
         try:
             reply = await self.fleet.call(
-                "/idempotent/", request_id=number, body=FAULTY_BODY, Deadline_Ms="2000"
+                "/idempotent/", request_id=number, Deadline_Ms="2000", **content
             )
         except (ConnectionError, EOFError):
             return
@@ -314,7 +342,10 @@
         self.signal_log.record_start(number, incarnation)
         try:
             reply = await self.fleet.call(
-                f"/{kind}/", request_id=number, Deadline_Ms="2000"
+                f"/{kind}/",
+                request_id=number,
+                Deadline_Ms="2000",
+                Prompt_Prefix=prompt(FIRST_PART, "50", f"a{number}"),
             )
         except (ConnectionError, EOFError):
             reply = None
@@ -442,3 +473,12 @@
         async with soaking(seed, targets=2 + MAX_CRASHES + MAX_LATE_ATTEMPTS) as soak:
             await run_steps(soak, with_faulty=True)
             assert soak.faulty.crashes
+
+    @pytest.mark.parametrize("seed", EXTENDED_SEEDS)
+    async def test_faulty_prompt_part_under_random_faults(self, soaking, seed):
+        """The same for a part of new prompts, whose first part all requests share."""
+        targets = 2 + MAX_CRASHES_BY_PART + MAX_LATE_ATTEMPTS
+        async with soaking(seed, targets=targets) as soak:
+            soak.faulty.has_part = True
+            await run_steps(soak, with_faulty=True)
+            assert soak.faulty.crashes
