--- a/libs/direct/tests/test_direct_statements.py
+++ b/libs/direct/tests/test_direct_statements.py
@@ -96,6 +96,15 @@
         simulation.simulate()
         assert max_excess_over_limit(simulation) <= 0
 
+    def test_changing_limits_of_four_targets_and_31_routers(self):
+        """Without any fault, many routers learn of each change at the same time."""
+        simulation = SignalsSimulation(
+            616, routers=31, targets=4, script=None, duration_s=30.0
+        )
+        simulation.script = changing_limits(simulation)
+        simulation.simulate()
+        assert max_excess_over_limit(simulation) <= 0
+
     def test_withdrawn_limit_no_longer_applies(self):
         """Routers that send nothing to the target learn of the withdrawal as well."""
 
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from heapq import nsmallest
-from math import log
+from math import log, log2
 from random import choice
+from typing import Self
 
 from berylwalk.affinity import parts_hash
 from berylwalk.dispatch._request_rates import RatesByService
@@ -26,10 +27,16 @@
 
 MAX_CACHED_SHARES = 10_000
 """Maximum number of cached rate shares."""
+MAX_CACHED_RANKS = 100_000
+"""Maximum number of cached ranks, one for each router and target with few senders."""
 
 MIN_WEIGHT = 0.1
 """Weight of a router without requests, relative to the mean: what it may send before
 the others learn that it has some."""
+SHARES_INTERVAL_S = 0.25
+"""Interval between two times at which shares are worked out from new rates."""
+SHARES_INTERVAL_PER_ROUTER_S = 0.005
+"""The same in large fleets, for each router: the work grows with their number."""
 HASHES = 2**32
 
 
@@ -81,6 +88,10 @@
         self._names_at: float | None = None
         self._shares: dict[tuple[str, int, str], float] = {}
         self._rates_by_name: dict[str, RatesByService] = {}
+        self._rates_changed = False
+        self._shares_at = float("-inf")
+        self._weights_by_service: dict[str, _Weights] = {}
+        self._ranks: dict[str, dict[str, float]] = {}
 
     def is_direct(self, peer: Peer) -> bool:
         """Return whether messages are sent to a peer directly."""
@@ -198,7 +209,7 @@
         """Record the rates of requests that a router has told, or told itself."""
         if self._rates_by_name.get(name) != rates:
             self._rates_by_name[name] = rates
-            self._shares.clear()
+            self._rates_changed = True
 
     def record_own_rates(self, rates: RatesByService) -> None:
         """Record the rates of requests that this router tells the others."""
@@ -228,23 +239,54 @@
         key = (incarnation_id, senders, service)
         if key not in self._shares:
             weights = self._weights(names, service)
-            chosen = _weighted_choice(incarnation_id, senders, weights)
-            total = sum(weights[name] for name in chosen)
-            has_part = self._own_name in chosen
-            own_weight = weights[self._own_name]
-            self._shares[key] = own_weight / total if has_part else 0.0
+            own_weight = weights.by_name[self._own_name]
+            if senders >= len(names):
+                self._shares[key] = own_weight / weights.total
+            else:
+                chosen = self._choose_senders(incarnation_id, senders, weights)
+                total = sum(weights.by_name[name] for name in chosen)
+                has_part = self._own_name in chosen
+                self._shares[key] = own_weight / total if has_part else 0.0
         return self._shares[key] * len(names) / self.known_count()
 
-    def _weights(self, names: list[str], service: str) -> dict[str, float]:
+    def _weights(self, names: list[str], service: str) -> "_Weights":
         """Return the weights of routers by their rates of requests."""
-        rates = {
-            name: self._rates_by_name.get(name, {}).get(service, 0.0) for name in names
-        }
-        total = sum(rates.values())
-        if total <= 0:
-            return dict.fromkeys(names, 1.0)
-        least = MIN_WEIGHT * total / len(names)
-        return {name: rate + least for name, rate in rates.items()}
+        weights = self._weights_by_service.get(service)
+        if weights is None:
+            rates = {
+                name: self._rates_by_name.get(name, {}).get(service, 0.0)
+                for name in names
+            }
+            weights = self._weights_by_service[service] = _Weights.from_rates(rates)
+        return weights
+
+    def _choose_senders(
+        self, incarnation_id: str, senders: int, weights: "_Weights"
+    ) -> list[str]:
+        """Choose routers by weighted rendezvous hashing, the same ones on all."""
+        ranks = self._ranks.get(incarnation_id)
+        if ranks is None:
+            if len(self._ranks) * len(weights.by_name) > MAX_CACHED_RANKS:
+                self._ranks.clear()
+            ranks = self._ranks[incarnation_id] = {}
+        for name in weights.by_name:
+            if name not in ranks:
+                ranks[name] = _rank(incarnation_id, name)
+        return nsmallest(
+            senders,
+            weights.by_name,
+            key=lambda name: ranks[name] / _power_of_two(weights.by_name[name]),
+        )
+
+    def _may_renew_shares(self, now: float) -> bool:
+        interval_s = SHARES_INTERVAL_PER_ROUTER_S * self.known_count()
+        return now - self._shares_at >= max(SHARES_INTERVAL_S, interval_s)
+
+    def _forget_shares(self, now: float) -> None:
+        self._shares.clear()
+        self._weights_by_service.clear()
+        self._rates_changed = False
+        self._shares_at = now
 
     def _alive_names(self, now: float) -> list[str]:
         """Return the names of the live routers, including this one.
@@ -256,8 +298,12 @@
             names += [
                 name for name, peer in self.by_name.items() if self.is_alive(peer, now)
             ]
-            if names != self._names or len(self._shares) > MAX_CACHED_SHARES:
-                self._shares.clear()
+            if (
+                names != self._names
+                or len(self._shares) > MAX_CACHED_SHARES
+                or (self._rates_changed and self._may_renew_shares(now))
+            ):
+                self._forget_shares(now)
             self._names, self._names_at = names, now
         return self._names
 
@@ -279,15 +325,34 @@
         return 1 + sum(self.is_alive(peer, now) for peer in self.by_name.values())
 
 
-def _weighted_choice(
-    incarnation_id: str, senders: int, weights: dict[str, float]
-) -> list[str]:
-    """Choose routers by weighted rendezvous hashing, the same ones on all routers."""
-    if senders >= len(weights):
-        return list(weights)
+@dataclass(frozen=True, slots=True)
+class _Weights:
+    """Weights of routers for a service, and their sum."""
+
+    by_name: dict[str, float]
+    total: float
+
+    @classmethod
+    def from_rates(cls, rates: dict[str, float]) -> Self:
+        """Weigh routers by their rates; equally if there are none."""
+        total = sum(rates.values())
+        if total <= 0:
+            return cls(dict.fromkeys(rates, 1.0), float(len(rates)))
+        least = MIN_WEIGHT * total / len(rates)
+        by_name = {name: rate + least for name, rate in rates.items()}
+        return cls(by_name, sum(by_name.values()))
+
 
-    def rank(name: str) -> float:
-        drawn = parts_hash([incarnation_id.encode(), name.encode()])
-        return -log((drawn + 1) / (HASHES + 1)) / weights[name]
+def _power_of_two(weight: float) -> float:
+    """Return the nearest power of two: small changes must not choose other senders."""
+    return 2.0 ** round(log2(weight))
 
-    return nsmallest(senders, weights, key=rank)
+
+def _rank(incarnation_id: str, name: str) -> float:
+    """Return a draw from an exponential distribution, the same on all routers.
+
+    The router with the smallest draw divided by its weight is chosen in proportion to
+    the weights.
+    """
+    drawn = parts_hash([incarnation_id.encode(), name.encode()])
+    return -log((drawn + 1) / (HASHES + 1))
--- a/libs/dispatch/src/berylwalk/dispatch/_request_rates.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_request_rates.py
@@ -9,6 +9,9 @@
 TOLD_INTERVAL_S = 0.25
 """Interval after which the rates that are told to other routers are renewed."""
 SIGNIFICANT_DIGITS = 2
+MIN_CHANGE = 0.2
+"""Change from which a new rate is told, relative to the one before: parts of limits are
+worked out anew after each."""
 MIN_TOLD_PER_S = 0.01
 """Lower rates are told as none."""
 
@@ -46,10 +49,19 @@
         """Return rounded rates, the same ones for `TOLD_INTERVAL_S`."""
         if now - self._told_at >= TOLD_INTERVAL_S:
             self._told_at = now
-            self._told = {}
+            told = {}
             for service, average in self._averages_by_service.items():
                 average.decay(now)
-                rounded = float(f"{average.per_s:.{SIGNIFICANT_DIGITS}g}")
-                if rounded >= MIN_TOLD_PER_S:
-                    self._told[service] = rounded
+                rate = _told_rate(average.per_s, self._told.get(service, 0.0))
+                if rate >= MIN_TOLD_PER_S:
+                    told[service] = rate
+            if told != self._told:
+                self._told = told
         return self._told
+
+
+def _told_rate(per_s: float, previous: float) -> float:
+    """Return a rate to tell, which is the previous one unless it changed much."""
+    if abs(per_s - previous) <= MIN_CHANGE * previous:
+        return previous
+    return float(f"{per_s:.{SIGNIFICANT_DIGITS}g}")
