--- a/libs/cli/src/berylwalk/cli/_quarantined.py
+++ b/libs/cli/src/berylwalk/cli/_quarantined.py
@@ -13,6 +13,7 @@
     RECORDS_PREFIX,
     Record,
     identity_from_key,
+    is_part,
     record_key,
 )
 
@@ -64,7 +65,10 @@
         return f"{item.key.decode('latin-1')}: not readable: {error}"
     since = datetime.fromtimestamp(record.noted_s, UTC).isoformat(timespec="seconds")
     ended = " ".join(record.ended)
-    return f"{identity.hex()}  since {since}  trials {record.trials}  ended: {ended}"
+    kind = "  prompt part" if is_part(identity) else ""
+    return (
+        f"{identity.hex()}{kind}  since {since}  trials {record.trials}  ended: {ended}"
+    )
 
 
 async def _release(store: KeyValueClient, identity: str) -> ExitCode:
--- a/libs/cli/src/berylwalk/cli/_request_timeline.py
+++ b/libs/cli/src/berylwalk/cli/_request_timeline.py
@@ -26,7 +26,8 @@
         "trial-permitted",
     }
 )
-"""Events that are shown for all requests with the same identity, whatever their id."""
+"""Events that are shown for all requests with the same identity, or the same part that
+the request was rejected for, whatever their id."""
 HIDDEN_FIELDS = frozenset({"time", "node", "event", "request_id", "attempts"})
 
 MEANING_BY_REASON = {
@@ -50,6 +51,8 @@
     "attempt-failed": "the target answered with an error of its own",
     "attempt-refused": "every target that was tried refused it; it has not run",
     "attempt-not-sent": "no target could be reached; it has not run",
+    "targets-ended-under-prompt-part": "targets ended before they began to answer "
+    "requests with a part of its prompt; `berylwalk quarantined` lists them",
     "targets-ended-under-it": "targets ended while they ran the same request of this "
     "caller, and it is held back; whether this attempt has run, its attempts tell",
 }
@@ -139,12 +142,12 @@
     """Yield the lines of a request and those that give their context.
 
     Context are lines of the same routers about its targets, and quarantine events of
-    requests with the same identity, whatever their id.
+    requests with the same identity or the same blamed prompt part, whatever their id.
     """
     started_at = request_lines[0].time
     nodes = {line.node for line in request_lines}
     targets = {target for line in request_lines for target in _targets_of(line)}
-    identities = {line.fields.get("identity") for line in request_lines} - {None}
+    identities = set().union(*map(_identities_of, request_lines))
     for line in lines:
         is_own_line = line.request_id == request_lines[0].request_id
         is_in_window = (
@@ -156,12 +159,12 @@
             and is_in_window
             and _targets_of(line) <= targets
         )
-        has_same_identity = (
+        concerns_the_same = (
             line.event in QUARANTINE_EVENTS
-            and line.fields.get("identity") in identities
+            and not identities.isdisjoint(_subjects_of(line))
             and line.time <= request_lines[-1].time
         )
-        if is_own_line or is_context or has_same_identity:
+        if is_own_line or is_context or concerns_the_same:
             mark = "*" if is_own_line else " "
             offset_ms = (line.time - started_at) * 1000
             head = f"{mark} {offset_ms:9.1f} ms  {line.node}  {line.event}"
@@ -171,6 +174,17 @@
             yield from _summary(line)
 
 
+def _identities_of(line: LogLine) -> set[str]:
+    """Return the identity in a line of the request, and what it was rejected for."""
+    identity = line.fields.get("identity")
+    return {*line.fields.get("blocked_by", ()), *([identity] if identity else [])}
+
+
+def _subjects_of(line: LogLine) -> set[str]:
+    """Return the identities that a quarantine event is about."""
+    return _identities_of(line) | set(line.fields.get("prompt_parts", ()))
+
+
 def _targets_of(line: LogLine) -> set[str]:
     targets = set(line.fields.get("obstacles", ()))
     if "target" in line.fields:
--- a/libs/cli/tests/test_cli_explaining.py
+++ b/libs/cli/tests/test_cli_explaining.py
@@ -214,3 +214,37 @@
         assert "request-blamed" in out
         assert "i-9" not in out
         assert "cause: targets-ended-under-it: targets ended while" in out
+
+    def test_events_of_a_blamed_prompt_part_are_shown(self, tmp_path, capsys):
+        """Crashes under other requests with the part are shown, and no others."""
+        crash = {
+            "time": 10.0,
+            "node": "edge-0",
+            "event": "target-ended-under-request",
+            "request_id": "b0",
+            "target": "i-0",
+            "identity": "ab12",
+            "prompt_parts": ["70617274aa", "70617274bb"],
+        }
+        lines = [
+            crash,
+            {**crash, "target": "i-9", "prompt_parts": ["70617274aa"]},
+            {
+                "time": 90.0,
+                "node": "edge-1",
+                "event": "request-ended",
+                "request_id": "a9",
+                "status": 503,
+                "reason": "targets-ended-under-prompt-part",
+                "identity": "70617274bb",
+                "blocked_by": ["70617274bb"],
+                "attempts": [],
+            },
+        ]
+        file = tmp_path / "routers.log"
+        file.write_text("".join(f"{encode(line).decode()}\n" for line in lines))
+        assert main(["explain", "a9", str(file)]) == 0
+        out = capsys.readouterr().out
+        assert "target=i-0" in out
+        assert "i-9" not in out
+        assert "cause: targets-ended-under-prompt-part: targets ended before" in out
--- a/libs/cli/tests/test_cli_quarantined.py
+++ b/libs/cli/tests/test_cli_quarantined.py
@@ -7,7 +7,7 @@
 from anyio.to_thread import run_sync
 from msgspec.json import encode
 
-from berylwalk.quarantine import record_key
+from berylwalk.quarantine import part_identity, record_key
 from berylwalk.standins import serving
 from berylwalk.standins.platform import PlatformStandin
 
@@ -60,6 +60,15 @@
             "ended: i-1 i-2 i-3\n"
         )
 
+    async def test_prompt_part(self, quarantined):
+        """A part is told from a request."""
+        async with quarantined() as run:
+            identity = part_identity("s", b"1f")
+            value = run.store.get(record_key(IDENTITY)).value
+            run.store.put(record_key(identity), value)
+            result = await run()
+        assert f"{identity.hex()}  prompt part  since " in result.output
+
     async def test_none(self, quarantined):
         """An empty list is stated explicitly."""
         async with quarantined(None) as run:
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -39,7 +39,7 @@
 )
 from berylwalk.forwarding import CallerConnection, CallerRequest, TargetPool
 from berylwalk.platform import REQUEST_ID_HEADER, KeyValueClient
-from berylwalk.quarantine import Quarantine, QuarantineChange
+from berylwalk.quarantine import Quarantine, QuarantineChange, is_part
 from berylwalk.rollout import Rollouts, VersionRejection
 
 KEY_TRUST_MARGIN_S = 0.5
@@ -292,6 +292,7 @@
         self._context.log.process(
             f"request-{change.kind}",
             identity=change.identity.hex(),
+            is_prompt_part=is_part(change.identity),
             ended=list(change.ended),
         )
         self._quarantine_store.wake()
--- a/libs/direct/src/berylwalk/direct/_gauges.py
+++ b/libs/direct/src/berylwalk/direct/_gauges.py
@@ -2,6 +2,7 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.dispatch import Target
+from berylwalk.quarantine import is_part
 
 MAX_AGE_S = 1e6
 """Reported for values that were never received."""
@@ -34,6 +35,8 @@
     metrics.quarantine.labels("known").set(len(quarantine))
     metrics.quarantine.labels("suspected").set(len(set(quarantine.suspected)))
     metrics.quarantine.labels("blamed").set(len(quarantine.blames))
+    blamed_parts = sum(map(is_part, quarantine.blames))
+    metrics.quarantine.labels("blamed-prompt-parts").set(blamed_parts)
     _refresh_rollouts(context)
     metrics.peers_heard.set(context.peers.alive_count(now))
     metrics.peers_known.set(context.peers.known_count())
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -158,7 +158,7 @@
         )
         self.quarantine = self._gauge(
             "quarantined_requests",
-            "Requests under which targets ended: known, suspected, blamed.",
+            "Requests and prompt parts under which targets ended, by standing.",
             "standing",
         )
         self.rollout_phase = self._gauge(
