Quarantine: verdicts and trials in modules of their own

No change of behaviour but one: a record of a prompt part that can't be read leaves no trial, as one of a request (it left one, as parts get three).

--- a/libs/direct/src/berylwalk/direct/_quarantine_store.py
+++ b/libs/direct/src/berylwalk/direct/_quarantine_store.py
@@ -25,11 +25,11 @@
 from berylwalk.quarantine import (
     CRASHES_TO_BLAME,
     RECORDS_PREFIX,
-    TRIAL_DELAYS_S,
     Identity,
     QuarantineStatus,
     Record,
     identity_from_key,
+    max_trials,
     record_key,
 )
 
@@ -315,7 +315,7 @@
                 key=item.key.decode("latin-1"),
                 detail=repr(error),
             )
-            exhausted = Record([], trials=len(TRIAL_DELAYS_S))
+            exhausted = Record([], trials=max_trials(identity))
             self._stored[identity] = _StoredRecord(exhausted, item.mod_revision)
             return None
         known = self._stored[identity] = _StoredRecord(record, item.mod_revision)
--- a/libs/direct/tests/test_direct_quarantine_records.py
+++ b/libs/direct/tests/test_direct_quarantine_records.py
@@ -12,7 +12,7 @@
     QuarantineStatus,
     request_identity,
 )
-from berylwalk.quarantine import _quarantine as quarantine_module
+from berylwalk.quarantine import _trials as trials_module
 from direct_fleet import answers
 
 pytestmark = pytest.mark.anyio
@@ -51,7 +51,7 @@
 @pytest.fixture
 def no_delays(monkeypatch):
     """Run trials, scans and writes without delay, and never expire records."""
-    monkeypatch.setattr(quarantine_module, "TRIAL_DELAYS_S", (0.0, 0.0))
+    monkeypatch.setattr(trials_module, "TRIAL_DELAYS_S", (0.0, 0.0))
     monkeypatch.setattr(store_module, "SYNC_INTERVAL_S", 0.02)
     monkeypatch.setattr(store_module, "SCAN_INTERVAL_S", 0.0)
     monkeypatch.setattr(store_module, "RECORD_TTL_S", float("inf"))
@@ -203,7 +203,7 @@
         self, running, no_delays, monkeypatch
     ):
         """All routers release it at their next scan."""
-        monkeypatch.setattr(quarantine_module, "TRIAL_DELAYS_S", (60.0, 600.0))
+        monkeypatch.setattr(trials_module, "TRIAL_DELAYS_S", (60.0, 600.0))
         async with running(answers("ok"), prepare=stored_record()) as fleet:
             await fleet.until(lambda: identity() in quarantine_of(fleet).blames)
             fleet.platform.store.delete(key())
--- a/libs/quarantine/src/berylwalk/quarantine/__init__.py
+++ b/libs/quarantine/src/berylwalk/quarantine/__init__.py
@@ -15,22 +15,21 @@
 )
 from berylwalk.quarantine._messages import QuarantineUpdate, SuspectUpdate
 from berylwalk.quarantine._outbox import Outbox
-from berylwalk.quarantine._quarantine import (
-    FREE,
-    TRIAL_DELAYS_S,
-    Blame,
-    ChangeKind,
-    Quarantine,
-    QuarantineChange,
-    QuarantineStatus,
-    Verdict,
-)
+from berylwalk.quarantine._quarantine import Quarantine
 from berylwalk.quarantine._records import (
     RECORDS_PREFIX,
     Record,
     identity_from_key,
     record_key,
 )
+from berylwalk.quarantine._trials import TRIAL_DELAYS_S, Blame, max_trials
+from berylwalk.quarantine._verdicts import (
+    FREE,
+    ChangeKind,
+    QuarantineChange,
+    QuarantineStatus,
+    Verdict,
+)
 
 __all__ = [
     "CRASHES_TO_BLAME",
@@ -54,6 +53,7 @@
     "attribute_crashes",
     "identity_from_key",
     "is_part",
+    "max_trials",
     "part_identity",
     "record_key",
     "request_identity",
--- a/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
@@ -5,9 +5,7 @@
 narrows them down, and routers exchange what they saw without a shared log.
 """
 
-from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass
-from enum import StrEnum
+from collections.abc import Callable, Iterable, Sequence
 
 from berylwalk.quarantine._attribution import (
     NO_ATTRIBUTION,
@@ -25,18 +23,16 @@
 from berylwalk.quarantine._outbox import Outbox
 from berylwalk.quarantine._part_attribution import PartsInUse, attribute_part_crashes
 from berylwalk.quarantine._records import Record
+from berylwalk.quarantine._trials import TRIAL_DELAYS_S, Blame
+from berylwalk.quarantine._verdicts import (
+    FREE,
+    SUSPECTED,
+    ChangeKind,
+    QuarantineChange,
+    QuarantineStatus,
+    Verdict,
+)
 
-TRIAL_DELAYS_S = (60.0, 600.0)
-"""Time from the blame to the first trial, and from there to the second, in seconds."""
-CONTESTED_TRIAL_DELAY_S = 0.3
-"""Time to the first trial of a contested request, in seconds: it is likely to be
-harmless and its caller still waits, but routers must have exchanged their crashes."""
-PART_TRIAL_DELAYS_S = (CONTESTED_TRIAL_DELAY_S, 60.0, 600.0)
-"""Time to each trial of a prompt part if the previous one crashed its target, in
-seconds. The first one is early, as it clears a harmless part."""
-INCONCLUSIVE_TRIAL_DELAY_S = 5.0
-"""Time to the next trial of a part if the target of the previous one neither crashed
-nor began to respond, in seconds."""
 PART_STORE_DELAY_S = 0.5
 """Age from which a single crash under a part is stored, in seconds: by then most
 harmless parts are cleared."""
@@ -49,99 +45,6 @@
 """Time between two removals of expired entries, in seconds."""
 
 
-class QuarantineStatus(StrEnum):
-    """How a request is treated."""
-
-    FREE = "free"
-    SUSPECTED = "suspected"
-    """It is isolated: sent where a crash would affect the fewest other requests."""
-    BLAMED = "blamed"
-    """It is not sent."""
-    TRIAL = "trial"
-    """It is sent only with a permit for one trial."""
-
-    @property
-    def is_blocked(self) -> bool:
-        """Whether it must not be sent like other requests."""
-        return self in (QuarantineStatus.BLAMED, QuarantineStatus.TRIAL)
-
-
-class ChangeKind(StrEnum):
-    """Kind of a change of a request's status."""
-
-    BLAMED = "blamed"
-    NO_LONGER_BLAMED = "no-longer-blamed"
-
-
-@dataclass(frozen=True, slots=True)
-class QuarantineChange:
-    """A request or prompt part that was blamed, or is no longer.
-
-    Parameters
-    ----------
-    kind : ChangeKind
-        Which of the two.
-    identity : bytes
-        Which request or part.
-    ended : collection of str
-        Incarnations of targets whose crashes led to the blame.
-    """
-
-    kind: ChangeKind
-    identity: Identity
-    ended: Collection[str]
-
-
-@dataclass(slots=True)
-class Blame:
-    """State of a blamed request.
-
-    Attributes
-    ----------
-    since : float
-        When it was blamed, in seconds.
-    trials : int
-        Trials known to have been granted.
-    next_trial_at : float or None
-        When the next trial may be granted; None if there is none left.
-    trial_at : float
-        When the last trial became known, in seconds.
-    crashes_at_trial : int
-        Number of crashes that were known when it was granted.
-    """
-
-    since: float
-    trials: int = 0
-    next_trial_at: float | None = None
-    trial_at: float = 0.0
-    crashes_at_trial: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """How a request is treated, by its own identity and by the parts of its prompt.
-
-    Parameters
-    ----------
-    status : QuarantineStatus
-        The status.
-    blocked_by : tuple of bytes
-        Identities that are blamed.
-    trial_of : tuple of bytes
-        Identities of which a trial permit is needed, if it is a trial.
-    """
-
-    status: QuarantineStatus
-    blocked_by: tuple[Identity, ...] = ()
-    trial_of: tuple[Identity, ...] = ()
-
-
-FREE = Verdict(QuarantineStatus.FREE)
-"""Verdict on a request that nothing is known against."""
-SUSPECTED = Verdict(QuarantineStatus.SUSPECTED)
-"""Verdict on a request that may have caused some crashes."""
-
-
 class Quarantine:
     """Suspected and blamed requests of one router, and the updates it has to send.
 
@@ -482,20 +385,11 @@
         )
 
     def _schedule_trial(self, identity: Identity, blame: Blame) -> None:
-        delays_s = PART_TRIAL_DELAYS_S if is_part(identity) else TRIAL_DELAYS_S
-        if blame.trials >= len(delays_s):
-            blame.next_trial_at = None
-            return
-        delay_s = delays_s[blame.trials]
-        if not blame.trials:
-            if identity in self._attribution.contested:
-                delay_s = CONTESTED_TRIAL_DELAY_S
-            blame.next_trial_at = blame.since + delay_s
-            return
-        crashes = len(self._evidence.crashed_incarnations(identity))
-        if is_part(identity) and crashes <= blame.crashes_at_trial:
-            delay_s = INCONCLUSIVE_TRIAL_DELAY_S
-        blame.next_trial_at = blame.trial_at + delay_s
+        blame.schedule_trial(
+            identity,
+            is_contested=identity in self._attribution.contested,
+            crashes=len(self._evidence.crashed_incarnations(identity)),
+        )
 
 
 def _age_s(time: float, now: float) -> float:
--- a/libs/quarantine/tests/test_quarantine_parts.py
+++ b/libs/quarantine/tests/test_quarantine_parts.py
@@ -14,7 +14,7 @@
     SAME_CAUSE_S,
     attribute_part_crashes,
 )
-from berylwalk.quarantine._quarantine import (
+from berylwalk.quarantine._trials import (
     CONTESTED_TRIAL_DELAY_S,
     INCONCLUSIVE_TRIAL_DELAY_S,
     PART_TRIAL_DELAYS_S,
