--- a/libs/direct/tests/test_direct_quarantine.py
+++ b/libs/direct/tests/test_direct_quarantine.py
@@ -7,9 +7,19 @@
 import pytest
 from anyio import sleep
 
+from berylwalk.direct import _attempt
 from berylwalk.direct._admission import PART_QUARANTINED
 from berylwalk.quarantine import part_identity
-from direct_fleet import ScriptedTarget, answers, read_reply
+from direct_fleet import (
+    CHUNKED,
+    EVENTS,
+    ScriptedTarget,
+    answers,
+    chunk,
+    event,
+    head,
+    read_reply,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -32,7 +42,15 @@
 
 
 class Engines:
-    """Targets that terminate when they run a faulty request and are then replaced."""
+    """Targets that terminate when they run a faulty request and are then replaced.
+
+    Attributes
+    ----------
+    sends_event : bool
+        Whether they send one event of a stream before.
+    """
+
+    sends_event = False
 
     def __init__(self, fleet, free_port):
         self.fleet = fleet
@@ -61,6 +79,10 @@
                 await answers("ok")(request, writer)
                 return
             self.crashed.append(target.target_id)
+            if self.sends_event:
+                writer.write(head(request, kind=EVENTS, more=CHUNKED))
+                writer.write(chunk(event(1)))
+                await writer.drain()
             await target.crash()
             await sleep(LAPSE_S)
             self.fleet.platform.store.delete(f"servers/{target.target_id}".encode())
@@ -175,6 +197,25 @@
         assert len(started_engines.crashed) <= CRASHES_TO_FIND_A_PART
         assert served == REPEATS
 
+    async def test_crash_right_after_the_first_event(
+        self, running, engines, monkeypatch
+    ):
+        """An event that arrives just before the crash must not clear the part."""
+        # A busy machine delays the end of the connection.
+        monkeypatch.setattr(_attempt, "BEGUN_AFTER_S", 5.0)
+        async with running(routes=("streaming",)) as fleet:
+            started_engines = await engines(fleet)
+            started_engines.sends_event = True
+            for number in range(REPEATS):
+                reply = await fleet.call(
+                    "/streaming/x",
+                    body=b"faulty %d" % number,
+                    Prompt_Prefix=prompt(FAULTY_PART, f"e{number}"),
+                )
+                assert reply.status == 503 or not reply.is_complete
+                await sleep(PAUSE_S)
+        assert 3 <= len(started_engines.crashed) <= CRASHES_TO_FIND_A_PART
+
     async def test_retries_with_a_faulty_part_are_bounded(self, running, engines):
         """The router's own retries must stop as well."""
 
