A returned trial permit delays the next trial

While no target had room, each request with a blamed part would have acquired a permit and returned it, two writes each. Tests: the delay, a trial that is served, a permit that goes back when no place is found.

--- a/libs/direct/tests/test_direct_quarantine_records.py
+++ b/libs/direct/tests/test_direct_quarantine_records.py
@@ -10,6 +10,8 @@
     BodyHash,
     Quarantine,
     QuarantineStatus,
+    part_identity,
+    record_key,
     request_identity,
 )
 from berylwalk.quarantine import _trials as trials_module
@@ -141,6 +143,53 @@
             assert record()["trials"] == 2
 
 
+class TestTrialsOfPromptParts:
+    """A harmless part that was blamed returns with its first trial."""
+
+    PART = part_identity("s", b"1f")
+    KEY = record_key(PART)
+
+    def blamed(self, fleet):
+        """Write a record of the part before the router starts."""
+        record = {"ended": INCARNATION_IDS, "trials": 0, "noted_s": 1.0e9}
+        fleet.platform.store.put(self.KEY, dumps(record).encode())
+
+    def call(self, fleet):
+        """Send a request with the part."""
+        return fleet.call("/idempotent/x", Prompt_Prefix="1f:60,2e:60")
+
+    def trials(self, fleet):
+        """Return the number of trials in the record."""
+        return loads(fleet.platform.store.get(self.KEY).value)["trials"]
+
+    async def until_due(self, fleet):
+        """Wait until a trial is due."""
+        quarantine, clock = quarantine_of(fleet), fleet.router._context.clock
+        trial = QuarantineStatus.TRIAL
+        await fleet.until(lambda: quarantine.status(self.PART, clock()) is trial)
+
+    async def test_trial_is_served_and_ends_the_blame(self, running, no_delays):
+        """The record is deleted, and further requests need no permit."""
+        async with running(answers("ok"), prepare=self.blamed) as fleet:
+            await self.until_due(fleet)
+            assert (await self.call(fleet)).status == 200
+            assert quarantine_of(fleet).blames == {}
+            await fleet.until(lambda: fleet.platform.store.get(self.KEY) is None)
+            assert (await self.call(fleet)).status == 200
+
+    async def test_permit_of_a_trial_without_a_place_is_returned(self, running):
+        """Otherwise the part would be held back for a minute."""
+        async with running(answers("ok"), prepare=self.blamed) as fleet:
+            await self.until_due(fleet)
+            target = fleet.router._context.targets.by_id["i-0"]
+            target.in_flight += 100
+            assert (await self.call(fleet)).status == 503
+            target.in_flight -= 100
+            await fleet.until(lambda: self.trials(fleet) == 0)
+            await self.until_due(fleet)
+            assert (await self.call(fleet)).status == 200
+
+
 class TestTrials:
     """A trial permit is a compare-and-swap on the record."""
 
--- a/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
+++ b/libs/quarantine/src/berylwalk/quarantine/_quarantine.py
@@ -275,9 +275,15 @@
             self._broadcast(identity)
 
     def record_trial(self, identity: Identity, record: Record, now: float) -> None:
-        """Record the trials that a request or part has been granted."""
+        """Record the trials that a request or part has been granted.
+
+        After a permit was returned the delay begins anew: while no target has room,
+        each request would acquire and return one.
+        """
         blame = self.blames.get(identity)
         if blame is not None:
+            if record.trials < blame.trials:
+                blame.since = now
             blame.trials = record.trials
             blame.trial_at = now
             blame.crashes_at_trial = record.crashes_at_trial
--- a/libs/quarantine/tests/test_quarantine_parts.py
+++ b/libs/quarantine/tests/test_quarantine_parts.py
@@ -161,6 +161,14 @@
         assert quarantine.status(FAULTY, due_at - 1) is QuarantineStatus.BLAMED
         assert quarantine.status(FAULTY, due_at) is QuarantineStatus.TRIAL
 
+    def test_returned_permit_delays_the_next_trial(self, quarantine):
+        """While no target has room, requests must not acquire permits in turn."""
+        quarantine.record_trial(FAULTY, Record([], 1, crashes_at_trial=3), 3.0)
+        quarantine.record_trial(FAULTY, Record([], 0, crashes_at_trial=3), 3.1)
+        assert quarantine.status(FAULTY, 3.2) is QuarantineStatus.BLAMED
+        due_at = 3.1 + CONTESTED_TRIAL_DELAY_S
+        assert quarantine.status(FAULTY, due_at) is QuarantineStatus.TRIAL
+
     def test_trial_that_begins_ends_the_blame(self, quarantine):
         """The part must be served at once."""
         assert quarantine.record_begun([OUTER, FAULTY], 3.0) == [FAULTY]
