--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -381,6 +381,10 @@
             self._writers.discard(writer)
             writer.close()
 
+    def note(self, text: str) -> None:
+        """Write a line about this worker."""
+        self._rig.record.line(f"{self.name} {text}")
+
     def begin(self, run: Run) -> None:
         """Note that the worker begins to work on a request."""
         run.was_run = True
