Logs: what the hypotheses on few busy routers differ in

request-not-placed told only the obstacles: a target that is full by its own report, by this router's requests or by what others told looked the same. vm-refusals was logged at its beginning and end only, without the refused share or the limit that rules. Both are told now, with connections and open requests.

--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -89,6 +89,8 @@
         Bytes on the link of the VM.
     vm_capacity : VmCapacity
         Judges how much of the VM is used.
+    open_requests : int
+        Requests of callers that are not answered yet.
     on_placed : callable
         Called with the target of each attempt.
     on_signals_changed : callable
@@ -122,6 +124,7 @@
     request_bodies: RequestBodies = field(default_factory=RequestBodies)
     traffic: TrafficCounter = field(default_factory=TrafficCounter)
     vm_capacity: VmCapacity = field(default_factory=lambda: VmCapacity(""))
+    open_requests: int = 0
     on_placed: Callable[[Target], None] = lambda _: None
     on_signals_changed: Callable[[], None] = lambda: None
     find_stored_stream: Callable[[int], Awaitable[str | None]] = _no_stored_stream
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -116,6 +116,13 @@
 
     async def run(self) -> None:
         """Admit the request and respond to it."""
+        self._context.open_requests += 1
+        try:
+            await self._run()
+        finally:
+            self._context.open_requests -= 1
+
+    async def _run(self) -> None:
         self._context.note_suspension()
         admitted = admit(self._context, self._request)
         if isinstance(admitted, Refusal):
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -73,13 +73,18 @@
         """Log why no target was available."""
         context = self.context
         now = context.clock()
+        targets = context.targets.of_service(admitted.service)
         context.log.request(
             "request-not-placed",
             admitted.request_id,
             service=admitted.service,
             rank=admitted.rank,
             waiting=context.dispatcher.queue_length(admitted.service),
-            targets=len(context.targets.of_service(admitted.service)),
+            targets=len(targets),
+            slots=sum(target.entry.slots for target in targets),
+            in_flight=sum(target.in_flight for target in targets),
+            peer_in_flight=sum(target.peer_in_flight for target in targets),
+            reported=sum(target.report is not None for target in targets),
             obstacles=context.dispatcher.ineligibility_reasons(pending, now),
             routers_heard=context.peers.alive_count(now),
             **self._urgency_fields(admitted, now),
--- a/libs/direct/src/berylwalk/direct/_vm_meter.py
+++ b/libs/direct/src/berylwalk/direct/_vm_meter.py
@@ -14,6 +14,8 @@
 """Time over which bytes on the link and delays of the event loop are judged."""
 MAX_LOOP_DELAY_S = 0.5
 """Delay of the event loop at which most answers are late."""
+LOG_INTERVAL_S = 1.0
+"""Interval between two log lines about what is refused meanwhile."""
 RESERVED_DESCRIPTORS = 200
 """Descriptors of the limit that are for files."""
 
@@ -46,6 +48,7 @@
         self._caller_connections = caller_connections
         self._samples: deque[_Sample] = deque()
         self._was_refusing = False
+        self._refusals_logged_at = float("-inf")
 
     async def run(self) -> None:
         """Measure forever."""
@@ -142,13 +145,27 @@
         ]
 
     def _log_refusals(self) -> None:
-        is_refusing = self._context.vm_capacity.refused_share > 0
-        if is_refusing != self._was_refusing:
-            self._was_refusing = is_refusing
-            self._log("vm-refusals", is_refusing=is_refusing)
+        """Log the beginning and the end of refusals, and their share meanwhile."""
+        now = self._context.clock()
+        refused_share = self._context.vm_capacity.refused_share
+        is_refusing = refused_share > 0
+        is_due = is_refusing and now - self._refusals_logged_at >= LOG_INTERVAL_S
+        if is_refusing == self._was_refusing and not is_due:
+            return
+        self._was_refusing, self._refusals_logged_at = is_refusing, now
+        self._log(
+            "vm-refusals",
+            is_refusing=is_refusing,
+            refused_share=round(refused_share, 2),
+        )
 
     def _log(self, event: str, **fields: object) -> None:
         shares = self._context.vm_capacity.shares
         self._context.log.process(
-            event, **fields, shares={name: round(shares[name], 2) for name in shares}
+            event,
+            **fields,
+            resource=max(shares, key=shares.__getitem__, default=None),
+            shares={name: round(shares[name], 2) for name in shares},
+            caller_connections=self._caller_connections(),
+            open_requests=self._context.open_requests,
         )
