--- a/libs/direct/tests/virtual_parts.py
+++ b/libs/direct/tests/virtual_parts.py
@@ -106,6 +106,9 @@
     Another one with a new id follows at its address.
     """
 
+    event_text = ""
+    """Data of each event besides its number."""
+
     def __init__(self, simulation, number, *, run_s, slots):
         super().__init__(simulation, number, run_s=run_s, slots=slots)
         self.number = number
@@ -191,7 +194,7 @@
             self._leave(transport)
             transport.deliver(b"0\r\n\r\n")
             return
-        data = b"id: %d\ndata: %d\n\n" % (number, number)
+        data = f"id: {number}\ndata: {number}{self.event_text}\n\n".encode()
         transport.deliver(b"%x\r\n%s\r\n" % (len(data), data))
         get_running_loop().call_later(
             EVENT_S, self._send_event, transport, target_id, number + 1
