Few routers with most connections: what can't be served is not read

Callers saw: most new connections reached one router with a small VM, which read their requests and answered up to nine tenths of them 503 vm-limit, also when half of its link was free again. Cause: the refused share was an integral (a fifth a second) with a dead band from 0.8 to 0.9, applied after the link had carried each body. Class: a decision on load that comes after the load was taken, and that follows its own past instead of the load.

Change: new connections are turned away unread (the socket is closed, accepted ones are reset) while the VM has no room and at least half of the reachable routers have; the use by open requests is forecast from the measured use of the mean number of them, so that a surge counts before it is measured. Requests that were read are refused in proportion to the use. Routers tell whether they have room. The processor is measured by the idle time of the loop, for connections only.

--- a/libs/direct/src/berylwalk/direct/__main__.py
+++ b/libs/direct/src/berylwalk/direct/__main__.py
@@ -9,6 +9,7 @@
 from anyio import create_task_group, open_signal_receiver, run
 
 from berylwalk.direct._daemon import DirectRouter
+from berylwalk.direct._measured_loop import MeasuredLoop
 from berylwalk.dispatch import RouterSettings
 from berylwalk.platform import SETTINGS_PATH_VARIABLE, read_vm_settings
 
@@ -51,7 +52,8 @@
     settings = read_vm_settings(Path(args.settings))
     if not args.target_monitors:
         settings = replace(settings, monitor_port=None)
-    run(_serve, settings, backend_options={"use_uvloop": args.uvloop})
+    options = {"use_uvloop": True} if args.uvloop else {"loop_factory": MeasuredLoop}
+    run(_serve, settings, backend_options=options)
 
 
 if __name__ == "__main__":
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -1,7 +1,7 @@
 """Daemon of the direct router."""
 
-from asyncio import get_running_loop
-from collections.abc import AsyncIterator
+from asyncio import AbstractEventLoop, get_running_loop
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from traceback import format_exception
 from typing import Self
@@ -17,6 +17,7 @@
 from berylwalk.direct._exchange import SLOW_READER, Exchange, TrialPermits
 from berylwalk.direct._gauges import refresh_gauges
 from berylwalk.direct._listeners import Listener
+from berylwalk.direct._measured_loop import MeasuredLoop
 from berylwalk.direct._metrics import RouterMetrics
 from berylwalk.direct._mirrored_prefix import ReadRole
 from berylwalk.direct._peering import Peering
@@ -135,9 +136,13 @@
             on_disconnect=self._on_caller_disconnected,
             limits=self._limits,
             buffers=self._buffers,
+            takes_connection=self._takes_connection,
         )
         self._vm_meter = VmMeter(
-            context, caller_connections=lambda: len(self._callers.connections)
+            context,
+            caller_connections=lambda: len(self._callers.connections),
+            waited_s=_waited_s(loop),
+            on_measured=self._resume_callers,
         )
         self._peering.is_unready = lambda: not self.is_ready
         self._readiness = Listener(
@@ -310,6 +315,25 @@
         """
         self._context.log.process("reloaded")
 
+    def _takes_connection(self) -> bool:
+        context = self._context
+        return context.vm_capacity.takes_connection(
+            context.open_requests, context.clock()
+        )
+
+    def _resume_callers(self) -> None:
+        """Accept connections again if some would be taken."""
+        context = self._context
+        if self._callers.is_paused and context.vm_capacity.may_take(context.clock()):
+            self._tasks.start_soon(self._resume_listening)
+
+    async def _resume_listening(self) -> None:
+        try:
+            await self._callers.resume()
+        except OSError as error:
+            # It is tried again after the next measurement.
+            self._context.log.process("listening-failed", detail=str(error))
+
     def _serve(self, connection: CallerConnection, request: CallerRequest) -> None:
         exchange = Exchange(
             self._context,
@@ -444,3 +468,8 @@
             self._context.dispatcher.dispatch_all_queued(self._context.clock())
             self._context.quarantine.expire(self._context.clock())
             self._context.log.flush()
+
+
+def _waited_s(loop: AbstractEventLoop) -> Callable[[], float] | None:
+    """Return what tells for how long a loop had nothing to do; None if none does."""
+    return (lambda: loop.waited_s) if isinstance(loop, MeasuredLoop) else None
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -237,7 +237,9 @@
         if admitted.takes_up_stream and not await self._bind_to_stream_version():
             self._fail(AttemptEnd.NOT_SENT, "stream-version-unknown")
             return
-        if context.vm_capacity.refuses(admitted.rank):
+        if context.vm_capacity.refuses(
+            admitted.rank, open_requests=context.open_requests
+        ):
             self._fail(AttemptEnd.NOT_SENT, VM_LIMIT)
             return
         takeover: Takeover | None = None
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -45,6 +45,10 @@
         Returns the limits in force.
     buffers : CallerBuffers or None
         Bounds what is held for all callers; None for no bound.
+    takes_connection : callable
+        Returns whether to take a new connection. While it doesn't, nothing is read from
+        new connections: the socket is closed, so that their callers learn at once that
+        they have to reach another router.
     """
 
     def __init__(
@@ -57,38 +61,73 @@
         on_disconnect: Callable[[CallerConnection], None] = lambda connection: None,
         limits: Callable[[], CallerLimits] = CallerLimits,
         buffers: CallerBuffers | None = None,
+        takes_connection: Callable[[], bool] = lambda: True,
     ) -> None:
         self._loop = loop
         self._address = address
+        self._takes_connection = takes_connection
         self._clock = clock
         self._serve = serve
         self._on_disconnect = on_disconnect
         self._limits = limits
         self._buffers = buffers
         self._server: Server | None = None
+        self._is_closed = False
+        self._is_starting = False
         self.connections: set[CallerConnection] = set()
         self.closing = False
 
     async def start(self) -> None:
-        """Listen.
+        """Listen; connections are turned away while `takes_connection` says so.
 
         Raises
         ------
         OSError
             If the address cannot be bound.
         """
-        self._server = await self._loop.create_server(
-            self._create_connection,
-            self._address.host,
-            self._address.port,
-            backlog=BACKLOG,
-            reuse_address=True,
-        )
+        self._is_starting = True
+        try:
+            server = await self._loop.create_server(
+                self._create_connection,
+                self._address.host,
+                self._address.port,
+                backlog=BACKLOG,
+                reuse_address=True,
+            )
+        finally:
+            self._is_starting = False
+        if self._is_closed:
+            server.close()
+        else:
+            self._server = server
+
+    async def resume(self) -> None:
+        """Listen again after connections were turned away."""
+        if self.is_paused:
+            await self.start()
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether new connections are turned away."""
+        is_listening = self._server is not None or self._is_starting
+        return not is_listening and not self._is_closed
 
     def close(self) -> None:
-        """Stop accepting connections; open ones are kept."""
-        if self._server is not None:
-            self._server.close()
+        """Stop accepting connections for good; open ones are kept."""
+        self._is_closed = True
+        self._stop_listening()
+
+    def _stop_listening(self) -> None:
+        server, self._server = self._server, None
+        if server is not None:
+            server.close()
+
+    def _accepts(self) -> bool:
+        """Return whether to read from a connection that was just made."""
+        takes_connection = self._takes_connection()
+        if not takes_connection:
+            self._stop_listening()
+        return takes_connection
 
     def abort(self) -> None:
         """Stop accepting connections and abort the open ones."""
@@ -130,6 +169,7 @@
             registry=self.connections,
             call_later=self._loop.call_later,
             buffers=self._buffers,
+            accepts=self._accepts,
         )
         connection.closing = self.closing
         return connection
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -115,6 +115,11 @@
             "Responses ended because their callers read too slowly.",
             registry=registry,
         )
+        self.connections_turned_away = Counter(
+            "berylwalk_connections_turned_away",
+            "Connections of callers that were closed unread to spare the VM.",
+            registry=registry,
+        )
         self.vm_share = self._gauge(
             "vm_share", "Used share of a limit of the VM.", "resource"
         )
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -68,6 +68,8 @@
         Whether it tells the load balancer that it is not ready, for any reason.
     refused : dict
         Units refused for a quota since the start, by client account.
+    is_full : bool
+        Whether it turns new connections away to spare its VM.
     """
 
     name: str
@@ -86,6 +88,7 @@
     unready_claim: int = 0
     is_unready: bool = False
     refused: dict[str, int] = field(default_factory=dict)
+    is_full: bool = False
 
     def to_peer(self) -> Peer:
         """Return the router as an entry of the peer table."""
@@ -98,6 +101,7 @@
             sequence=self.sequence,
             unready_claim=self.unready_claim,
             is_unready=self.is_unready,
+            is_full=self.is_full,
         )
 
 
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -273,7 +273,8 @@
         signal_contents = [each.content for each in signals]
         retries = context.retries.own_totals(now)
         rates = limited_rates(context)
-        readiness = (context.vm_capacity.claim, self.is_unready())
+        capacity = context.vm_capacity
+        readiness = (capacity.claim, self.is_unready(), not capacity.has_room)
         current = (loads, spent, rollouts, signal_contents, retries, rates, readiness)
         is_unchanged = (
             self._last_sent == current
@@ -337,6 +338,7 @@
             context.vm_capacity.claim,
             self.is_unready(),
             {name: round(units) for name, units in refused.items()},
+            not context.vm_capacity.has_room,
         )
 
     def _own_rates(self) -> RatesByService:
@@ -380,7 +382,7 @@
 
     def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
         for peer in peers:
-            self._context.traffic.note_sent(len(data))
+            self._context.traffic.note_message_sent(len(data))
             self._transport.sendto(data, (peer.host, peer.port))
 
     # History of the window for routers that have just started
@@ -433,7 +435,7 @@
     # Receiving
 
     def _receive(self, data: bytes) -> None:
-        self._context.traffic.note_received(len(data))
+        self._context.traffic.note_message_received(len(data))
         try:
             message = self._decoder.decode(data)
         except (DecodeError, ValidationError) as error:
--- a/libs/direct/src/berylwalk/direct/_vm_meter.py
+++ b/libs/direct/src/berylwalk/direct/_vm_meter.py
@@ -27,7 +27,9 @@
     at: float
     sent_bytes: int
     received_bytes: int
+    control_bytes: int
     delay_s: float
+    waited_s: float
 
 
 class VmMeter:
@@ -39,13 +41,27 @@
         Shared state of the router.
     caller_connections : callable
         Returns the number of open connections of callers.
+    waited_s : callable or None
+        Returns for how long the event loop had nothing to do since the start, in
+        seconds; None if that is not measured.
+    on_measured : callable
+        Called after each measurement.
     """
 
     def __init__(
-        self, context: RouterContext, *, caller_connections: Callable[[], int]
+        self,
+        context: RouterContext,
+        *,
+        caller_connections: Callable[[], int],
+        waited_s: Callable[[], float] | None = None,
+        on_measured: Callable[[], None] = lambda: None,
     ) -> None:
         self._context = context
         self._caller_connections = caller_connections
+        self._waited_s = waited_s
+        self._on_measured = on_measured
+        self._turned_away = 0
+        self._turned_away_logged_at = float("-inf")
         self._samples: deque[_Sample] = deque()
         self._was_refusing = False
         self._refusals_logged_at = float("-inf")
@@ -72,13 +88,26 @@
         context = self._context
         now, traffic = context.clock(), context.traffic
         self._samples.append(
-            _Sample(now, traffic.sent_bytes, traffic.received_bytes, delay_s)
+            _Sample(
+                now,
+                traffic.sent_bytes,
+                traffic.received_bytes,
+                traffic.control_bytes,
+                delay_s,
+                0.0 if self._waited_s is None else self._waited_s(),
+            )
         )
         while len(self._samples) > 2 and now - self._samples[1].at >= WINDOW_S:
             self._samples.popleft()
-        context.vm_capacity.record(self._shares(), now)
+        peers = self._peers(now)
+        context.vm_capacity.record(
+            self._shares(), now, open_requests=context.open_requests
+        )
+        context.vm_capacity.update_room_of_others(self._reachable(peers))
         self._log_refusals()
-        if context.vm_capacity.update_readiness(self._domain_peers(now), now):
+        self._log_turned_away()
+        self._on_measured()
+        if context.vm_capacity.update_readiness(self._in_domain(peers), now):
             self._log("vm-readiness", is_ready=not context.vm_capacity.is_unready)
 
     def _shares(self) -> dict[VmResource, float]:
@@ -88,6 +117,8 @@
             shares[VmResource.LINK] = self._bytes_per_s() / limits.link_bytes_per_s
         if limits.processor_share is not None:
             shares[VmResource.EVENT_LOOP] = self._loop_delay_s() / MAX_LOOP_DELAY_S
+            if self._waited_s is not None:
+                shares[VmResource.PROCESSOR] = self._busy_share()
         if limits.memory_bytes is not None:
             shares[VmResource.MEMORY] = self._memory_share()
         if limits.descriptors is not None:
@@ -107,12 +138,29 @@
         received = last.received_bytes - first.received_bytes
         return max(sent, received) / self._window_s()
 
+    def _rates(self) -> dict[str, int]:
+        """Return the rates on the link in bytes per second, for the log."""
+        first, last = self._samples[0], self._samples[-1]
+        window_s = max(self._window_s(), INTERVAL_S)
+        return {
+            "sent": round((last.sent_bytes - first.sent_bytes) / window_s),
+            "received": round((last.received_bytes - first.received_bytes) / window_s),
+            "control": round((last.control_bytes - first.control_bytes) / window_s),
+        }
+
     def _loop_delay_s(self) -> float:
         """Return the delay that the event loop had all the while."""
         if self._window_s() < WINDOW_S:
             return 0.0
         return max(0.0, min(each.delay_s for each in self._samples))
 
+    def _busy_share(self) -> float:
+        """Return the share of the time for which the loop had work."""
+        if self._window_s() < WINDOW_S:
+            return 0.0
+        waited_s = self._samples[-1].waited_s - self._samples[0].waited_s
+        return min(1.0, max(0.0, 1.0 - waited_s / self._window_s()))
+
     def _memory_share(self) -> float:
         """Return the larger of the shares of the bounds on responses and on bodies."""
         responses = self._context.response_buffers
@@ -129,21 +177,47 @@
         )
         return self._caller_connections() + in_flight + self._context.pool.idle_count()
 
-    def _domain_peers(self, now: float) -> list[RouterPressure]:
-        """Return what is known of the other routers of the failure domain."""
-        context = self._context
-        peers = context.peers
-        return [
-            RouterPressure(
+    def _peers(self, now: float) -> dict[str, RouterPressure]:
+        """Return what is known of the other routers, by name."""
+        peers = self._context.peers
+        return {
+            peer.name: RouterPressure(
                 peer.name,
                 peer.unready_claim,
                 is_unready=peer.is_unready,
                 is_heard=peers.is_alive(peer, now),
+                has_room=not peer.is_full,
             )
             for peer in peers.by_name.values()
-            if peer.failure_domain == context.settings.failure_domain
+        }
+
+    def _in_domain(self, peers: dict[str, RouterPressure]) -> list[RouterPressure]:
+        """Return those of the failure domain of this router."""
+        by_name, domain = self._context.peers.by_name, self._context.settings
+        return [
+            peer
+            for name, peer in peers.items()
+            if by_name[name].failure_domain == domain.failure_domain
         ]
 
+    def _reachable(self, peers: dict[str, RouterPressure]) -> list[RouterPressure]:
+        """Return those that callers of this router reach: of its domain, if it has any.
+
+        Callers of a domain with one router are sent to other domains.
+        """
+        return self._in_domain(peers) or list(peers.values())
+
+    def _log_turned_away(self) -> None:
+        """Log connections that were turned away, once in a while."""
+        context, now = self._context, self._context.clock()
+        turned_away = context.vm_capacity.turned_away - self._turned_away
+        if not turned_away or now - self._turned_away_logged_at < LOG_INTERVAL_S:
+            return
+        self._turned_away += turned_away
+        self._turned_away_logged_at = now
+        context.metrics.connections_turned_away.inc(turned_away)
+        self._log("connections-turned-away", count=turned_away)
+
     def _log_refusals(self) -> None:
         """Log the beginning and the end of refusals, and their share meanwhile."""
         now = self._context.clock()
@@ -166,6 +240,7 @@
             **fields,
             resource=max(shares, key=shares.__getitem__, default=None),
             shares={name: round(shares[name], 2) for name in shares},
+            bytes_per_s=self._rates(),
             caller_connections=self._caller_connections(),
             open_requests=self._context.open_requests,
         )
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
@@ -63,6 +63,8 @@
         limit; 0 if it wants them.
     is_unready : bool
         Whether it tells the load balancer that it is not ready.
+    is_full : bool
+        Whether it turns new connections away to spare its VM.
     """
 
     name: str
@@ -74,6 +76,7 @@
     sequence: int = 0
     unready_claim: int = 0
     is_unready: bool = False
+    is_full: bool = False
 
 
 class PeerTable:
@@ -212,6 +215,7 @@
             return False
         peer.sequence = sender.sequence
         peer.unready_claim, peer.is_unready = sender.unready_claim, sender.is_unready
+        peer.is_full = sender.is_full
         peer.last_heard_at = now
         return True
 
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -106,6 +106,8 @@
         Schedules a callback after a delay in seconds.
     buffers : CallerBuffers or None
         Bounds what is held for all callers; None for no bound.
+    accepts : callable
+        Returns whether to read from this connection; otherwise it is reset.
 
     Attributes
     ----------
@@ -123,7 +125,9 @@
         registry: set["CallerConnection"],
         call_later: Callable[..., Any],
         buffers: CallerBuffers | None = None,
+        accepts: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._accepts = accepts
         self._serve = serve
         self._on_disconnect = on_disconnect
         self._limits = limits
@@ -153,7 +157,10 @@
     # Callbacks of the event loop.
 
     def connection_made(self, transport: Transport) -> None:  # type: ignore[override]
-        """Store the transport and register the connection."""
+        """Store the transport and register the connection, unless it is not taken."""
+        if not self._accepts():
+            _reset(transport)
+            return
         self._transport = transport
         self._registry.add(self)
         if self._buffers is not None:
@@ -193,7 +200,7 @@
         """Report that the caller has disconnected."""
         self._registry.discard(self)
         self._queue.clear()
-        if self._buffers is not None:
+        if self._buffers is not None and self._transport is not None:
             self._buffers.forget(self)
             self._release_body(self._body_bytes)
         transport, self._transport = self._transport, None
--- a/libs/forwarding/src/berylwalk/forwarding/_traffic.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_traffic.py
@@ -16,10 +16,23 @@
     ----------
     sent_bytes, received_bytes : int
         Bytes since the start.
+    control_bytes : int
+        Those of messages between routers, sent and received.
     """
 
     sent_bytes: int = 0
     received_bytes: int = 0
+    control_bytes: int = 0
+
+    def note_message_sent(self, size: int) -> None:
+        """Count a message to another router."""
+        self.note_sent(size)
+        self.control_bytes += _on_link(size)
+
+    def note_message_received(self, size: int) -> None:
+        """Count a message of another router."""
+        self.note_received(size)
+        self.control_bytes += _on_link(size)
 
     def note_sent(self, size: int) -> None:
         """Count data that was sent at once."""
