Relays: messages of other domains go to routers that are heard

Cause: a relay passed each message of another domain on to all listed routers of its own, ten of which were gone, until their leases lapsed. Class: control messages whose volume doesn't follow who needs them. Change: only routers that are heard get them; one that is back is heard by its own messages first. The test failed before (6 routers instead of 1).

--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -348,10 +348,7 @@
 
     def _domain_message(self, now: float) -> DomainMessage:
         context = self._context
-        peers = context.peers
-        alive_peers = [
-            peer.name for peer in peers.direct_peers() if peers.is_alive(peer, now)
-        ]
+        alive_peers = [peer.name for peer in self._heard_peers(now)]
         updates = [
             self._updates_by_name[name]
             for name in alive_peers
@@ -370,6 +367,15 @@
             usage=context.account_usage.total_told(alive_peers, now),
         )
 
+    def _heard_peers(self, now: float) -> list[Peer]:
+        """Return the direct peers that are heard.
+
+        What is large is not sent to the others: they may be gone, and it would fill the
+        link of this VM. One that is back is heard by its own messages.
+        """
+        peers = self._context.peers
+        return [peer for peer in peers.direct_peers() if peers.is_alive(peer, now)]
+
     def _take_streams_to_relay(self) -> StreamRecords:
         streams = list(self._streams_to_relay)
         self._streams_to_relay.clear()
@@ -396,10 +402,7 @@
         context = self._context
         if context.quotas.has_full_window(now) and context.retries.is_complete(now):
             return None
-        peers = context.peers
-        alive_peers = [
-            peer.name for peer in peers.direct_peers() if peers.is_alive(peer, now)
-        ]
+        alive_peers = [peer.name for peer in self._heard_peers(now)]
         return choice(alive_peers) if alive_peers else None
 
     def _send_history(self, receiver: Peer, now: float) -> None:
@@ -514,7 +517,7 @@
         merge_signals(context, message.signals, message.failure_domain)
         if not message.is_forwarded:
             data = msgpack.encode(replace(message, is_forwarded=True))
-            self._send(data, context.peers.direct_peers())
+            self._send(data, self._heard_peers(now))
 
     def _receive_update(self, update: RouterUpdate, now: float) -> bool:
         """Apply an update about a router; return False if it is outdated."""
--- a/libs/direct/tests/test_direct_peering.py
+++ b/libs/direct/tests/test_direct_peering.py
@@ -11,9 +11,9 @@
     RouterUpdate,
 )
 from berylwalk.direct._peering import relay_interval_s, send_interval_s
-from berylwalk.dispatch import HistoryCoverage, QuotaRules
+from berylwalk.dispatch import HistoryCoverage, Peer, QuotaRules
 from berylwalk.dispatch._peer_table import PEER_TIMEOUT_S
-from direct_fleet import KEY, answers
+from direct_fleet import HOST, KEY, answers
 
 pytestmark = pytest.mark.anyio
 
@@ -181,6 +181,27 @@
                 await fleet.until(lambda at=target: at.peer_in_flight == 0)
 
 
+class TestRelayedMessages:
+    """Messages of other failure domains, which a relay passes on in its own."""
+
+    async def test_messages_of_other_domains_fill_the_link_of_the_last_relay(
+        self, running
+    ):
+        """Peers that are gone stay in the list until their leases lapse."""
+        async with running(answers("ok")) as fleet:
+            peering, peers = fleet.router._peering, fleet.router._context.peers
+            now = fleet.router._context.clock()
+            for number in range(2, 8):
+                name = f"edge-{number}"
+                peers.by_name[name] = Peer(name, HOST, 1, "i", "fd-a", sequence=1)
+            peers.by_name["edge-2"].last_heard_at = now
+            passed_on = []
+            peering._send = lambda data, to: passed_on.extend(peer.name for peer in to)
+            update = RouterUpdate("edge-9", HOST, 1, "i", "fd-b", 1.0, 1, {})
+            peering._receive_domain_message(DomainMessage("fd-b", [update], {}), now)
+        assert passed_on == ["edge-2"]
+
+
 class TestPrefixes:
     """Prompts with shared prefixes at several routers."""
 
