Connections to targets: bytes after a response end them

Cause: the parser goes on with the rest of the same read and stands in the midst of a message when the connection goes back to the pool. Class: bytes that belong to no request. Change: a message that begins while no request is in progress closes the connection.

--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -90,6 +90,7 @@
         self._head_done = False
         self._discarding = False
         self._close_delimited = False
+        self._has_surplus = False
         self._idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._idle_since = 0.0
         self.reusable = True
@@ -160,6 +161,8 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._end(ResponseEnd.INVALID, repr(error))
+        if self._has_surplus:
+            self.close()
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -178,6 +181,8 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
+        # The parser is in the midst of it and would join it with the next response.
+        self._has_surplus = self._sink is None
         self._headers = []
         self._head_done = False
         self._discarding = False
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -190,6 +190,40 @@
         assert len(caller.requests) == 1
         assert caller.transport.closed
 
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"Content-Length: 3\r\n\r\nabc",
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        ],
+    )
+    @pytest.mark.parametrize("size", [1, 10, 1000])
+    def test_body_is_dropped_where_a_request_offers_an_upgrade(self, body, size):
+        """The offer is not taken, so that the body belongs to the request."""
+        caller = Caller()
+        offer = b"Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+        data = HEAD + offer + body + HEAD + b"Content-Length: 0\r\n\r\n"
+        for begin in range(0, len(data), size):
+            caller.send(data[begin : begin + size])
+        (request,) = caller.requests
+        assert request.body == b"abc"
+        assert not request.keep_alive
+        caller.connection.respond(200, [], b"only")
+        assert caller.transport.written.endswith(b"only")
+        assert caller.transport.closed
+        assert len(caller.requests) == 1
+
+    def test_interim_response_is_written_into_a_response_under_way(self):
+        """A request that is sent ahead has to wait with its body anyway."""
+        caller = Caller()
+        caller.send(HEAD + b"Content-Length: 0\r\n\r\n")
+        caller.connection.start_stream(200, [])
+        caller.send(HEAD + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+        assert b"100 Continue" not in caller.transport.written
+        first = Caller()
+        first.send(HEAD + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+        assert first.transport.written == b"HTTP/1.1 100 Continue\r\n\r\n"
+
     @pytest.mark.parametrize(
         ("rest", "status"),
         [
@@ -304,6 +338,19 @@
         caller.connection.end_stream()
         assert caller.transport.closed
 
+    def test_requests_that_were_read_ahead_are_dropped_at_a_shutdown(self):
+        """Only the last of them may say that the connection is closed."""
+        caller = Caller()
+        caller.send((HEAD + b"Content-Length: 0\r\n\r\n") * 3)
+        caller.connection.closing = True
+        for number in range(3):
+            assert not caller.transport.closed
+            caller.connection.respond(200, [], b"answer %d" % number)
+        assert len(caller.requests) == 3
+        assert caller.transport.written.count(b"Connection: close") == 1
+        assert caller.transport.written.endswith(b"answer 2")
+        assert caller.transport.closed
+
     def test_stream_to_an_old_caller_ends_with_its_connection(self):
         """Nothing else tells a caller without chunked encoding where it ends."""
         caller = Caller()
@@ -513,3 +560,77 @@
             (b"TE", b"trailers"),
         ]
         assert end_to_end(headers) == [(b"Model", b"m")]
+
+
+class TestBytesThatBelongToNoRequest:
+    """What faulty targets send besides the responses that they were asked for."""
+
+    RESPONSE = RESPONSE_HEAD + b"Content-Length: 2\r\n\r\nok"
+    SECOND = (
+        b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+        b"Attempt-Id: r1\r\nContent-Length: 0\r\n\r\n"
+    )
+
+    @pytest.mark.parametrize("length", range(1, len(SECOND) + 1))
+    def test_bytes_with_the_end_of_a_response_are_joined_with_the_next_one(
+        self, length
+    ):
+        """However much of a second response they are."""
+        target = Target()
+        target.receive(self.RESPONSE + self.SECOND[:length])
+        assert target.sink.end is ResponseEnd.COMPLETE
+        assert target.sink.body == b"ok"
+        assert not target.connection.is_fresh(target.now)
+        assert target.transport.aborted
+
+    @pytest.mark.parametrize("split", range(1, len(RESPONSE)))
+    def test_response_is_complete_however_it_is_split(self, split):
+        """Nothing after it: the connection is used again."""
+        target = Target()
+        target.receive(self.RESPONSE[:split])
+        target.receive(self.RESPONSE[split:])
+        assert target.sink.end is ResponseEnd.COMPLETE
+        assert target.connection.is_fresh(target.now)
+
+    def test_interim_response_is_no_second_response(self):
+        """The final response follows it."""
+        target = Target()
+        target.receive(b"HTTP/1.1 100 Continue\r\n\r\n" + self.RESPONSE)
+        assert target.sink.body == b"ok"
+        assert target.connection.is_fresh(target.now)
+
+    @pytest.mark.parametrize(
+        "begin",
+        [
+            b"HTTP/1.1 200 ",
+            RESPONSE_HEAD + b"A: ",
+            RESPONSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n5;",
+            RESPONSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+        ],
+    )
+    def test_head_without_end_fills_the_memory(self, begin):
+        """Whatever such bytes are part of, the target is given up."""
+        target = Target()
+        target.receive(begin)
+        for _ in range(40):
+            if target.sink.end is None:
+                target.receive(b"x" * 4096)
+        assert target.sink.end is ResponseEnd.INVALID
+        assert target.transport.aborted
+
+    def test_interim_responses_without_end_are_given_up(self):
+        """None of them is the response."""
+        target = Target()
+        for _ in range(4000):
+            if target.sink.end is None:
+                target.receive(b"HTTP/1.1 102 Processing\r\n\r\n")
+        assert target.sink.end is ResponseEnd.INVALID
+
+    def test_long_body_is_received(self):
+        """Bytes of a body are progress."""
+        target = Target()
+        target.receive(RESPONSE_HEAD + b"Content-Length: 1000000\r\n\r\n")
+        for _ in range(100):
+            target.receive(b"x" * 10_000)
+        assert target.sink.end is ResponseEnd.COMPLETE
+        assert len(target.sink.body) == 1_000_000
