Connections to targets: heads and trailers have a bound

A status line, header, chunk line or trailer without end was kept by the parser until the deadline of the request: 100 Mbit/s for 10 s is half of a VM's memory. Bodies have their bounds (8 MiB buffered, 1 MiB an event). Change: 64 KiB of which nothing is a head or a part of a body end the attempt as invalid. MAX_RESPONSE_BYTES was used nowhere. What a discarded body sends is bounded by the deadline only, and is not kept.

--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -16,7 +16,9 @@
 IDLE_TIMEOUT_FRACTION = 0.6
 """Fraction of the target's keep-alive timeout up to which a connection is reused, so
 that the target does not close it while a request is being sent."""
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes of a response up to which none has to be part of a head or of a body that is
+complete; the parser keeps them."""
 
 
 class ResponseEnd(StrEnum):
@@ -91,6 +93,7 @@
         self._discarding = False
         self._close_delimited = False
         self._has_surplus = False
+        self._unused_bytes = 0
         self._idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._idle_since = 0.0
         self.reusable = True
@@ -121,6 +124,7 @@
         """Send a request; its response is passed to the sink."""
         self._sink = sink
         self._request_id = request_id
+        self._unused_bytes = 0
         self.uses += 1
         self._traffic.note_sent(len(data))
         self._transport.write(data)
@@ -157,12 +161,15 @@
             # No request is in progress, so the data belongs to none.
             self.close()
             return
+        self._unused_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._end(ResponseEnd.INVALID, repr(error))
         if self._has_surplus:
             self.close()
+        elif self._unused_bytes > MAX_HEAD_BYTES:
+            self._end(ResponseEnd.INVALID, f"{self._unused_bytes} bytes without a head")
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -200,6 +207,7 @@
         if status < 200 or self._sink is None:
             self._discarding = True
             return
+        self._unused_bytes = 0
         headers = self._headers
         response_id = header_value(headers, self._id_header)
         if response_id is not None and response_id != self._request_id:
@@ -218,6 +226,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
+        self._unused_bytes = 0
         if not self._discarding and self._sink is not None:
             self._sink.on_data(data)
 
