Connections of callers: offers to upgrade are ignored, bodies kept

Cause: the parser takes such an offer for accepted, skips the body and stops. Class: a protocol feature that the parser decides for the server. Change: the head is parsed again without the offer; the request is the last on its connection, what follows is not read.

--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -11,7 +11,12 @@
 import httptools
 
 from berylwalk.forwarding._caller_buffers import CallerBuffers
-from berylwalk.forwarding._heads import Headers, header_value, response_head
+from berylwalk.forwarding._heads import (
+    Headers,
+    header_value,
+    request_head,
+    response_head,
+)
 from berylwalk.quarantine import BodyHash
 
 MAX_PIPELINED_REQUESTS = 4
@@ -20,6 +25,8 @@
 """Time without progress after which a closing connection is aborted, in seconds."""
 RETRY_AFTER_FULL_S = 1
 """``Retry-After`` of a request whose body exceeds the bound for all bodies."""
+OFFERS = frozenset({b"upgrade", b"http2-settings"})
+"""Headers that offer to go on in another protocol."""
 RESET_ON_CLOSE = pack("ii", 1, 0)
 """Socket option by which closing resets the connection."""
 
@@ -78,6 +85,10 @@
     http_1_0: bool = False
 
 
+class _RestOfConnectionError(Exception):
+    """What follows the last request on a connection; it is not read."""
+
+
 class _InvalidRequestError(Exception):
     """Raised in a parser callback; ``status`` is the status of the response."""
 
@@ -144,6 +155,8 @@
         self._queue: deque[CallerRequest] = deque()
         self._active: CallerRequest | None = None
         self._error_status: int | None = None
+        self._has_offer = False
+        self._is_last_read = False
         self._reading_paused = False
         self._streaming = False
         self._closes_after_stream = False
@@ -175,12 +188,13 @@
         if self._partial is None or not self._partial.head_done:
             self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            self._parse(data)
             self._check_head_size()
-        except httptools.HttpParserUpgrade:
-            self._error_status = 400
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
+            if self._is_last_read:
+                self._serve_next()
+                return
             known = isinstance(cause, _InvalidRequestError)
             self._error_status = cause.status if known else 400
         except _InvalidRequestError as error:
@@ -192,6 +206,32 @@
             self._reading_paused = True
             self._transport.pause_reading()
 
+    def _parse(self, data: bytes) -> None:
+        """Parse data; an offer to upgrade the connection is ignored.
+
+        The parser drops the body of a request that makes such an offer, so the request
+        is parsed again without it. It is the last one on its connection: what follows
+        may be in the other protocol.
+        """
+        if self._is_last_read:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            partial, self._partial = self._partial, None
+            if partial is None or self._parser.get_method() == b"CONNECT":
+                self._error_status = 400
+                return
+            head = request_head(
+                self._parser.get_method(),
+                bytes(partial.target),
+                [each for each in partial.headers if each[0].lower() not in OFFERS],
+                version=self._parser.get_http_version().encode(),
+            )
+            self._parser = httptools.HttpRequestParser(self)
+            self._has_offer = True
+            self._parse(head + data[error.args[0] :])
+
     def eof_received(self) -> bool:
         """Treat the end of the input as a disconnect."""
         return False
@@ -224,6 +264,8 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
+        if self._is_last_read:
+            raise _RestOfConnectionError
         self._partial = _PartialRequest(self._clock())
 
     def on_url(self, url: bytes) -> None:
@@ -247,7 +289,8 @@
         length = header_value(partial.headers, b"content-length")
         if length is not None and int(length) > self._limits().max_body_bytes:
             raise _InvalidRequestError(413)
-        if header_value(partial.headers, b"expect") is not None:
+        is_expected = header_value(partial.headers, b"expect") is not None
+        if is_expected and not self._parser.should_upgrade():
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -265,6 +308,10 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
+        if self._parser.should_upgrade():
+            # The parser has skipped its body.
+            return
+        self._is_last_read = self._has_offer
         partial, self._partial = self._partial, None
         self._head_bytes = 0
         self._queue.append(
@@ -275,7 +322,7 @@
                 body=b"".join(partial.body),
                 body_digest=partial.body_hash.digest(),
                 arrived_at=self._clock(),
-                keep_alive=self._parser.should_keep_alive(),
+                keep_alive=self._parser.should_keep_alive() and not self._has_offer,
                 http_1_0=self._parser.get_http_version() == "1.0",
             )
         )
--- a/libs/forwarding/src/berylwalk/forwarding/_heads.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_heads.py
@@ -45,9 +45,11 @@
     ]
 
 
-def request_head(method: bytes, target: bytes, headers: Headers) -> bytes:
+def request_head(
+    method: bytes, target: bytes, headers: Headers, *, version: bytes = b"1.1"
+) -> bytes:
     """Encode the head of a request."""
-    lines = [b"%s %s HTTP/1.1\r\n" % (method, target)]
+    lines = [b"%s %s HTTP/%s\r\n" % (method, target, version)]
     lines += [b"%s: %s\r\n" % header for header in headers]
     lines.append(b"\r\n")
     return b"".join(lines)
