Connections of callers: no interim response within another response

Named by the review as found by reading: Expect: 100-continue in a request that is sent ahead wrote 100 Continue into the response under way, for a stream between two chunks, which made its framing invalid. The caller has to wait for the first response anyway. The test failed before.

--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -290,7 +290,8 @@
         if length is not None and int(length) > self._limits().max_body_bytes:
             raise _InvalidRequestError(413)
         is_expected = header_value(partial.headers, b"expect") is not None
-        if is_expected and not self._parser.should_upgrade():
+        is_answering = self._active is not None or bool(self._queue)
+        if is_expected and not is_answering and not self._parser.should_upgrade():
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
