Connections of callers: requests read ahead are served at a stop

Now the last request that was read announces it. A request that is read in part when its predecessor ends is still dropped, as the announcement says.

--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -509,7 +509,9 @@
             self._body_bytes -= size
 
     def _keeps_alive(self) -> bool:
-        return self._active.keep_alive and not self.closing
+        """Return whether to keep the connection; requests read ahead are served first."""
+        is_closing = self.closing and not self._queue
+        return self._active.keep_alive and not is_closing
 
     def _finish(self, keep_open: bool) -> None:
         if self._active is not None:
