--- a/libs/dispatch/tests/test_dispatch_vm_capacity.py
+++ b/libs/dispatch/tests/test_dispatch_vm_capacity.py
@@ -145,6 +145,21 @@
         router.capacity.update_room_of_others(peers(3))
         assert 20 <= router.taken(1000) <= 32
 
+    def test_few_open_requests_say_little(self):
+        """A VM that is busy with something else is not filled by a few requests."""
+        router = Router()
+        router.use(0.2, SETTLED_S, open_requests=1)
+        router.capacity.update_room_of_others(peers(3))
+        assert router.taken(10, open_requests=1) == 10
+
+    def test_work_beside_the_requests_is_not_counted_for_each(self):
+        """Three times as many requests rarely need three times as much."""
+        router = Router()
+        router.use(0.3, SETTLED_S)
+        router.use(0.4, 2.0, open_requests=3 * OPEN)
+        router.capacity.update_room_of_others(peers(3))
+        assert router.taken(10, open_requests=3 * OPEN) == 10
+
     def test_open_requests_of_other_sizes_are_learned(self):
         """The same number of smaller requests leaves room."""
         router = Router()
