Numbers from outside are bounded where they are read

Cause: what was refused is told to peers as one integer, the sum did not fit a message, and the error ended the process. Class: a number of a caller is added up or stored as it is, and one loop's error ends all. Change: sizes, parts of prompts, hints and event ids are bounded in the adapter (what is forwarded is unchanged); sums are told up to the bound of a message; a loop that fails is logged and begun again after a second. A number of over 4,300 digits made a 502 of a request before.

Not mended: a place of an attempt that fails while it is created is not given back (no such failure is known now).

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -1,7 +1,7 @@
 """Daemon of the direct router."""
 
 from asyncio import AbstractEventLoop, get_running_loop
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from traceback import format_exception
 from typing import Self
@@ -65,6 +65,8 @@
 READY_MAX_AGE_S = 3.0
 """Age of the configuration above which the router reports itself as not ready."""
 SWEEP_INTERVAL_S = 0.25
+LOOP_PAUSE_S = 1.0
+"""Time after which a loop that has failed is begun again, in seconds."""
 STOP_ACCEPT_S = 3.0
 """How long new requests are accepted after a stop request: the load balancer takes two
 health checks, one second apart, to stop sending them."""
@@ -264,7 +266,7 @@
                 self._vm_meter.run,
                 self._sweep,
             ):
-                tasks.start_soon(run)
+                tasks.start_soon(self._keep_running, run)
             for listener in (self._readiness, self._callers, self._metrics):
                 await listener.start()
             self._context.log.process(
@@ -276,6 +278,25 @@
             await self._stop()
             tasks.cancel_scope.cancel()
 
+    async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop; one that ends with an error is logged and begun again.
+
+        Nothing that a request, a target or another router sends may end the process.
+        """
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:
+                self._context.metrics.loops_failed.inc()
+                self._context.log.process(
+                    "loop-failed",
+                    loop=run.__qualname__,
+                    detail=repr(error),
+                    traceback="".join(format_exception(error)),
+                )
+            await sleep(LOOP_PAUSE_S)
+
     def _close(self) -> None:
         """Close all sockets; unfinished responses are truncated."""
         for listener in (self._readiness, self._callers, self._metrics):
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -110,6 +110,11 @@
             "Requests that were cut by a fault of the router itself.",
             registry=registry,
         )
+        self.loops_failed = Counter(
+            "berylwalk_loops_failed",
+            "Loops of the router that ended with an error and were begun again.",
+            registry=registry,
+        )
         self.slow_readers_ended = Counter(
             "berylwalk_slow_readers_ended",
             "Responses ended because their callers read too slowly.",
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -62,6 +62,8 @@
 the regular message only, all of them would select the same free target."""
 PLACEMENT_BATCH_S = 0.002
 """How long placements are batched before they are sent."""
+MAX_TOLD_UNITS = 2**62
+"""Bound of a sum in a message, which holds integers of 64 bits."""
 MAX_RELAYED_PREFIXES = 512
 """Bound of the queue of prefix placements to be relayed; the oldest are dropped."""
 MAX_RELAYED_STREAMS = 4_000
@@ -321,6 +323,7 @@
         spent = context.quotas.spent_by_account()
         refused = context.quotas.refused_by_account()
         demand = context.quotas.urgent_demand.totals()
+        capacity = context.vm_capacity
         return RouterUpdate(
             settings.name,
             settings.caller_address.host,
@@ -329,16 +332,19 @@
             settings.failure_domain,
             now - self._started_at,
             self._sequence,
-            {name: round(units) for name, units in spent.items()},
-            {name: (rank, round(units)) for name, (rank, units) in demand.items()},
+            {name: _told_units(units) for name, units in spent.items()},
+            {
+                name: (rank, _told_units(units))
+                for name, (rank, units) in demand.items()
+            },
             round(self._store_health.healthy_s(now), 1),
             context.rollouts.updates(now),
             context.retries.own_totals(now),
             self._own_rates(),
-            context.vm_capacity.claim,
+            capacity.claim,
             self.is_unready(),
-            {name: round(units) for name, units in refused.items()},
-            not context.vm_capacity.has_room,
+            {name: _told_units(units) for name, units in refused.items()},
+            not capacity.has_room,
         )
 
     def _own_rates(self) -> RatesByService:
@@ -556,6 +562,11 @@
         self._updates_by_name.pop(peer.name, None)
 
 
+def _told_units(units: float) -> int:
+    """Return a sum of units as a number that a message can hold."""
+    return max(-MAX_TOLD_UNITS, min(MAX_TOLD_UNITS, round(units)))
+
+
 def send_interval_s(peers: int) -> float:
     """Return the interval between messages for a number of direct peers.
 
--- /dev/null
+++ b/libs/direct/tests/test_direct_numbers_from_outside.py
@@ -0,0 +1,69 @@
+"""Numbers that callers state must not end the process or what others share in it."""
+
+from json import loads
+
+import pytest
+
+from berylwalk.direct._peering import MAX_TOLD_UNITS
+from direct_fleet import answers
+
+pytestmark = pytest.mark.anyio
+DIGITS = "9" * 30
+
+
+def limited(fleet):
+    """Limit the account of the callers."""
+    fleet.tenants[0].update({"rate-per-s": 100, "burst": 100, "unit": "tokens"})
+
+
+class TestNumbersFromOutside:
+    """Requests with absurd sizes."""
+
+    async def test_requests_far_over_a_quota_end_the_process(self, running, beside):
+        """What was refused is told to other routers as a sum."""
+        async with (
+            running(answers("ok"), prepare=limited) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            peers, clock = second._context.peers, second._context.clock
+            await fleet.until(lambda: peers.alive_count(clock()) == 2)
+            for number in (str(2**63 - 1), str(2**64), DIGITS, "9" * 5000):
+                size = f"{number},{number}"
+                reply = await fleet.call("/idempotent/", Token_Count=size)
+                assert reply.status in (200, 429)
+            sequence = peers.by_name["edge-1"].sequence
+            await fleet.until(lambda: peers.by_name["edge-1"].sequence > sequence + 2)
+            assert not fleet.done
+
+    async def test_sums_beyond_a_message_are_told_at_its_bound(self, running, beside):
+        """A router that has refused for years tells the others all the same."""
+        async with (
+            running(answers("ok"), prepare=limited) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            peers, clock = second._context.peers, second._context.clock
+            await fleet.until(lambda: peers.alive_count(clock()) == 2)
+            fleet.router._context.quotas._spending("t").refused = 1e30
+            told = second._context.quotas._spending("t").refused_by_peer
+            await fleet.until(lambda: MAX_TOLD_UNITS in told.values())
+
+    async def test_loop_that_fails_is_begun_again(self, running, capfd):
+        """One error must not end the requests of all."""
+        async with running(answers("ok")) as fleet:
+            record, failures = fleet.router._vm_meter.record, [1]
+
+            def fail_once(delay_s):
+                if failures:
+                    failures.clear()
+                    raise ArithmeticError("injected")
+                record(delay_s)
+
+            fleet.router._vm_meter.record = fail_once
+            metric = fleet.router._context.metrics.loops_failed
+            await fleet.until(lambda: metric._value.get() == 1)
+            samples = len(fleet.router._vm_meter._samples)
+            await fleet.until(lambda: len(fleet.router._vm_meter._samples) > samples)
+            assert (await fleet.call("/idempotent/")).status == 200
+        lines = [line for line in capfd.readouterr().out.splitlines() if line]
+        failed = [each for each in map(loads, lines) if each["event"] == "loop-failed"]
+        assert [each["loop"] for each in failed] == ["VmMeter.run"]
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -509,7 +509,7 @@
             self._body_bytes -= size
 
     def _keeps_alive(self) -> bool:
-        """Return whether to keep the connection; requests read ahead are served first."""
+        """Return whether to keep the connection for more than what was read ahead."""
         is_closing = self.closing and not self._queue
         return self._active.keep_alive and not is_closing
 
--- a/libs/forwarding/src/berylwalk/forwarding/_events.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_events.py
@@ -6,6 +6,10 @@
 """Maximum size of one event."""
 
 
+MAX_ID_DIGITS = 18
+"""Digits of an id beyond which it is no number."""
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """One complete event.
@@ -74,5 +78,6 @@
     for line in event.splitlines():
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= MAX_ID_DIGITS
+            return int(text) if is_number else None
     return None
--- a/tests/platform/test_platform_formats.py
+++ b/tests/platform/test_platform_formats.py
@@ -30,6 +30,7 @@
     parse_request_headers,
     refusal_headers,
 )
+from berylwalk.platform._headers import MAX_TOKENS
 from berylwalk.platform._store_messages import decode_items, decode_range
 
 SETTINGS = {
@@ -360,6 +361,25 @@
         assert parsed.work == work
         assert parsed.work.max_tokens == 1540
 
+    @pytest.mark.parametrize(
+        "number", [2**63 - 1, 2**64, 2**70, 10**5000], ids=["2^63", "2^64", "2^70", ""]
+    )
+    def test_numbers_without_bound_are_taken_from_callers(self, number):
+        """They are added up, stored and told to other routers."""
+        digits = b"9" * 5001 if number > 10**4000 else b"%d" % number
+        headers = [
+            (b"Attempt-Id", b"r"),
+            (b"Token-Count", digits + b"," + digits),
+            (b"Prompt-Prefix", b"a1:" + digits + b",b2:" + digits),
+            (b"Length-Hint", digits),
+            (b"Last-Event-Id", digits),
+        ]
+        parsed = parse_request_headers(headers)
+        assert parsed.total_tokens == 2 * MAX_TOKENS
+        assert parsed.work.prompt_tokens == MAX_TOKENS
+        assert parsed.work.shared_prefix.tokens <= MAX_TOKENS
+        assert parsed.last_event_id < 2**63
+
     @pytest.mark.parametrize(
         ("value", "tokens"),
         [
