--- a/libs/dispatch/src/berylwalk/dispatch/_quotas.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_quotas.py
@@ -75,9 +75,9 @@
         Otherwise, an account with a lowered limit would be refused entirely until the
         window has moved on.
         """
-        for account in accounts:
-            if account.rate_per_s <= 0:
-                continue
+        limited = [account for account in accounts if account.rate_per_s > 0]
+        self._accounts_by_name = {account.name: account for account in limited}
+        for account in limited:
             spending = self._spending(account.name)
             limit = self._rules.limit(account)
             if not spending.limits or spending.limits[-1].units != limit:
--- a/libs/dispatch/tests/test_dispatch_allowances.py
+++ b/libs/dispatch/tests/test_dispatch_allowances.py
@@ -84,9 +84,29 @@
         """The cost of requests that were not executed can be spent again."""
         router = tracker()
         spent = spend_all(router, 0.0)
-        router.refund(ACCOUNT, spent, 0.0)
+        router.refund(ACCOUNT, spent, charged_at=0.0, now=0.0)
         assert spend_all(router, 0.0) == spent
 
+    @pytest.mark.parametrize("refunded_at", [1.0, 5.0, 7.5, 7.95, 9.0])
+    def test_refund_outlives_the_charge(self, refunded_at):
+        """Units that were refused late must not be free in two windows."""
+        router, peer = tracker(), tracker()
+        peer.record_peer_totals("r", {}, is_new=False, now=0.0)
+        router.take(ACCOUNT, 0.5 * ALLOWANCE, 0, 0.0)
+        spent_later = 0.45 * ALLOWANCE
+        router.take(ACCOUNT, spent_later, 0, 0.5)
+        told = {"is_new": True, "now": 0.5}
+        peer.record_peer_totals("r", router.spent_by_account(), **told)
+        router.refund(ACCOUNT, 0.5 * ALLOWANCE, charged_at=0.0, now=refunded_at)
+        told["now"] = refunded_at
+        peer.record_peer_totals("r", router.spent_by_account(), **told)
+        for each in (router, peer):
+            for now in (8.2, 8.45):
+                at = max(now, refunded_at)
+                counted = each.spent_in_window(at)["a"]
+                is_left = at > 8.0 + 0.5 + STEP_S
+                assert counted >= (0.0 if is_left else spent_later - 1e-6)
+
     def test_restarts_of_all_routers_stay_within_the_bound(self):
         """Routers without history must not grant the whole quota again."""
         total = spend_all(tracker(), 0.0)
@@ -155,6 +175,17 @@
         router.restore({}, HistoryCoverage.PARTIAL, 0.05)
         assert spend_all(router, 0.05) >= 0.35 * ALLOWANCE
 
+    def test_heavy_spending_at_other_routers_is_not_stored(self):
+        """The router that writes the snapshot may have had no request of an account."""
+        older, writer = tracker(), tracker()
+        writer.set_accounts([ACCOUNT], -50.0)
+        writer.record_peer_totals("o", {}, is_new=True, now=0.0)
+        spend_all(older, 0.0)
+        spent = older.spent_by_account()
+        writer.record_peer_totals("o", spent, is_new=True, now=0.1)
+        stored = writer.heavy_spending_by_bin(0.2)
+        assert sum(stored["a"]) == pytest.approx(spent["a"])
+
     def test_light_spending_is_not_stored(self):
         """Only accounts above the threshold are part of the snapshot."""
         router = tracker()
