--- a/libs/direct/src/berylwalk/direct/_attempt_feedback.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_feedback.py
@@ -85,7 +85,9 @@
             case AttemptEnd.FAILED | AttemptEnd.STALLED:
                 target.note_error()
             case AttemptEnd.REFUSED if attempt.status == STATUS_MISDIRECTED_REQUEST:
-                target.note_replaced()
+                # Otherwise it may only lack the version that the caller names.
+                if not self._admitted.parsed_headers.expects_version:
+                    target.note_replaced()
             case AttemptEnd.REFUSED:
                 target.note_refused(now, FULL_BACKOFF_S)
 
