Spending: a refund ends with its charge

Cause: a refund counted from the moment of the refusal, so that it outlived its charge and the units were free in two windows: on the former code 4,050 units spent at 0.5 s and 4,500 charged at 0 and refunded at 5 s leave -450 counted at 8.45 s. Change: the refund is taken from the step of the charge; other routers, which don't know it, take it from their oldest steps; nothing is refunded in the last second of the window.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -163,6 +163,8 @@
         Cost in quota units.
     state : QuotaState
         State of the quota; includes the cost if the request was admitted.
+    at : float
+        When it was made, in seconds.
     reserve : QuotaReserve or None
         Units kept for more urgent requests; None if the request was admitted.
     """
@@ -171,6 +173,7 @@
     route: Route
     cost: float
     state: QuotaState
+    at: float = 0.0
     reserve: QuotaReserve | None = None
 
     @property
@@ -204,7 +207,7 @@
     account, route, cost = admitted.account, admitted.route, admitted.cost
     wait_s = context.quotas.take(account, cost, route.priority, now)
     state = context.quotas.state(account, now)
-    charge = Charge(account.name, route, cost, state)
+    charge = Charge(account.name, route, cost, state, at=now)
     if wait_s > 0:
         reserve = context.quotas.reserve(account, cost, route.priority, now)
         charge = replace(charge, reserve=reserve)
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -583,8 +583,13 @@
     def _refund(self, reason: str) -> float:
         """Refund the cost, record the refusal and return its ``Retry-After`` time."""
         admitted, now = self._admitted, self._context.clock()
-        if admitted.account is not None:
-            self._context.quotas.refund(admitted.account, admitted.cost, now)
+        if admitted.account is not None and admitted.charge is not None:
+            self._context.quotas.refund(
+                admitted.account,
+                admitted.cost,
+                charged_at=admitted.charge.at,
+                now=now,
+            )
         if self._has_time_order:
             self._context.refused.record(
                 admitted.identity,
--- a/libs/dispatch/src/berylwalk/dispatch/_account_spending.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_account_spending.py
@@ -44,6 +44,26 @@
         self.steps[-1][1] += units
         self.total += units
 
+    def refund(self, units: float, charged_at: float) -> None:
+        """Take back units that were spent at a time, if the window still has it."""
+        for step in reversed(self.steps):
+            if step[0] <= charged_at:
+                step[1] -= units
+                self.total -= units
+                return
+
+    def refund_oldest(self, units: float) -> None:
+        """Take back units that were spent at an unknown time within the window.
+
+        The oldest ones are taken, which leave the window first, so that the refund is
+        not counted longer than the charge.
+        """
+        for step in self.steps:
+            taken = min(units, max(0.0, step[1]))
+            step[1] -= taken
+            self.total -= taken
+            units -= taken
+
     def begin_step(self, now: float) -> None:
         """Begin a step, so that the units before and after now can be told apart."""
         self.steps.append([now, 0.0])
--- a/libs/dispatch/src/berylwalk/dispatch/_quotas.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_quotas.py
@@ -27,6 +27,9 @@
 HEAVY_SPENDING_SHARE = 0.6
 """Share of its quota from which the spending of an account is stored, to survive a
 restart of all routers. The usual spending of an account is below."""
+REFUND_MARGIN_S = 1.0
+"""Time before a charge leaves the window from which it is not refunded: other routers
+hear of both some time later."""
 RANK_RESERVE_SHARE = 0.02
 """Share of the quota that each rank leaves to the next higher one."""
 LOWEST_RANK = 3
@@ -193,11 +196,28 @@
         spent = [*sorted(spending.prior), *spending.steps]
         return [(max(0.0, time + window_s - now), units) for time, units in spent]
 
-    def refund(self, account: Account, cost: float, now: float) -> None:
-        """Refund the cost of a request that was certainly not executed."""
+    def refund(
+        self, account: Account, cost: float, *, charged_at: float, now: float
+    ) -> None:
+        """Refund the cost of a request that was certainly not executed.
+
+        Nothing is refunded if the charge is about to leave the window, where the other
+        routers may have dropped it before they hear of the refund.
+
+        Parameters
+        ----------
+        account : Account
+            Account that was charged.
+        cost : float
+            Units of the request.
+        charged_at, now : float
+            When it was charged, and the current time, in seconds.
+        """
         spending = self._spending_by_account.get(account.name)
-        if spending is not None and account.rate_per_s > 0:
-            spending.add(-cost, now)
+        if spending is None or account.rate_per_s <= 0:
+            return
+        if now - charged_at < self._rules.window_s - REFUND_MARGIN_S:
+            spending.refund(cost, charged_at)
             spending.spent -= cost
 
     def spent_by_account(self) -> dict[str, float]:
@@ -254,7 +274,10 @@
             spending = self._spending(name)
             if not is_first or is_new:
                 reported = spending.spent_by_peer.get(incarnation, 0.0)
-                spending.add(total - reported, now)
+                if total >= reported:
+                    spending.add(total - reported, now)
+                else:
+                    spending.refund_oldest(reported - total)
                 spending.demand.record_peer(total - reported, now)
             spending.spent_by_peer[incarnation] = total
         for name, total in refused_by_account.items():
