--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -15,7 +15,12 @@
     stream_key,
 )
 from berylwalk.forwarding import CallerRequest
-from berylwalk.platform import InvalidHeaders, RequestHeaders, parse_request_headers
+from berylwalk.platform import (
+    NO_EVENT,
+    InvalidHeaders,
+    RequestHeaders,
+    parse_request_headers,
+)
 from berylwalk.quarantine import (
     FREE,
     Identity,
@@ -112,7 +117,7 @@
     def takes_up_stream(self) -> bool:
         """Whether the caller has events of the stream, and names how it began."""
         headers = self.parsed_headers
-        has_events = bool(headers.resumes) and headers.last_event_id > 0
+        has_events = bool(headers.resumes) and headers.last_event_id != NO_EVENT
         return has_events and self.route.resumable
 
     @property
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -8,7 +8,16 @@
 from anyio import sleep
 
 from berylwalk.direct._exchange_log import ExchangeLog
-from direct_fleet import CHUNKED, EVENTS, answers, event, head, read_reply, streams
+from direct_fleet import (
+    CHUNKED,
+    EVENTS,
+    answers,
+    chunk,
+    event,
+    head,
+    read_reply,
+    streams,
+)
 
 pytestmark = pytest.mark.anyio
 STREAM = ("streaming",)
@@ -309,6 +318,24 @@
         assert reply.body == b"".join(map(event, range(1, 21)))
         assert reply.headers["server-seal"] == "sealed"
 
+    @pytest.mark.parametrize(
+        ("headers", "first"), [({}, 0), ({"Last_Event_Id": "0"}, 1)]
+    )
+    async def test_first_event_with_id_0_is_taken_for_a_known_one(
+        self, running, headers, first
+    ):
+        """Only a caller that names event 0 has it."""
+
+        async def from_zero(request, writer):
+            writer.write(head(request, kind=EVENTS, more=CHUNKED))
+            writer.write(b"".join(chunk(event(number)) for number in range(5)))
+            writer.write(b"0\r\n\r\n")
+
+        async with running(from_zero, routes=STREAM) as fleet:
+            reply = await fleet.call("/streaming/", **headers)
+        assert reply.is_complete
+        assert reply.body == b"".join(map(event, range(first, 5)))
+
     async def test_truncated_stream_is_incomplete(self, running):
         """Only complete events are forwarded, without a proper end."""
         script = streams(1, 20, until=5, rest=b"id: 6\nda")
