Tests: ports of the direct router's tests are not used again at once

By reading: a target that a script starts while its test ends listens until it is collected, and each test began with the same ports. Now ports are handed out in turn over the whole run.

--- a/libs/direct/tests/conftest.py
+++ b/libs/direct/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures that run a direct router on loopback with scripted targets."""
 
 from contextlib import asynccontextmanager
+from itertools import cycle
 
 import pytest
 from anyio import create_memory_object_stream, create_task_group
@@ -10,6 +11,8 @@
 from berylwalk.standins import serving
 from direct_fleet import HOST, STORE, Fleet, ScriptedTarget
 
+PORTS = cycle(range(23_000, 31_000))
+
 
 @pytest.fixture
 def anyio_backend():
@@ -40,9 +43,11 @@
 
 @pytest.fixture
 def free_port():
-    """Return a function that yields unused ports."""
-    ports = iter(range(21_000, 21_100))
-    return lambda: next(ports)
+    """Return a function that yields ports that no recent test has used.
+
+    A target that a test starts while it ends may listen for some time after it.
+    """
+    return lambda: next(PORTS)
 
 
 @pytest.fixture
