--- a/libs/direct/tests/virtual_entry.py
+++ b/libs/direct/tests/virtual_entry.py
@@ -9,10 +9,9 @@
 
 from anyio import Event, create_task_group, sleep
 
-from berylwalk.direct._exchange import Exchange, TrialPermits
 from berylwalk.direct._vm_meter import INTERVAL_S, VmMeter
 from berylwalk.dispatch import VmCapacity, VmLimits
-from berylwalk.forwarding import CallerRequest, TargetPool
+from berylwalk.forwarding import TargetPool
 from berylwalk.platform import REQUEST_ID_HEADER
 from berylwalk.standins.load_balancer import LoadBalancer
 from virtual_parts import (
@@ -140,29 +139,8 @@
         self.vm.carry_in(size, self.vm.process, REQUEST_S, is_read.set)
         await is_read.wait()
         self.context.traffic.note_received(size)
-        await self.handle(request_id, call)
-
-    async def handle(self, request_id, call):
-        """Handle a request like one read from a connection."""
-        headers = [
-            (b"Host", b"h"),
-            (b"Attempt-Id", request_id),
-            (b"X-Router", self.name.encode()),
-            (b"X-Api-Key", call.account.encode()),
-            (b"Token-Count", b"400,40"),
-            (b"Deadline-Ms", b"%d" % (1000 * GIVES_UP_S)),
-        ]
-        body = b"b" * BODY_BYTES
-        request = CallerRequest(
-            b"POST", b"/", headers, body, request_id, self.clock(), True
-        )
-        permits = TrialPermits(
-            self.quarantine_store.acquire_trial_permits,
-            self.quarantine_store.return_trial_permits,
-        )
-        caller = EntryCaller(call, self)
-        exchange = Exchange(self.context, caller, request, trial_permits=permits)
-        await exchange.run()
+        body, caller = b"b" * BODY_BYTES, EntryCaller(call, self)
+        await self.handle(request_id, call, body=body, caller=caller)
 
 
 class EntrySimulation(PartSimulation):
--- a/libs/direct/tests/virtual_parts.py
+++ b/libs/direct/tests/virtual_parts.py
@@ -252,10 +252,9 @@
             tasks.start_soon(super().run)
             tasks.start_soon(self.quarantine_store.run)
 
-    async def handle(self, request_id, call):
-        """Handle a request like one read from a connection."""
-        now = self.clock()
-        headers = [
+    def headers(self, request_id, call):
+        """Return the headers of a call."""
+        return [
             (b"Host", b"h"),
             (b"Attempt-Id", request_id),
             (b"X-Router", self.name.encode()),
@@ -264,13 +263,17 @@
             (b"Deadline-Ms", b"4000"),
             (b"Prompt-Prefix", ",".join(f"{each}:60" for each in call.parts).encode()),
         ]
-        request = CallerRequest(b"POST", b"/", headers, b"", request_id, now, True)
+
+    async def handle(self, request_id, call, *, body=b"", caller=None):
+        """Handle a request like one read from a connection."""
+        headers, now = self.headers(request_id, call), self.clock()
+        request = CallerRequest(b"POST", b"/", headers, body, request_id, now, True)
         permits = TrialPermits(
             self.quarantine_store.acquire_trial_permits,
             self.quarantine_store.return_trial_permits,
         )
         exchange = Exchange(
-            self.context, PartCaller(call), request, trial_permits=permits
+            self.context, caller or PartCaller(call), request, trial_permits=permits
         )
         await exchange.run()
 
