--- a/libs/direct/tests/test_direct_slow_readers.py
+++ b/libs/direct/tests/test_direct_slow_readers.py
@@ -146,7 +146,7 @@
         ):
             context = fleet.router._context
             # The VM has so little memory that requests are refused at some moments.
-            context.vm_capacity.refuses = lambda rank: False
+            context.vm_capacity.refuses = lambda rank, **_: False
             largest = 0
 
             async def hold(done):
