Known red: tests that failed once, and scripts

The list held only tests that fail each time, so that one that failed once beside load could not stand in it, nor a case that is a script. Both are printed now; a test after once: has to pass, a script has to exist.

--- a/conftest.py
+++ b/conftest.py
@@ -4,6 +4,10 @@
 test's id, the cause, the command and seed that show it, what was seen, and the open
 issue. A listed test has to fail: one that passes, or that a whole run doesn't find,
 fails the run.
+
+An id after ``once:`` is that of a test that failed once and is not traced: it is
+printed and has to pass. One after ``script:`` is the path of a script that shows a
+fault: it is printed and has to exist; it is run by hand.
 """
 
 from dataclasses import dataclass
@@ -14,6 +18,8 @@
 LIST_NAME = "KNOWN-RED.txt"
 MOST_ENTRIES = 6
 FIELDS = 5
+ONCE = "once:"
+SCRIPT = "script:"
 KNOWN = pytest.StashKey[list["KnownRed"]]()
 
 
@@ -62,15 +68,21 @@
     known = read_known_red(config.rootpath / LIST_NAME)
     config.stash[KNOWN] = known
     items_by_id = {item.nodeid: item for item in items}
+    for entry in known:
+        path = config.rootpath / entry.test_id.removeprefix(SCRIPT)
+        if entry.test_id.startswith(SCRIPT) and not path.is_file():
+            raise pytest.UsageError(f"{LIST_NAME}: there is no {path.name}")
     is_whole_run = config.args_source is config.ArgsSource.TESTPATHS
     is_whole_run = is_whole_run and not (
         config.option.keyword or config.option.markexpr
     )
     for entry in known:
-        item = items_by_id.get(entry.test_id)
-        if item is not None:
+        if entry.test_id.startswith(SCRIPT):
+            continue
+        item = items_by_id.get(entry.test_id.removeprefix(ONCE))
+        if item is not None and not entry.test_id.startswith(ONCE):
             item.add_marker(pytest.mark.xfail(reason=entry.reason, strict=True))
-        elif is_whole_run:
+        elif item is None and is_whole_run:
             raise pytest.UsageError(f"{LIST_NAME}: there is no test {entry.test_id}")
 
 
--- a/tests/layout/test_layout_known_red.py
+++ b/tests/layout/test_layout_known_red.py
@@ -54,6 +54,22 @@
         assert result.returncode != 0
         assert "there is no test test_it.py::test_gone" in result.stderr + result.stdout
 
+    def test_test_that_failed_once_has_to_pass(self, run):
+        """It is printed, and not excused."""
+        result = run("once:" + GREEN)
+        assert "known red: once:test_it.py::test_green" in result.stdout
+        assert "1 failed, 1 passed" in result.stdout
+        assert run(RED + "once:" + GREEN).returncode == 0
+        assert run(RED + "once:" + MISSING).returncode != 0
+
+    def test_script_is_printed_and_has_to_exist(self, run):
+        """It is not run with the tests."""
+        script = " | cause | test_it.py, no seed | seen | issue 1\n"
+        result = run(RED + "script:test_it.py" + script)
+        assert result.returncode == 0
+        assert "known red: script:test_it.py" in result.stdout
+        assert run(RED + "script:gone.sh" + script).returncode != 0
+
     def test_subset_of_the_tests_can_be_run(self, run):
         """Entries of tests outside the selection are not checked."""
         assert run(RED + MISSING, "test_it.py::test_green").returncode == 0
