--- a/libs/direct/src/berylwalk/direct/_vm_meter.py
+++ b/libs/direct/src/berylwalk/direct/_vm_meter.py
@@ -193,17 +193,19 @@
 
     def _in_domain(self, peers: dict[str, RouterPressure]) -> list[RouterPressure]:
         """Return those of the failure domain of this router."""
-        by_name, domain = self._context.peers.by_name, self._context.settings
+        by_name = self._context.peers.by_name
+        own_domain = self._context.settings.failure_domain
         return [
             peer
             for name, peer in peers.items()
-            if by_name[name].failure_domain == domain.failure_domain
+            if by_name[name].failure_domain == own_domain
         ]
 
     def _reachable(self, peers: dict[str, RouterPressure]) -> list[RouterPressure]:
-        """Return those that callers of this router reach: of its domain, if it has any.
+        """Return those that callers reach whose connections are turned away here.
 
-        Callers of a domain with one router are sent to other domains.
+        They are those of its domain; callers of a domain with one router are sent to
+        other domains.
         """
         return self._in_domain(peers) or list(peers.values())
 
