--- a/libs/direct/tests/test_direct_soak.py
+++ b/libs/direct/tests/test_direct_soak.py
@@ -5,14 +5,11 @@
 """
 
 import os
-import sys
 from collections import Counter, defaultdict, deque
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from json import dumps
 from random import Random
 from signal import SIGKILL, SIGTERM
-from subprocess import DEVNULL, Popen
 from time import monotonic
 
 import pytest
@@ -22,7 +19,6 @@
 from berylwalk.standins._revisions import prefix_range
 from direct_fleet import (
     EVENTS,
-    HOST,
     STORE,
     Fleet,
     ScriptedTarget,
@@ -30,6 +26,7 @@
     event,
     head,
 )
+from direct_processes import Routers
 
 pytestmark = pytest.mark.anyio
 SEEDS = [int(seed) for seed in os.environ.get("BERYLWALK_SOAK", "1,3").split(",")]
@@ -181,37 +178,6 @@
             self.leaving_by_router[router].add(reply.headers["x-target"])
 
 
-class Routers:
-    """Processes of the direct router."""
-
-    def __init__(self, settings_files):
-        self._files = settings_files
-        self.processes = [self._start(path) for path in settings_files]
-
-    def _start(self, path):
-        command = [sys.executable, "-m", "berylwalk.direct", "--settings", path]
-        return Popen(command, stdout=DEVNULL)
-
-    def restart(self, number, signal):
-        """Terminate a process by a signal and start it again."""
-        self.check()
-        process = self.processes[number]
-        process.send_signal(signal)
-        process.wait()
-        self.processes[number] = self._start(self._files[number])
-
-    def check(self):
-        """Fail if a router process has exited unexpectedly."""
-        exit_codes = [process.poll() for process in self.processes]
-        assert exit_codes == [None] * len(exit_codes), "a router ended by itself"
-
-    def close(self):
-        """Kill all processes."""
-        for process in self.processes:
-            process.kill()
-            process.wait()
-
-
 def prompt(*parts):
     """Return a value of the header with the parts of a prompt."""
     return ",".join(f"{part}:60" for part in parts)
@@ -422,21 +388,13 @@
     @asynccontextmanager
     async def run(seed, targets=2):
         settings = [make_settings(name=f"edge-{number}") for number in range(3)]
-        # Routers find each other through the store; the metrics port follows the peer
-        # port.
-        files = []
-        for number, each in enumerate(settings):
-            ports = [22_000 + 10 * number, 22_001 + 10 * number]
-            path = tmp_path / f"{each.name}.json"
-            path.write_text(dumps(settings_document(each, ports)))
-            files.append(str(path))
         fleet = Fleet(settings[0])
         for kind in KINDS:
             fleet.route(kind, resumable=kind == "streaming")
         run_log = RunLog()
         async with serving(fleet.platform.handle, *STORE, fleet.platform.run):
             fleet.put_configuration()
-            routers = Routers(files)
+            routers = Routers.from_settings(settings, tmp_path)
             soak = Soak(fleet, routers, run_log, Random(seed))
             soak.addresses = soak.settings = settings
             try:
@@ -453,23 +411,6 @@
     return run
 
 
-def settings_document(settings, ports):
-    """Return the content of the settings file that a platform provides."""
-    caller, readiness = settings.caller_address, settings.readiness_address
-    return {
-        "node-name": settings.name,
-        "ip": HOST,
-        "zone": settings.failure_domain,
-        "listen": {
-            "front": f"{caller.host}:{caller.port}",
-            "readiness": f"{readiness.host}:{readiness.port}",
-        },
-        "port-range": ports,
-        "platform": {"address": f"{STORE[0]}:{STORE[1]}"},
-        "bounds": {"grace-s": 4, "quota-window-s": 1},
-    }
-
-
 async def run_steps(soak, *, with_faulty=False, with_signals=False):
     """Run calls and faults concurrently, then check the records."""
     for step in range(STEPS):
