Messages of routers: an impossible number closes no socket, a closed one is opened again

What would be seen: a router that received one message with a port outside of 1 to 65,535 answered to that port. OverflowError is no OSError, so asyncio closes the datagram socket for good; afterwards the router neither heard the others nor was heard, `loop-failed` came every second until the process ended, and it enforced quotas and placed as if alone.

Change: ports are checked where messages and members are read; loads and usage in messages have a bound, so that their sums over routers fit a message; an error while a message is applied is logged with its place; a socket that is closed is opened again before the next message.

Evidence: each number of each kind of message replaced by eight odd ones, between two usual messages (test_direct_numbers_from_peers). On the code before, the requests for data of the store fail so, and the test of a closed socket; the four other kinds passed before as well. Only own processes send such messages, so no case of a user is known.

--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -2,8 +2,9 @@
 
 from asyncio import DatagramProtocol
 from collections.abc import Callable
+from typing import Annotated
 
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 from berylwalk.direct._flow_control import SignalsUpdate
 from berylwalk.dispatch import (
@@ -13,14 +14,19 @@
     RetryHistory,
     RetryTotals,
     StreamRecords,
-    ToldUsage,
 )
 from berylwalk.quarantine import QuarantineUpdate
+from berylwalk.reading import Port
 from berylwalk.rollout import RolloutUpdate
 
-Loads = dict[str, tuple[int, int]]
+Load = Annotated[int, Meta(le=2**53)]
+"""One load; sums over all routers fit into a message too."""
+Loads = dict[str, tuple[Load, Load]]
 """Requests in flight and waiting prompt tokens, by incarnation id of the target."""
 
+Usage = dict[str, dict[str, Load]]
+"""Usage by service and account, in hundredths of a place; see `ToldUsage`."""
+
 PrefixPlacements = list[tuple[int, str]]
 """Hashes of prompt prefixes with the target incarnations they were sent to."""
 
@@ -29,7 +35,7 @@
     """Entry of a router in the store."""
 
     host: str
-    port: int
+    port: Port
     life: str
     failure_domain: str = ""
 
@@ -74,7 +80,7 @@
 
     name: str
     host: str
-    port: int
+    port: Port
     incarnation: str
     failure_domain: str
     age_s: float
@@ -154,7 +160,7 @@
     known_routers: int = 1
     streams: StreamRecords = field(default_factory=list)
     refused: RefusalRecords = field(default_factory=list)
-    usage: ToldUsage | None = None
+    usage: Usage | None = None
 
 
 class DomainMessage(Struct, array_like=True, tag=2):
@@ -191,7 +197,7 @@
     quarantine: QuarantineUpdate = field(default_factory=QuarantineUpdate)
     signals: list[SignalsUpdate] = field(default_factory=list)
     streams: StreamRecords = field(default_factory=list)
-    usage: ToldUsage | None = None
+    usage: Usage | None = None
 
 
 class LoadMessage(Struct, array_like=True, tag=5):
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from random import choice
+from traceback import format_exception
 from uuid import uuid4
 
 from anyio import Event, create_task_group, move_on_after, sleep
@@ -68,6 +69,10 @@
 """Bound of the queue of prefix placements to be relayed; the oldest are dropped."""
 MAX_RELAYED_STREAMS = 4_000
 """Bound of the queue of stream versions to be relayed; the oldest are dropped."""
+AnyMessage = (
+    PeerMessage | DomainMessage | StoreSyncRequest | StoreSyncReply | LoadMessage
+)
+"""Whatever a router receives from another one."""
 DOMAIN_SOURCE = "failure-domain "
 """Prefix of the source name under which the loads of a whole failure domain are
 stored."""
@@ -124,13 +129,7 @@
         self._signals_aggregate = SignalsAggregate()
         self._pending_placements: Loads = {}
         self._send_requested = Event()
-        self._decoder = msgpack.Decoder(
-            PeerMessage
-            | DomainMessage
-            | StoreSyncRequest
-            | StoreSyncReply
-            | LoadMessage
-        )
+        self._decoder = msgpack.Decoder(AnyMessage)
 
     async def start(self) -> None:
         """Open the socket.
@@ -200,9 +199,16 @@
             ):
                 await self._send_requested.wait()
             self._send_requested = Event()
+            await self._reopen_if_closed()
             self._apply_peer_liveness()
             self._send_if_due()
 
+    async def _reopen_if_closed(self) -> None:
+        """Open the socket again if an error has closed it."""
+        if self._transport is not None and self._transport.is_closing():
+            self._context.log.process("peer-socket-closed")
+            await self.start()
+
     async def _relay_loop(self) -> None:
         while True:
             await sleep(relay_interval_s(len(self._context.peers.direct_peers())))
@@ -451,6 +457,17 @@
             self._context.log.process("peer-message-invalid", detail=repr(error))
             return
         self._context.note_suspension()
+        try:
+            self._apply(message)
+        except Exception as error:
+            # A message of one router must not affect those of the others.
+            self._context.log.process(
+                "peer-message-failed",
+                detail=repr(error),
+                traceback="".join(format_exception(error)),
+            )
+
+    def _apply(self, message: AnyMessage) -> None:
         now = self._context.clock()
         match message:
             case StoreSyncRequest():
--- a/libs/reading/src/berylwalk/reading/__init__.py
+++ b/libs/reading/src/berylwalk/reading/__init__.py
@@ -2,6 +2,7 @@
 
 from berylwalk.reading._messages import (
     DeltaItem,
+    Port,
     PrefixDelta,
     StoreSyncReply,
     StoreSyncRequest,
@@ -13,6 +14,7 @@
 __all__ = [
     "DeltaItem",
     "PendingSyncs",
+    "Port",
     "PrefixDelta",
     "PrefixState",
     "StoreSyncReply",
--- a/libs/reading/src/berylwalk/reading/_messages.py
+++ b/libs/reading/src/berylwalk/reading/_messages.py
@@ -11,6 +11,8 @@
 
 Age = Annotated[float, Meta(ge=0)]
 """Elapsed time, in seconds."""
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+"""Port of an address for messages."""
 
 
 class DeltaItem(Struct, array_like=True):
@@ -102,7 +104,7 @@
 
     sender: str
     host: str
-    port: int
+    port: Port
     number: int
     revisions: dict[str, int]
 
