--- a/libs/direct/tests/test_direct_numbers_from_outside.py
+++ b/libs/direct/tests/test_direct_numbers_from_outside.py
@@ -35,6 +35,16 @@
             await fleet.until(lambda: peers.by_name["edge-1"].sequence > sequence + 2)
             assert not fleet.done
 
+    @pytest.mark.parametrize("digits", [400, 5000])
+    async def test_absurd_timeout_of_a_target_fails_its_answer(self, running, digits):
+        """An answer that is complete is delivered, whatever else its head says."""
+        more = f"Keep-Alive: timeout={'9' * digits}\r\n"
+        async with running(
+            answers("ok", more=more), routes=("non_idempotent",)
+        ) as fleet:
+            reply = await fleet.call("/non_idempotent/")
+        assert (reply.status, reply.body) == (200, b"ok")
+
     async def test_sums_beyond_a_message_are_told_at_its_bound(self, running, beside):
         """A router that has refused for years tells the others all the same."""
         async with (
--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -1,5 +1,6 @@
 """Client side of a connection to a target."""
 
+import re
 from asyncio import Protocol, Transport
 from collections.abc import Callable
 from enum import StrEnum
@@ -16,6 +17,8 @@
 IDLE_TIMEOUT_FRACTION = 0.6
 """Fraction of the target's keep-alive timeout up to which a connection is reused, so
 that the target does not close it while a request is being sent."""
+KEEP_ALIVE_SECONDS = re.compile(rb"[0-9]{1,9}")
+"""Keep-alive timeouts that are used; others count as none."""
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes of a response up to which none has to be part of a head or of a body that is
 complete; the parser keeps them."""
@@ -245,7 +248,7 @@
             return
         for part in value.split(b","):
             name, _, seconds = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and seconds.isdigit():
+            if name.lower() == b"timeout" and KEEP_ALIVE_SECONDS.fullmatch(seconds):
                 self._idle_limit_s = int(seconds) * IDLE_TIMEOUT_FRACTION
 
     def _end(self, end: ResponseEnd, detail: str) -> None:
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -502,6 +502,8 @@
             (b"", 1.1, False),
             (b"Keep-Alive: timeout=10\r\n", 5.0, True),
             (b"Keep-Alive: timeout=10\r\n", 7.0, False),
+            (b"Keep-Alive: timeout=" + b"9" * 400 + b"\r\n", 0.9, True),
+            (b"Keep-Alive: timeout=" + b"9" * 5000 + b"\r\n", 0.9, True),
             (b"Connection: close\r\n", 0.0, False),
         ],
     )
--- a/tests/platform/test_platform_formats.py
+++ b/tests/platform/test_platform_formats.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from msgspec import ValidationError
+from msgspec import DecodeError, ValidationError
 
 from berylwalk.affinity import parts_hash
 from berylwalk.dispatch import (
@@ -30,6 +30,7 @@
     parse_request_headers,
     refusal_headers,
 )
+from berylwalk.platform._eras import era_from
 from berylwalk.platform._headers import MAX_TOKENS
 from berylwalk.platform._store_messages import decode_items, decode_range
 
@@ -321,6 +322,9 @@
             {"key": 7, "value": "e30=", "revision": 5},
             {"key": "servers/i-2", "value": "no base64", "revision": 6},
             {"value": "e30=", "revision": 7},
+            {"key": "servers/i-3", "value": "e30=", "revision": 2**63},
+            {"key": "servers/i-3", "value": "e30=", "revision": -1},
+            {"key": "servers/i-3", "value": "e30=", "revision": 8, "lease": -1},
             "text",
             None,
         ]
@@ -331,6 +335,20 @@
         assert [each.key for each in items] == ["servers/i-1"]
         assert unreadable == len(bad)
 
+    @pytest.mark.parametrize("revision", [-1, 2**63, 10**400])
+    def test_revision_that_fits_no_message_is_malformed(self, revision):
+        """Routers tell each other revisions in messages that hold 64 bits."""
+        with pytest.raises(DecodeError):
+            decode_range(b'{"store-revision": %d}' % revision)
+
+    @pytest.mark.parametrize(
+        ("value", "era"),
+        [(b"3", 3), (b"1000000", 10**6), (b"1000001", None), (b"9" * 5000, None)],
+    )
+    def test_era_that_fits_no_message_is_none(self, value, era):
+        """An era is part of each revision."""
+        assert era_from([(b"Store-Era", value)]) == era
+
 
 class TestHeaders:
     """Request and response headers."""
@@ -454,6 +472,8 @@
             (b"Token-Count", b"-5,1"),
             (b"Deadline-Ms", b"nan"),
             (b"Deadline-Ms", b"-1"),
+            (b"Deadline-Ms", b"1_0"),
+            (b"Deadline-Ms", b"9" * 400),
         ],
     )
     def test_malformed_headers(self, header):
