Responses without a body by their kind end with their head, on both sides

What callers saw: a target that answers HEAD by the book (a length, no body) was waited for until the deadline, then 504; a body that a target sent all the same went to the caller, who read it as the beginning of its next answer. Own answers to HEAD (metrics) had a body. 204 and 304 got a length of 0 that no target had stated.

Cause: neither side knew that the kind of a response decides whether it has a body. The parser of the target's side isn't told the method, and what was buffered was always written.

Change: a response to HEAD ends at its head; for HEAD, 204 and 304 the caller's side states the length that the target stated, or none, and sends no body. Where a body is stated that must not come, the connection to the target is closed: what it sends then belongs to no request. So a HEAD with a length costs a connection; keeping it would join a late body with the next answer. An interim response that states a body ends the connection, but for those that the parser ends by itself (100, 102, 103).

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -12,6 +12,7 @@
     QuotaReserve,
     QuotaState,
     Route,
+    RouteKind,
     stream_key,
 )
 from berylwalk.forwarding import CallerRequest
@@ -120,6 +121,11 @@
         has_events = bool(headers.resumes) and headers.last_event_id != NO_EVENT
         return has_events and self.route.resumable
 
+    @property
+    def expects_stream(self) -> bool:
+        """Whether a successful response is forwarded event by event."""
+        return self.route.kind is RouteKind.STREAMING and not self.request.is_head
+
     @property
     def account_name(self) -> str | None:
         """Name of the account, or None."""
--- a/libs/direct/src/berylwalk/direct/_attempt_progress.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_progress.py
@@ -8,7 +8,6 @@
 from berylwalk.dispatch import (
     AttemptEnd,
     FirstEventEstimate,
-    RouteKind,
     SentRequest,
     Target,
     is_passed_over,
@@ -64,7 +63,7 @@
             work=admitted.parsed_headers.work,
             uncached_tokens=estimate.own_tokens,
             expected_s=estimate.total_s,
-            is_stream=admitted.route.kind is RouteKind.STREAMING,
+            is_stream=admitted.expects_stream,
             sent_at=now,
         )
 
--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -179,7 +179,7 @@
         attempt = Attempt(
             self._response_writer,
             request_id=self._admitted.request_id,
-            expects_stream=self._admitted.route.kind is RouteKind.STREAMING,
+            expects_stream=self._admitted.expects_stream,
             clock=self._context.clock,
             on_first_event=on_first_event,
             on_begun=on_begun,
@@ -230,7 +230,10 @@
         if not self._response_writer.is_writable:
             on_writable(False)
         connection.send(
-            self._encode_request(target), self._admitted.request_id, attempt
+            self._encode_request(target),
+            self._admitted.request_id,
+            attempt,
+            is_head=self._admitted.request.is_head,
         )
         if self._progress is not None:
             self._progress.note_sent(self._context.clock())
--- a/libs/direct/src/berylwalk/direct/_response_writer.py
+++ b/libs/direct/src/berylwalk/direct/_response_writer.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Callable
 
-from berylwalk.forwarding import CallerConnection, Event, Headers, end_to_end
+from berylwalk.forwarding import (
+    CallerConnection,
+    Event,
+    Headers,
+    end_to_end,
+    header_value,
+)
 
 
 class ResponseWriter:
@@ -66,9 +72,13 @@
         self._connection.end_stream()
 
     def write_response(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response."""
+        """Send a complete response, with the length that its target has stated."""
         self.started = True
-        self._connection.respond(status, end_to_end(headers), body)
+        if self._connection.ends_with_head(status):
+            length = header_value(headers, b"content-length")
+            self._connection.respond_with_head(status, end_to_end(headers), length)
+        else:
+            self._connection.respond(status, end_to_end(headers), body)
 
     def truncate_response(self) -> None:
         """Truncate a stream that can't be completed."""
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
 from typing import Any
@@ -12,6 +13,7 @@
 
 from berylwalk.forwarding._caller_buffers import CallerBuffers
 from berylwalk.forwarding._heads import (
+    BODILESS_STATUSES,
     Headers,
     header_value,
     request_head,
@@ -70,6 +72,11 @@
     keep_alive: bool
     http_1_0: bool = False
 
+    @property
+    def is_head(self) -> bool:
+        """Whether its response ends with the head."""
+        return self.method == b"HEAD"
+
 
 @dataclass(slots=True)
 class _PartialRequest:
@@ -82,7 +89,6 @@
     body_hash: BodyHash = field(default_factory=BodyHash)
     body_bytes: int = 0
     head_done: bool = False
-    http_1_0: bool = False
 
 
 class _RestOfConnectionError(Exception):
@@ -359,14 +365,49 @@
             self._transport.set_write_buffer_limits(high=max_bytes)
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response to the current request."""
+        """Send a complete response to the current request.
+
+        The body is not sent where the response has none by its kind.
+        """
         if not self.is_open:
             return
-        keep_open = self._keeps_alive()
+        if self.ends_with_head(status):
+            length = b"%d" % len(body) if self._active.is_head else None
+            self.respond_with_head(status, headers, length)
+            return
         framing = [(b"Content-Length", b"%d" % len(body))]
+        self._respond(status, headers + framing, body)
+
+    def ends_with_head(self, status: int) -> bool:
+        """Return whether a response to the current request has no body by its kind."""
+        is_head = self._active is not None and self._active.is_head
+        return is_head or status in BODILESS_STATUSES
+
+    def respond_with_head(
+        self, status: int, headers: Headers, length: bytes | None
+    ) -> None:
+        """Send a response that ends with its head.
+
+        Parameters
+        ----------
+        status : int
+            Its status.
+        headers : list of (bytes, bytes)
+            Its headers.
+        length : bytes or None
+            Length that a body would have; None to state none.
+        """
+        if not self.is_open:
+            return
+        if length is not None and status != HTTPStatus.NO_CONTENT:
+            headers = [*headers, (b"Content-Length", length)]
+        self._respond(status, headers, b"")
+
+    def _respond(self, status: int, headers: Headers, body: bytes) -> None:
+        keep_open = self._keeps_alive()
         if not keep_open:
-            framing.append((b"Connection", b"close"))
-        self._write(response_head(status, headers + framing) + body)
+            headers = [*headers, (b"Connection", b"close")]
+        self._write(response_head(status, headers) + body)
         self._finish(keep_open)
 
     def start_stream(self, status: int, headers: Headers) -> None:
--- a/libs/forwarding/src/berylwalk/forwarding/_heads.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_heads.py
@@ -23,6 +23,8 @@
 )
 """Hop-by-hop headers, and headers that depend on the framing of the message."""
 
+BODILESS_STATUSES = frozenset({204, 304})
+"""Statuses of final responses that never have a body."""
 REASON_BY_STATUS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -70,3 +72,15 @@
         if each.lower() == name:
             return value
     return None
+
+
+def is_encoded(headers: Headers) -> bool:
+    """Return whether a head states a transfer encoding, such as ``chunked``."""
+    return header_value(headers, b"transfer-encoding") is not None
+
+
+def states_body(headers: Headers) -> bool:
+    """Return whether a head states a body that is not empty."""
+    length = header_value(headers, b"content-length")
+    has_length = length is not None and length.strip(b" \t0") != b""
+    return has_length or is_encoded(headers)
--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -8,7 +8,12 @@
 
 import httptools
 
-from berylwalk.forwarding._heads import Headers, header_value
+from berylwalk.forwarding._heads import (
+    BODILESS_STATUSES,
+    Headers,
+    header_value,
+    states_body,
+)
 from berylwalk.forwarding._traffic import TrafficCounter
 
 DEFAULT_IDLE_LIMIT_S = 1.0
@@ -19,6 +24,8 @@
 that the target does not close it while a request is being sent."""
 KEEP_ALIVE_SECONDS = re.compile(rb"[0-9]{1,9}")
 """Keep-alive timeouts that are used; others count as none."""
+PARSED_INTERIM_STATUSES = (100, 102, 103)
+"""Interim statuses that the parser ends with their head, whatever length they state."""
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes of a response up to which none has to be part of a head or of a body that is
 complete; the parser keeps them."""
@@ -39,6 +46,10 @@
     """The data is not a valid response to the request."""
 
 
+class _InvalidResponseError(Exception):
+    """Raised in a parser callback for a response that the protocol doesn't allow."""
+
+
 class ResponseSink(Interface):
     """Receives a response as it arrives."""
 
@@ -91,6 +102,7 @@
         self._transport: Transport | None = None
         self._sink: ResponseSink | None = None
         self._request_id = b""
+        self._is_head = False
         self._headers: Headers = []
         self._head_done = False
         self._discarding = False
@@ -123,10 +135,30 @@
         is_recent = now - self._idle_since <= idle_limit_s
         return self.is_open and self.reusable and is_recent
 
-    def send(self, data: bytes, request_id: bytes, sink: ResponseSink) -> None:
-        """Send a request; its response is passed to the sink."""
+    def send(
+        self,
+        data: bytes,
+        request_id: bytes,
+        sink: ResponseSink,
+        *,
+        is_head: bool = False,
+    ) -> None:
+        """Send a request; its response is passed to the sink.
+
+        Parameters
+        ----------
+        data : bytes
+            The encoded request.
+        request_id : bytes
+            Its id, which the response repeats.
+        sink : ResponseSink
+            Receives the response.
+        is_head : bool
+            Whether the method is ``HEAD``, so that the response ends with its head.
+        """
         self._sink = sink
         self._request_id = request_id
+        self._is_head = is_head
         self._unused_bytes = 0
         self.uses += 1
         self._traffic.note_sent(len(data))
@@ -207,25 +239,31 @@
         """Pass the head to the sink if it belongs to the request."""
         self._head_done = True
         status = self._parser.get_status_code()
+        headers = self._headers
+        has_stated_body = states_body(headers)
+        if status < 200 and has_stated_body and status not in PARSED_INTERIM_STATUSES:
+            raise _InvalidResponseError(f"interim response {status} with a body")
         if status < 200 or self._sink is None:
             self._discarding = True
             return
         self._unused_bytes = 0
-        headers = self._headers
         response_id = header_value(headers, self._id_header)
         if response_id is not None and response_id != self._request_id:
             self._discarding = True
             self.reusable = False
             return
-        self._close_delimited = (
-            header_value(headers, b"content-length") is None
-            and header_value(headers, b"transfer-encoding") is None
-            and status not in (204, 304)
-        )
-        if self._close_delimited:
+        has_length = header_value(headers, b"content-length") is not None
+        has_length = has_length or has_stated_body
+        has_body = not self._is_head and status not in BODILESS_STATUSES
+        self._close_delimited = not has_length and has_body
+        if self._close_delimited or (has_stated_body and not has_body):
+            # A target that sends a stated body all the same would send it as the
+            # beginning of the next response.
             self.reusable = False
         self._apply_keep_alive(headers)
         self._sink.on_head(status, headers)
+        if self._is_head:
+            self._end_at_head(is_parsed=has_length and not has_stated_body)
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
@@ -242,6 +280,18 @@
             self.reusable = False
         self._end(ResponseEnd.COMPLETE, "")
 
+    def _end_at_head(self, *, is_parsed: bool) -> None:
+        """Complete a response to ``HEAD``; the parser would wait for a body.
+
+        Parameters
+        ----------
+        is_parsed : bool
+            Whether the parser ends the response here as well.
+        """
+        if not is_parsed:
+            self.reusable = False
+            self._end(ResponseEnd.COMPLETE, "")
+
     def _apply_keep_alive(self, headers: Headers) -> None:
         value = header_value(headers, b"keep-alive")
         if value is None:
