Callers of HTTP/1.0: told that their connection is kept; a chunked request is the last one

What callers saw: one that asks to keep its connection wasn't told that it is kept, so by the book it waits for the end of the connection or closes it. A chunked request, a framing that HTTP/1.0 doesn't have, kept its connection, so that what follows could be taken for a request.

Cause: answers stated only that a connection is closed, which is the default of HTTP/1.0.

--- a/libs/direct/tests/test_direct_bodiless_responses.py
+++ b/libs/direct/tests/test_direct_bodiless_responses.py
@@ -248,3 +248,34 @@
                 assert (status, headers["connection"]) == (400, "close")
                 assert await caller.reader.read() == b""
         assert fleet.targets[0].received == []
+
+    @pytest.mark.parametrize("is_kept", [True, False])
+    async def test_old_caller_is_not_told_whether_to_keep_its_connection(
+        self, running, is_kept
+    ):
+        """A caller of HTTP/1.0 keeps it only if the response says so."""
+        async with running(answers("usual")) as fleet:
+            with fail_after(IN_TIME_S):
+                caller = await Caller.of(fleet)
+                keep = ("Connection: keep-alive",) if is_kept else ()
+                caller.send("GET", "/idempotent/", *keep, version="1.0")
+                _, headers = await caller.read_head()
+                assert await caller.read_body(headers) == b"usual"
+                if is_kept:
+                    await caller.check_usual("idempotent")
+                else:
+                    assert await caller.reader.read() == b""
+        assert headers["connection"] == ("keep-alive" if is_kept else "close")
+
+    async def test_chunked_request_of_an_old_caller_keeps_its_connection(self, running):
+        """HTTP/1.0 has no such framing: what follows can't be told from the body."""
+        async with running(answers("usual")) as fleet:
+            with fail_after(IN_TIME_S):
+                caller = await Caller.of(fleet)
+                lines = ("Connection: keep-alive", "Transfer-Encoding: chunked")
+                body = chunk(b"body") + b"0\r\n\r\n"
+                caller.send("POST", "/idempotent/", *lines, version="1.0", body=body)
+                _, headers = await caller.read_head()
+                await caller.read_body(headers)
+                assert await caller.reader.read() == b""
+        assert headers["connection"] == "close"
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -16,6 +16,7 @@
     BODILESS_STATUSES,
     Headers,
     header_value,
+    is_encoded,
     request_head,
     response_head,
 )
@@ -321,6 +322,9 @@
         self._is_last_read = self._has_offer
         partial, self._partial = self._partial, None
         self._head_bytes = 0
+        is_old = self._parser.get_http_version() == "1.0"
+        is_ambiguous = is_old and is_encoded(partial.headers)
+        is_last = self._has_offer or is_ambiguous
         self._queue.append(
             CallerRequest(
                 method=self._parser.get_method(),
@@ -329,8 +333,8 @@
                 body=b"".join(partial.body),
                 body_digest=partial.body_hash.digest(),
                 arrived_at=self._clock(),
-                keep_alive=self._parser.should_keep_alive() and not self._has_offer,
-                http_1_0=self._parser.get_http_version() == "1.0",
+                keep_alive=self._parser.should_keep_alive() and not is_last,
+                http_1_0=is_old,
             )
         )
 
@@ -407,6 +411,8 @@
         keep_open = self._keeps_alive()
         if not keep_open:
             headers = [*headers, (b"Connection", b"close")]
+        elif self._active.http_1_0:
+            headers = [*headers, (b"Connection", b"keep-alive")]
         self._write(response_head(status, headers) + body)
         self._finish(keep_open)
 
