Expectations: a request sent ahead gets its interim response after the one before

What callers saw: one that sends a request with Expect: 100-continue ahead, and waits before it sends the body, got no interim response at all, and 408 once the header timeout had passed. HTTP/1.0, which knows no interim responses, got one; so did requests whose body had arrived or that have none, and those with another expectation.

Cause: the interim response was decided at the head only: written at once, or never if another response was under way.

Change: it is written when no response before it is under way and no byte of the body has arrived; the header timeout counts from then.

Evidence: the test of a request sent ahead and three others fail on the code before.

--- a/libs/direct/tests/test_direct_bodiless_responses.py
+++ b/libs/direct/tests/test_direct_bodiless_responses.py
@@ -234,6 +234,67 @@
                     assert (status, "content-length" in headers) == (200, True)
 
 
+class TestExpectations:
+    """Callers that wait for an interim response before they send a body."""
+
+    async def test_expectation_that_is_sent_ahead_gets_no_interim_response(
+        self, running
+    ):
+        """It follows the response before it, and the body is waited for anew."""
+        async with running(answers("usual")) as fleet:
+            with fail_after(IN_TIME_S):
+                caller = await Caller.of(fleet)
+                expects = ("Content-Length: 4", "Expect: 100-continue")
+                caller.send("POST", "/idempotent/a", "Content-Length: 0")
+                caller.send("POST", "/idempotent/b", *expects)
+                status, headers = await caller.read_head()
+                assert (status, await caller.read_body(headers)) == (200, b"usual")
+                assert (await caller.read_head())[0] == 100
+                caller.writer.write(b"body")
+                status, headers = await caller.read_head()
+                assert (status, await caller.read_body(headers)) == (200, b"usual")
+        assert [each.body for each in fleet.targets[0].received] == [b"", b"body"]
+
+    @pytest.mark.parametrize(
+        ("expected", "version", "statuses"),
+        [
+            ("100-continue", "1.1", [100, 200]),
+            ("100-Continue", "1.1", [100, 200]),
+            ("100-continue", "1.0", [200]),
+            ("something-else", "1.1", [200]),
+        ],
+    )
+    async def test_interim_response_is_sent_to_who_does_not_read_it(
+        self, running, expected, version, statuses
+    ):
+        """A caller of HTTP/1.0 knows no interim responses."""
+        async with running(answers("usual")) as fleet:
+            with fail_after(IN_TIME_S):
+                caller = await Caller.of(fleet)
+                lines = ("Content-Length: 4", f"Expect: {expected}")
+                caller.send("POST", "/idempotent/a", *lines, version=version)
+                await sleep(0.1)
+                caller.writer.write(b"body")
+                got = []
+                while not got or got[-1] == 100:
+                    got.append((await caller.read_head())[0])
+        assert got == statuses
+
+    async def test_interim_response_is_sent_after_the_body(self, running):
+        """Who has sent the body, or has none, does not wait."""
+        async with running(answers("usual")) as fleet:
+            with fail_after(IN_TIME_S):
+                caller = await Caller.of(fleet)
+                expects = "Expect: 100-continue"
+                caller.send("GET", "/idempotent/a", expects)
+                status, headers = await caller.read_head()
+                assert (status, await caller.read_body(headers)) == (200, b"usual")
+                caller.send(
+                    "POST", "/idempotent/b", expects, "Content-Length: 4", body=b"body"
+                )
+                assert (await caller.read_head())[0] == 200
+
+
 class TestOtherKinds:
     """Requests that open tunnels, and callers of HTTP/1.0."""
 
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -30,6 +30,8 @@
 """``Retry-After`` of a request whose body exceeds the bound for all bodies."""
 OFFERS = frozenset({b"upgrade", b"http2-settings"})
 """Headers that offer to go on in another protocol."""
+CONTINUE = b"100-continue"
+"""Expectation of a caller that waits before it sends the body of its request."""
 RESET_ON_CLOSE = pack("ii", 1, 0)
 """Socket option by which closing resets the connection."""
 
@@ -90,6 +92,8 @@
     body_hash: BodyHash = field(default_factory=BodyHash)
     body_bytes: int = 0
     head_done: bool = False
+    awaits_continue: bool = False
+    """Whether the caller may wait for an interim response before it sends the body."""
 
 
 class _RestOfConnectionError(Exception):
@@ -296,10 +300,9 @@
         length = header_value(partial.headers, b"content-length")
         if length is not None and int(length) > self._limits().max_body_bytes:
             raise _InvalidRequestError(413)
-        is_expected = header_value(partial.headers, b"expect") is not None
-        is_answering = self._active is not None or bool(self._queue)
-        if is_expected and not is_answering and not self._parser.should_upgrade():
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        expected = header_value(partial.headers, b"expect") or b""
+        is_old = self._parser.get_http_version() == "1.0"
+        partial.awaits_continue = expected.lower() == CONTINUE and not is_old
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
@@ -583,6 +586,17 @@
             return
         if self._error_status is not None:
             self._reject(self._error_status)
+            return
+        partial = self._partial
+        if partial is not None and partial.awaits_continue:
+            self._continue(partial)
+
+    def _continue(self, partial: _PartialRequest) -> None:
+        """Ask for the body of a request; none of the responses before is under way."""
+        partial.awaits_continue = False
+        if partial.body_bytes == 0:
+            partial.started_at = self._clock()
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _reject(self, status: int) -> None:
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
