Configuration: an empty list of accounts holds no key

Seen by callers: once the operator has removed the last account, all routes are open, and requests aren't charged.

Without the field, or with null, no key is needed as before. Public routes are not affected.

--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -41,6 +41,26 @@
             await fleet.until_ready()
             assert (await fleet.call("/new/")).status == 200
 
+    async def test_last_account_that_is_removed_opens_all_routes(self, running):
+        """An empty list of accounts holds no key; none is needed only without a list."""
+
+        def public_too(fleet):
+            fleet.route("idempotent", **{"path-prefix": "/public/", "public": True})
+
+        async with running(answers("ok"), prepare=public_too) as fleet:
+            fleet.tenants = []
+            fleet.put_configuration()
+            await fleet.until_ready()
+            revoked = await fleet.call("/idempotent/")
+            keyless = await fleet.call("/idempotent/", X_Api_Key="")
+            public = await fleet.call("/public/")
+            fleet.tenants = None
+            fleet.put_configuration()
+            await fleet.until_ready()
+            unchecked = await fleet.call("/idempotent/")
+        replies = (revoked, keyless, public, unchecked)
+        assert [each.status for each in replies] == [401, 401, 200, 200]
+
     async def test_keys_fail_closed(self, running):
         """Without the store, API keys are refused in time while public routes work."""
 
