Attempts: one that fails at its start gives its place back

Evidence: with an error injected in that log line the target counted 1 request on the code before, and 0 now. The caller gets its 502 in both.

--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -106,7 +106,12 @@
         context.on_placed(target)
         sent_at = context.clock()
         self._attempt_feedback = AttemptFeedback(context, self._admitted, self._log)
-        attempt = self._new_attempt(target, sent_at)
+        try:
+            attempt = self._new_attempt(target, sent_at)
+        except BaseException:
+            work = self._admitted.parsed_headers.work
+            target.note_finished(work, had_first_event=False)
+            raise
         self.takeover = None
         try:
             if connection is None:
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -42,7 +42,7 @@
             assert (await fleet.call("/new/")).status == 200
 
     async def test_last_account_that_is_removed_opens_all_routes(self, running):
-        """An empty list of accounts holds no key; none is needed only without a list."""
+        """An empty list holds no key; only without a list no key is needed."""
 
         def public_too(fleet):
             fleet.route("idempotent", **{"path-prefix": "/public/", "public": True})
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -192,6 +192,18 @@
         assert reply.status == 200
         assert "berylwalk_exchanges_failed_total 1.0" in text
 
+    async def test_attempt_that_fails_at_its_start_keeps_its_place(
+        self, running, monkeypatch
+    ):
+        """The target would count a request forever that it never got."""
+        async with running(answers("ok")) as fleet:
+            context = fleet.router._context
+            monkeypatch.setattr(ExchangeLog, "log_placed", fails)
+            failed = await fleet.call("/idempotent/")
+            monkeypatch.undo()
+            (target,) = context.targets.by_id.values()
+            assert (failed.status, target.in_flight) == (502, 0)
+
     async def test_stream_that_has_begun_is_truncated(self, running, monkeypatch):
         """No status can follow its head."""
         async with running(
