--- a/libs/forwarding/src/berylwalk/forwarding/__init__.py
+++ b/libs/forwarding/src/berylwalk/forwarding/__init__.py
@@ -1,11 +1,8 @@
 """HTTP/1.1 connections to callers and targets that stream data as it arrives."""
 
 from berylwalk.forwarding._caller_buffers import CallerBuffers
-from berylwalk.forwarding._caller_connection import (
-    CallerConnection,
-    CallerRequest,
-    ConnectionLimits,
-)
+from berylwalk.forwarding._caller_connection import CallerConnection
+from berylwalk.forwarding._caller_requests import CallerRequest, ConnectionLimits
 from berylwalk.forwarding._events import Event, EventSplitter
 from berylwalk.forwarding._heads import (
     Headers,
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_buffers.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_buffers.py
@@ -1,7 +1,7 @@
 """Keeps what is held for callers within its bounds."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from berylwalk.forwarding._request_bodies import RequestBodies
 from berylwalk.forwarding._response_buffers import (
@@ -11,13 +11,22 @@
 )
 from berylwalk.forwarding._traffic import TrafficCounter
 
-if TYPE_CHECKING:
-    from berylwalk.forwarding._caller_connection import CallerConnection
-
 CHECK_INTERVAL_S = 0.05
 """Shortest interval between two checks of all connections that writes cause."""
 
-OnSlowReader = Callable[["CallerConnection", HeldResponse], None]
+
+class BufferedConnection(Protocol):
+    """Connection of a caller whose write buffer is measured and bounded."""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the write buffer that the caller has not read."""
+
+    def bound_unsent(self, max_bytes: int) -> None:
+        """Set the size of the write buffer from which it is not writable."""
+
+
+OnSlowReader = Callable[[BufferedConnection, HeldResponse], None]
 
 
 class CallerBuffers:
@@ -40,7 +49,7 @@
 
     def __init__(
         self,
-        responses: "ResponseBuffers[CallerConnection]",
+        responses: ResponseBuffers[BufferedConnection],
         bodies: RequestBodies,
         *,
         clock: Callable[[], float],
@@ -51,7 +60,7 @@
         self._clock = clock
         self._on_slow_reader = on_slow_reader
         self._checked_at = float("-inf")
-        self._reduced: set[CallerConnection] = set()
+        self._reduced: set[BufferedConnection] = set()
         self.bodies = bodies
         self.traffic = TrafficCounter() if traffic is None else traffic
 
@@ -60,7 +69,7 @@
         """Bytes held for one caller beyond which its target is not read."""
         return self._responses.bounds.each_bytes
 
-    def note_written(self, connection: "CallerConnection", written_bytes: int) -> None:
+    def note_written(self, connection: BufferedConnection, written_bytes: int) -> None:
         """Record a write to a connection."""
         self.traffic.note_sent(written_bytes)
         now = self._clock()
@@ -82,7 +91,7 @@
             self._on_slow_reader(connection, held)
         self._adjust_bounds()
 
-    def forget(self, connection: "CallerConnection") -> None:
+    def forget(self, connection: BufferedConnection) -> None:
         """Forget a connection that is closed."""
         self._responses.forget(connection)
         self._reduced.discard(connection)
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -3,7 +3,6 @@
 from asyncio import Protocol, Transport
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
@@ -12,6 +11,13 @@
 import httptools
 
 from berylwalk.forwarding._caller_buffers import CallerBuffers
+from berylwalk.forwarding._caller_requests import (
+    CallerRequest,
+    ConnectionLimits,
+    InvalidRequestError,
+    PartialRequest,
+    RestOfConnectionError,
+)
 from berylwalk.forwarding._heads import (
     BODILESS_STATUSES,
     Headers,
@@ -20,7 +26,6 @@
     request_head,
     response_head,
 )
-from berylwalk.quarantine import BodyHash
 
 MAX_PIPELINED_REQUESTS = 4
 """Number of pipelined requests from which reading is paused."""
@@ -36,78 +41,6 @@
 """Socket option by which closing resets the connection."""
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """Limits on the size and duration of requests."""
-
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
-
-
-@dataclass(slots=True)
-class CallerRequest:
-    """One complete request of a caller.
-
-    Attributes
-    ----------
-    method, target : bytes
-        From the request line.
-    headers : list of (bytes, bytes)
-        As received, without trailers.
-    body : bytes
-        Decoded body.
-    body_digest : bytes
-        Hash of the body.
-    arrived_at : float
-        Time of the event loop when the last byte was read.
-    keep_alive : bool
-        Whether the caller keeps the connection open.
-    """
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    body_digest: bytes
-    arrived_at: float
-    keep_alive: bool
-    http_1_0: bool = False
-
-    @property
-    def is_head(self) -> bool:
-        """Whether its response ends with the head."""
-        return self.method == b"HEAD"
-
-
-@dataclass(slots=True)
-class _PartialRequest:
-    """State of a request that is being read."""
-
-    started_at: float
-    target: bytearray = field(default_factory=bytearray)
-    headers: Headers = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    body_hash: BodyHash = field(default_factory=BodyHash)
-    body_bytes: int = 0
-    head_done: bool = False
-    awaits_continue: bool = False
-    """Whether the caller may wait for an interim response before it sends the body."""
-
-
-class _RestOfConnectionError(Exception):
-    """What follows the last request on a connection; it is not read."""
-
-
-class _InvalidRequestError(Exception):
-    """Raised in a parser callback; ``status`` is the status of the response."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
 class CallerConnection(Protocol):
     """Reads requests one at a time and writes their responses.
 
@@ -161,7 +94,7 @@
         self._is_unframed = False
         self._parser = httptools.HttpRequestParser(self)
         self._transport: Transport | None = None
-        self._partial: _PartialRequest | None = None
+        self._partial: PartialRequest | None = None
         self._head_bytes = 0
         self._queue: deque[CallerRequest] = deque()
         self._active: CallerRequest | None = None
@@ -206,9 +139,9 @@
             if self._is_last_read:
                 self._serve_next()
                 return
-            known = isinstance(cause, _InvalidRequestError)
+            known = isinstance(cause, InvalidRequestError)
             self._error_status = cause.status if known else 400
-        except _InvalidRequestError as error:
+        except InvalidRequestError as error:
             self._error_status = error.status
         except httptools.HttpParserError:
             self._error_status = 400
@@ -276,8 +209,8 @@
     def on_message_begin(self) -> None:
         """Start a new request."""
         if self._is_last_read:
-            raise _RestOfConnectionError
-        self._partial = _PartialRequest(self._clock())
+            raise RestOfConnectionError
+        self._partial = PartialRequest(self._clock())
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
@@ -294,12 +227,12 @@
         partial.head_done = True
         hosts = [1 for name, _ in partial.headers if name.lower() == b"host"]
         if len(hosts) != 1 or not partial.target.startswith(b"/"):
-            raise _InvalidRequestError(400)
+            raise InvalidRequestError(400)
         self._check_head_size()
         self._head_bytes = 0
         length = header_value(partial.headers, b"content-length")
         if length is not None and int(length) > self._limits().max_body_bytes:
-            raise _InvalidRequestError(413)
+            raise InvalidRequestError(413)
         expected = header_value(partial.headers, b"expect") or b""
         is_old = self._parser.get_http_version() == "1.0"
         partial.awaits_continue = expected.lower() == CONTINUE and not is_old
@@ -309,10 +242,10 @@
         partial = self._partial
         partial.body_bytes += len(data)
         if partial.body_bytes > self._limits().max_body_bytes:
-            raise _InvalidRequestError(413)
+            raise InvalidRequestError(413)
         if self._buffers is not None:
             if not self._buffers.bodies.take(len(data)):
-                raise _InvalidRequestError(503)
+                raise InvalidRequestError(503)
             self._body_bytes += len(data)
         partial.body.append(data)
         partial.body_hash.add(data)
@@ -591,7 +524,7 @@
         if partial is not None and partial.awaits_continue:
             self._continue(partial)
 
-    def _continue(self, partial: _PartialRequest) -> None:
+    def _continue(self, partial: PartialRequest) -> None:
         """Ask for the body of a request; none of the responses before is under way."""
         partial.awaits_continue = False
         if partial.body_bytes == 0:
@@ -613,7 +546,7 @@
         else:
             size = self._head_bytes if partial is not None else 0
         if size > self._limits().max_header_bytes:
-            raise _InvalidRequestError(431)
+            raise InvalidRequestError(431)
 
 
 def _reset(transport: Transport) -> None:
