--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,12 @@
 	$(PYTHON) -m ruff check --fix .
 	$(PYTHON) -m ruff format .
 
+# The tests mostly wait. Those of a file stay together and in order, so that the verdict
+# does not depend on which process runs them.
+TEST_PROCESSES := 4
+
 test: setup lint
-	$(PYTHON) -P -m pytest
+	$(PYTHON) -P -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 fuzz: setup
 	BERYLWALK_FUZZ=long $(PYTHON) -P -m pytest tests/fuzz
--- a/conftest.py
+++ b/conftest.py
@@ -10,6 +10,7 @@
 fault: it is printed and has to exist; it is run by hand.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -61,29 +62,48 @@
     return entries
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    """Read the list, in each process of a run in parallel."""
+    known = config.stash[KNOWN] = read_known_red(config.rootpath / LIST_NAME)
+    for entry in known:
+        path = config.rootpath / entry.test_id.removeprefix(SCRIPT)
+        if entry.test_id.startswith(SCRIPT) and not path.is_file():
+            raise pytest.UsageError(f"{LIST_NAME}: there is no {path.name}")
+
+
 def pytest_collection_modifyitems(
     config: pytest.Config, items: list[pytest.Item]
 ) -> None:
     """Expect the listed tests to fail, and only to fail."""
-    known = read_known_red(config.rootpath / LIST_NAME)
-    config.stash[KNOWN] = known
     items_by_id = {item.nodeid: item for item in items}
-    for entry in known:
-        path = config.rootpath / entry.test_id.removeprefix(SCRIPT)
-        if entry.test_id.startswith(SCRIPT) and not path.is_file():
-            raise pytest.UsageError(f"{LIST_NAME}: there is no {path.name}")
-    is_whole_run = config.args_source is config.ArgsSource.TESTPATHS
-    is_whole_run = is_whole_run and not (
-        config.option.keyword or config.option.markexpr
-    )
-    for entry in known:
-        if entry.test_id.startswith(SCRIPT):
-            continue
-        item = items_by_id.get(entry.test_id.removeprefix(ONCE))
-        if item is not None and not entry.test_id.startswith(ONCE):
+    for entry in config.stash[KNOWN]:
+        item = items_by_id.get(entry.test_id)
+        if item is not None:
             item.add_marker(pytest.mark.xfail(reason=entry.reason, strict=True))
-        elif item is None and is_whole_run:
-            raise pytest.UsageError(f"{LIST_NAME}: there is no test {entry.test_id}")
+    check_listed(config, items_by_id)
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(node: object, ids: list[str]) -> None:
+    """Check the list in the process that starts the others, which knows the options."""
+    check_listed(node.config, ids)
+
+
+def check_listed(config: pytest.Config, test_ids: Collection[str]) -> None:
+    """Check that a whole run has all listed tests.
+
+    Raises
+    ------
+    pytest.UsageError
+        If it lacks one.
+    """
+    is_whole_run = config.args_source is config.ArgsSource.TESTPATHS
+    if not is_whole_run or config.option.keyword or config.option.markexpr:
+        return
+    for entry in config.stash[KNOWN]:
+        test_id = entry.test_id.removeprefix(ONCE)
+        if not test_id.startswith(SCRIPT) and test_id not in test_ids:
+            raise pytest.UsageError(f"{LIST_NAME}: there is no test {test_id}")
 
 
 def pytest_terminal_summary(
--- a/tests/layout/test_layout_known_red.py
+++ b/tests/layout/test_layout_known_red.py
@@ -13,9 +13,10 @@
 MISSING = "test_it.py::test_gone | cause | command, seed 1 | seen | issue 1\n"
 
 
-@pytest.fixture
-def run(tmp_path):
+@pytest.fixture(params=["one process", "several processes"])
+def run(tmp_path, request):
     """Return a function that runs a failing and a passing test with a given list."""
+    processes = ["-n", "2"] if request.param == "several processes" else []
 
     def run_with_list(listed, *arguments):
         (tmp_path / "conftest.py").write_text((ROOT / "conftest.py").read_text())
@@ -24,7 +25,10 @@
         (tmp_path / "KNOWN-RED.txt").write_text(listed)
         command = [sys.executable, "-P", "-m", "pytest", "-p", "no:cacheprovider"]
         return subprocess.run(
-            [*command, *arguments], cwd=tmp_path, capture_output=True, text=True
+            [*command, *processes, *arguments],
+            cwd=tmp_path,
+            capture_output=True,
+            text=True,
         )
 
     return run_with_list
