--- a/libs/direct/tests/test_direct_numbers_from_outside.py
+++ b/libs/direct/tests/test_direct_numbers_from_outside.py
@@ -5,7 +5,7 @@
 import pytest
 
 from berylwalk.direct._peering import MAX_TOLD_UNITS
-from direct_fleet import answers
+from direct_fleet import EVENTS, answers, chunk, event, head
 
 pytestmark = pytest.mark.anyio
 DIGITS = "9" * 30
@@ -45,6 +45,25 @@
             reply = await fleet.call("/non_idempotent/")
         assert (reply.status, reply.body) == (200, b"ok")
 
+    @pytest.mark.parametrize(
+        "number", ["9" * 30, "9" * 5000, "-1", "1.5", "1_0", "nan", ""]
+    )
+    async def test_absurd_event_id_cuts_a_stream(self, running, number):
+        """An event whose id is no number that is counted is forwarded as it is."""
+        odd = f"id: {number}\ndata: odd\n\n".encode()
+
+        async def script(request, writer):
+            more = "Transfer-Encoding: chunked\r\n"
+            writer.write(head(request, kind=EVENTS, more=more))
+            for each in (event(1), odd, event(2)):
+                writer.write(chunk(each))
+            writer.write(b"0\r\n\r\n")
+
+        async with running(script, routes=("streaming",)) as fleet:
+            reply = await fleet.call("/streaming/")
+        assert reply.is_complete
+        assert reply.body == event(1) + odd + event(2)
+
     async def test_sums_beyond_a_message_are_told_at_its_bound(self, running, beside):
         """A router that has refused for years tells the others all the same."""
         async with (
