--- a/libs/direct/tests/virtual_parts.py
+++ b/libs/direct/tests/virtual_parts.py
@@ -73,6 +73,10 @@
     def __init__(self, call):
         self._call = call
 
+    def ends_with_head(self, status):
+        """Return whether a response has no body by its kind."""
+        return False
+
     def respond(self, status, headers, body):
         """Receive a complete response."""
         self._call.status = status
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -160,7 +160,9 @@
         store_health = StoreHealth(self.context)
         store = RouterStore(simulation, name)
         self.peering = Peering(self.context, store, store_health)
-        self.peering._transport = SimpleNamespace(sendto=self._send)
+        self.peering._transport = SimpleNamespace(
+            sendto=self._send, is_closing=lambda: False
+        )
         self.quarantine_store = QuarantineStore(
             self.context, store, store_health, wall_clock=self.clock
         )
--- a/libs/direct/tests/virtual_rollout.py
+++ b/libs/direct/tests/virtual_rollout.py
@@ -372,7 +372,9 @@
         store_health = StoreHealth(self.context)
         store = RouterStore(simulation, name)
         self.peering = Peering(self.context, store, store_health)
-        self.peering._transport = SimpleNamespace(sendto=self._send)
+        self.peering._transport = SimpleNamespace(
+            sendto=self._send, is_closing=lambda: False
+        )
         shared_reads = self.peering.shared_reads
         role = ReadRole(
             follows_peers=shared_reads.follows_peers,
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -58,6 +58,10 @@
     def __init__(self, done):
         self._done = done
 
+    def ends_with_head(self, status):
+        """Return whether a response has no body by its kind."""
+        return False
+
     def respond(self, status, headers, body):
         """Receive a complete response."""
         self._done(status, headers)
