Streams that callers take up: the log tells which version they are bound to, and why

The logs of the incident could not tell whether a router that joined two versions went by a record, by the store, or by seeing one version only, nor whether a lookup found nothing or got no answer. A line stream-taken-up names the version and its source, request-ended names the stream and its version, and records that the store did not take are counted. No decision changes.

--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -5,6 +5,7 @@
 
 from berylwalk.direct._decision_log import DecisionLog
 from berylwalk.direct._metrics import RouterMetrics
+from berylwalk.direct._stream_lookup import LookupFailure
 from berylwalk.direct._suspension_detector import SuspensionDetector
 from berylwalk.dispatch import (
     AccountUsage,
@@ -33,8 +34,9 @@
 from berylwalk.rollout import Rollouts
 
 
-async def _no_stored_stream(_: int) -> None:
+async def _no_stored_stream(_: int) -> LookupFailure:
     """Find no stream."""
+    return LookupFailure.ABSENT
 
 
 @dataclass(slots=True, kw_only=True)
@@ -96,7 +98,7 @@
     on_signals_changed : callable
         Called when a response of a target carries changed signals.
     find_stored_stream : callable
-        Returns the stored version of the stream with a key, or None.
+        Returns the stored version of the stream with a key, or why it is not known.
     """
 
     settings: RouterSettings
@@ -127,7 +129,9 @@
     open_requests: int = 0
     on_placed: Callable[[Target], None] = lambda _: None
     on_signals_changed: Callable[[], None] = lambda: None
-    find_stored_stream: Callable[[int], Awaitable[str | None]] = _no_stored_stream
+    find_stored_stream: Callable[[int], Awaitable[str | LookupFailure]] = (
+        _no_stored_stream
+    )
 
     def note_suspension(self) -> None:
         """Keep a suspension of the VM from counting as silence of targets.
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -13,6 +13,7 @@
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._exchange_log import ExchangeLog
 from berylwalk.direct._response_writer import ResponseWriter
+from berylwalk.direct._stream_lookup import LookupFailure, VersionSource
 from berylwalk.direct._takeover import Takeover, TakeoverSearch
 from berylwalk.dispatch import (
     SHORT_RETURN_S,
@@ -342,11 +343,18 @@
         key = admitted.stream_key
         version = context.streams.version_of(key, context.clock())
         versions = context.targets.versions_of(admitted.service)
+        source = VersionSource.RECORDED
         if version is None and len(versions) == 1:
-            version = min(versions)
-        elif version is None and (found := await context.find_stored_stream(key)):
-            context.streams.merge([(key, found)], context.clock())
-            version = found
+            version, source = min(versions), VersionSource.ONLY_ONE
+        elif version is None:
+            found = await context.find_stored_stream(key)
+            source = VersionSource.STORED
+            if isinstance(found, LookupFailure):
+                source = VersionSource.from_failure(found)
+            else:
+                context.streams.merge([(key, found)], context.clock())
+                version = found
+        self._log.log_taken_up(admitted, version, source, versions)
         self._stream_version = version
         return version is not None
 
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -1,12 +1,13 @@
 """Logs and metrics of one request."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from math import isfinite, isinf
 
 from berylwalk.direct._admission import Admitted, Charge, Refusal
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._stream_lookup import VersionSource
 from berylwalk.dispatch import (
     FirstEventEstimate,
     PendingRequest,
@@ -49,6 +50,7 @@
     first_event_at: float | None = None
     first_asked_at: float | None = None
     send_by: float = float("inf")
+    stream_version: str | None = None
     retry_fields: dict[str, object] = field(default_factory=dict)
 
     def record_wait(self, admitted: Admitted, waited_s: float) -> None:
@@ -117,6 +119,29 @@
             **self._urgency_fields(admitted, self.context.clock()),
         )
 
+    def log_taken_up(
+        self,
+        admitted: Admitted,
+        version: str | None,
+        source: VersionSource,
+        listed: Collection[str],
+    ) -> None:
+        """Log which version a stream that the caller takes up is bound to, and why."""
+        self.stream_version = version
+        self.context.metrics.streams_taken_up.labels(source).inc()
+        headers = admitted.parsed_headers
+        self.context.log.request(
+            "stream-taken-up",
+            admitted.request_id,
+            resumes=headers.resumes.decode("latin-1"),
+            last_event_id=headers.last_event_id,
+            service=admitted.service,
+            version=version,
+            source=source,
+            listed_versions=sorted(listed),
+            took_ms=_ms(self.context.clock() - self.arrived_at),
+        )
+
     def record_attempt(self, target: Target, attempt: Attempt, sent_at: float) -> None:
         """Record how an attempt ended."""
         if self.first_event_at is None:
@@ -285,6 +310,7 @@
             prompt_tokens=admitted.parsed_headers.work.prompt_tokens,
             output_tokens=admitted.parsed_headers.work.output_tokens,
             **_prefix_fields(admitted),
+            **self._taken_up_fields(admitted),
             **_charge_fields(admitted.charge),
             objective_ms=_ms(admitted.route.objective_s),
             longest_pause_allowed_ms=_ms(admitted.route.longest_pause_s),
@@ -296,6 +322,13 @@
             **self.retry_fields,
         )
 
+    def _taken_up_fields(self, admitted: Admitted) -> dict[str, object]:
+        """Return the fields about the stream that the request takes up."""
+        if not admitted.takes_up_stream:
+            return {}
+        resumes = admitted.parsed_headers.resumes.decode("latin-1")
+        return {"resumes": resumes, "stream_version": self.stream_version}
+
     def _urgency_fields(self, admitted: Admitted, now: float) -> dict[str, object]:
         """Return the fields about what decides who gets a place."""
         usage, service, account = (
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -58,6 +58,18 @@
             ("outcome",),
             registry=registry,
         )
+        self.streams_taken_up = Counter(
+            "berylwalk_streams_taken_up",
+            "Streams that callers take up, by how their version is known.",
+            ("source",),
+            registry=registry,
+        )
+        self.stream_records = Counter(
+            "berylwalk_stream_records",
+            "Records of streams for the store, by outcome of their write.",
+            ("outcome",),
+            registry=registry,
+        )
         self.refused_for_reserve = Counter(
             "berylwalk_refused_for_reserve",
             "Requests refused for units that were kept for more urgent ones.",
--- a/libs/direct/src/berylwalk/direct/_stream_store.py
+++ b/libs/direct/src/berylwalk/direct/_stream_store.py
@@ -8,6 +8,7 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._store_health import StoreHealth
+from berylwalk.direct._stream_lookup import LookupFailure
 from berylwalk.dispatch import StreamRecords
 from berylwalk.platform import KeyValue, KeyValueClient, OutcomeUnknown, Unavailable
 
@@ -59,26 +60,36 @@
                 await self._write(records)
             await sleep(WRITE_INTERVAL_S)
 
-    async def find(self, key: int) -> str | None:
-        """Return the stored version of a stream; None if there is none in time."""
+    async def find(self, key: int) -> str | LookupFailure:
+        """Return the stored version of a stream, or why it is not known."""
         item: KeyValue | Unavailable | None = None
-        with move_on_after(LOOKUP_TIMEOUT_S):
+        with move_on_after(LOOKUP_TIMEOUT_S) as scope:
             item = await self._store_health.track(
                 "find-stream", self._store.get(_store_key(key))
             )
-        if item is None or isinstance(item, Unavailable):
-            return None
+        if scope.cancelled_caught:
+            return LookupFailure.LATE
+        if isinstance(item, Unavailable):
+            return LookupFailure.UNAVAILABLE
+        if item is None:
+            return LookupFailure.ABSENT
         return item.value.decode(errors="replace")
 
     async def _write(self, records: StreamRecords) -> None:
+        metrics = self._context.metrics
         lease_id = await self._lease()
         if lease_id is None:
+            metrics.stream_records.labels("lost").inc(len(records))
             return
         items = [(_store_key(key), version.encode()) for key, version in records]
         written = await self._store_health.track(
             "note-streams", self._store.put_all(items, lease_id=lease_id)
         )
-        if isinstance(written, Unavailable | OutcomeUnknown):
+        is_failed = isinstance(written, Unavailable | OutcomeUnknown)
+        metrics.stream_records.labels("lost" if is_failed else "stored").inc(
+            len(records)
+        )
+        if is_failed:
             self._forget_lease()
 
     async def _lease(self) -> int | None:
