--- a/libs/direct/tests/conftest.py
+++ b/libs/direct/tests/conftest.py
@@ -4,7 +4,7 @@
 from itertools import cycle
 
 import pytest
-from anyio import create_memory_object_stream, create_task_group
+from anyio import CancelScope, create_memory_object_stream, create_task_group
 
 from berylwalk.direct import DirectRouter
 from berylwalk.dispatch import QuotaRules, RouterSettings, SocketAddress
@@ -75,10 +75,13 @@
             create_task_group() as tasks,
         ):
             fleet.done = False
+            fleet.router_scope = CancelScope()
 
             async def run_router():
+                router = fleet.router
                 try:
-                    await fleet.router.run(stops)
+                    with fleet.router_scope:
+                        await router.run(stops)
                 finally:
                     fleet.done = True
 
