Streams that are taken up wait like those that the router continues

Such a stream has fewer targets than a new one, and its caller holds a part of the answer. It waits a second at most now, as within one response.

--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -247,6 +247,8 @@
             if not await self._bind_to_stream_version():
                 self._fail(AttemptEnd.NOT_SENT, "stream-version-unknown")
                 return
+            # It waits like a stream that the router itself continues.
+            deadlines = deadlines_after_failure(context.clock(), admitted.deadline)
         if context.vm_capacity.refuses(
             admitted.rank, open_requests=context.open_requests
         ):
