Router: settings that the store lost while no router ran come back from agents

What callers saw: all routers end, the store comes back from a copy that lacks an accepted change of the settings, routers start. They read the older document; as soon as an agent announces the version that it has, a router that is not ready yet never becomes ready, and one that is serves by the older document for good. No change of an operator is accepted.

Cause: a router that has just started takes the document that the store shows for the newest that there was. Agents with a higher version were asked only while the store did not answer, and nobody else knew the lost change.

Change: a read of the store that shows a version below one announced before the read proves the loss, since reads are linearizable and versions are announced after their write. Then the document of the agent that is furthest ahead is written to the store, merged with changes accepted since the copy, and the result is taken. A router that starts in ordinary times still asks no agent (test_no_agent_is_asked_while_the_store_is_available is unchanged).

Ruled out: waiting three seconds after each start, which delays readiness and still ends with the older document.

--- a/libs/router/src/berylwalk/router/_settings_sync.py
+++ b/libs/router/src/berylwalk/router/_settings_sync.py
@@ -88,6 +88,7 @@
         self._rng = rng or Random()
         self._replies = SettingsReplyBuilder(replica)
         self._is_store_available: bool | None = None
+        self._has_store_lost_version = False
         self._may_lack_changes = Event()
         self._watches_own_change_until = float("-inf")
         store.on_restored.add(self._check_store)
@@ -135,11 +136,14 @@
 
     async def read_store(self) -> bool:
         """Read the store; returns whether it responded."""
+        known_version = self._replica.highest_known_version
         document = await read_document(PlatformSettingsStore(self._store))
         if isinstance(document, ReadFailed):
             self._log_store_availability(False, document.reason)
             return False
         self._log_store_availability(True, "")
+        # Announced versions were accepted, so that the store had them once.
+        self._has_store_lost_version = document.version < known_version
         self._apply_stored(document)
         return True
 
@@ -167,7 +171,9 @@
             logging.error("invalid settings document from %s: %s", peer, error)
             self._replica.on_pull_failed(peer, now)
             return False
-        if self._is_outdated(document):
+        if address is not None and self._has_store_lost_version:
+            await self._restore_from_agent(peer, document)
+        elif self._is_outdated(document):
             self._replica.on_pull_failed(peer, now)
         elif self._replica.on_document(document, now, peer=peer):
             self._log_new_version(peer)
@@ -182,10 +188,13 @@
     async def pull_once(self) -> bool:
         """Pull from a peer with a newer version; returns whether there was one.
 
-        Agents are used only while the store is unavailable.
+        Agents are used only while the store is unavailable, or if it has lost a
+        version that was announced.
         """
         is_outage = self._is_store_available is False
-        peer = self._replica.start_pull(self._clock(), allow_fallbacks=is_outage)
+        peer = self._replica.start_pull(
+            self._clock(), allow_fallbacks=is_outage or self._has_store_lost_version
+        )
         if peer is None:
             return False
         await sleep(self._rng.uniform(0, self._pull_jitter_s()))
@@ -230,6 +239,21 @@
                 await self._watch_while_selected()
             await sleep(WATCH_CHECK_S)
 
+    async def _restore_from_agent(self, agent: str, document: SettingsDocument) -> None:
+        """Write what an agent has and the store has lost, and take the result.
+
+        Without this, routers that all start after the loss would not be ready, or
+        serve by the older document.
+        """
+        stored = await write_back(PlatformSettingsStore(self._store), document)
+        # The document of the agent is not taken, but what the store has now.
+        self._replica.on_pull_failed(agent, self._clock())
+        if isinstance(stored, Undecided):
+            logging.warning("settings of %s not written: %s", agent, stored.reason)
+            return
+        self._has_store_lost_version = False
+        self._apply_stored(stored)
+
     async def _wait_for_poll(self, slow_poll_at: float) -> None:
         while True:
             await sleep(self._poll_s * (1 + JITTER_FRACTION * self._rng.random()))
--- a/libs/router/tests/test_router_settings_sync.py
+++ b/libs/router/tests/test_router_settings_sync.py
@@ -310,6 +310,61 @@
         assert not await node.sync.pull_once()
         assert node.pulled_peers == []
 
+    async def test_change_that_the_store_lost_while_no_router_ran(self):
+        """Routers that start read the copy; only agents have the newest version."""
+        store = InMemoryKeyValue()
+        agent = Node(store)
+        await submit(store, "one")
+        copy = store.take_copy()
+        agent.sync.accept(await submit(store, "lost"))
+        store.restore(copy)
+        node = Node(store)
+        node.peers_by_id = {"address": agent}
+        node.sync.record_agent_version("agent", "address", 2)
+        await node.sync.read_store()
+        assert not node.sync.is_ready
+        assert await node.sync.pull_once()
+        assert node.sync.is_ready
+        assert node.announced == [1, 2]
+        assert "/lost" in node.replica.document.tree.sections
+        assert await stored_document(store) == node.replica.document
+        assert not await node.sync.pull_once()
+
+    async def test_later_change_is_kept_beside_the_one_that_the_store_lost(self):
+        """The router was in service before it heard of the agent."""
+        store = InMemoryKeyValue()
+        agent, node = Node(store), Node(store)
+        copy = store.take_copy()
+        await submit(store, "lost")
+        agent.sync.accept(await submit(store, "lost-too"))
+        store.restore(copy)
+        node.sync.accept(await submit(store, "later"))
+        node.peers_by_id = {"address": agent}
+        node.sync.record_agent_version("agent", "address", 2)
+        await node.sync.read_store()
+        assert await node.sync.pull_once()
+        sections = node.replica.document.tree.sections
+        assert {"/lost", "/lost-too", "/later"} <= set(sections)
+        assert await stored_document(store) == node.replica.document
+
+    async def test_outage_while_a_lost_change_is_written_again(self):
+        """The agent is asked again when the store is back."""
+        store = InMemoryKeyValue()
+        agent, node = Node(store), Node(store)
+        copy = store.take_copy()
+        agent.sync.accept(await submit(store, "lost"))
+        store.restore(copy)
+        node.peers_by_id = {"address": agent}
+        node.sync.record_agent_version("agent", "address", 1)
+        await node.sync.read_store()
+        store.down = True
+        assert await node.sync.pull_once()
+        assert node.sync.version == 0
+        store.down = False
+        node.now = 1.0
+        assert await node.sync.pull_once()
+        assert node.sync.version == (await stored_document(store)).version == 1
+
     async def test_a_router_that_is_ahead_is_asked_first(self):
         """Agents are a fallback for versions that no router has."""
         store = InMemoryKeyValue()
--- a/tests/processes/test_processes_restored_store.py
+++ b/tests/processes/test_processes_restored_store.py
@@ -9,6 +9,7 @@
 
 WHOLE = AnswerEnd.WHOLE
 KEY_IN_USE = "key-in-use"
+ROUTERS = ("entry-1", "entry-2")
 
 
 @pytest.fixture
@@ -68,6 +69,25 @@
             found = copied.admin("GET", f"settings/changes/{change}", router=1)
             assert found.status == 200
 
+    def test_lost_change_that_no_router_remembers(self, copied):
+        """All routers ended before they could write it again; agents still have it."""
+        accepted = patch(copied, 0, "weight", 12)
+        assert accepted.status == 200
+        version = msgspec.json.decode(accepted.content)["version"]
+        copied.wait(
+            lambda: set(copied.own_versions().values()) == {version},
+            "the version on all nodes",
+        )
+        for name in ROUTERS:
+            copied.process(name).kill()
+        restore(copied)
+        for name in ROUTERS:
+            copied.process(name).start()
+        copied.wait_until_idle()
+        assert set(copied.own_versions().values()) == {version}
+        found = copied.admin("GET", "settings/changes/weight-12", router=1)
+        assert found.status == 200
+
 
 class TestKeys:
     def test_running_request_keeps_its_key(self, copied):
