Router: keys are refused at a router that starts just after a restore of the store

What callers saw: the store comes back from an older copy, a router starts, and a repeat of a keyed request runs there while the first one runs at another router.

Cause: a router that has just started takes an absent record for a key that was never claimed. Routers that saw the restore refuse keys until lost records are written again; a router that starts then has seen none.

Change: routers note in the store the last era whose grace time has passed. A router reads it before its first claim; if the store is in a later era, it refuses claims for the same three seconds, from the first response on. A copy holds the number of an earlier era, so that it can't tell too much. One more read by each router at its start, two calls after each restore; routers that start at other times serve keys at once.

Ruled out: three seconds without keys after each start once the store was ever restored, which each rolling restart would pay.

--- a/libs/router/src/berylwalk/router/_idempotency.py
+++ b/libs/router/src/berylwalk/router/_idempotency.py
@@ -41,6 +41,7 @@
     new_record,
     record_key,
 )
+from berylwalk.router._restore_grace import RestoreGrace
 from berylwalk.router._stored_responses import StoredResponse
 
 CLAIM_ATTEMPTS = 3
@@ -54,10 +55,6 @@
 RESTORE_CHECK_S = 1.0
 """Time between reads of the store while records are known that it might lose."""
 
-RESTORE_GRACE_S = 3.0
-"""Time for which claims are refused after the store was restored from a copy. Each
-router notices the restore and writes its records again within this time."""
-
 PERMANENT_FAILURES = frozenset(
     {UnavailableReason.REJECTED, UnavailableReason.LEASE_NOT_FOUND}
 )
@@ -109,7 +106,7 @@
         self._claims_by_id: dict[RequestId, _Claim] = {}
         self._pending = PendingWrites(pause=pause)
         self._refuse_until = float("-inf")
-        self._restored_at = float("-inf")
+        self._grace = RestoreGrace(store, clock=clock)
         self._known = KnownRecords(clock=clock)
         store.on_restored.add(self._write_all_again)
 
@@ -126,13 +123,18 @@
         Claimed or ClaimRefused
             `ClaimRefused` also if the key-value service does not respond.
         """
-        if self._is_restored_lately():
+        if self._grace.is_active:
             return ClaimRefused(restored_refusal())
         if self._clock() < self._refuse_until:
             return ClaimRefused(platform_down_refusal())
+        if not await self._grace.check_start():
+            self._refuse_until = self._clock() + CLAIM_COOLDOWN_S
+            return ClaimRefused(platform_down_refusal())
+        if self._grace.is_active:
+            return ClaimRefused(restored_refusal())
         for _ in range(CLAIM_ATTEMPTS):
             result, claim = await self._create(request)
-            if isinstance(result, Swapped) and self._is_restored_lately():
+            if isinstance(result, Swapped) and self._grace.is_active:
                 # The store was restored during the claim, and another router may know
                 # a record of this key that the store has lost.
                 self._pending.add(partial(self._delete, claim))
@@ -201,13 +203,15 @@
         while True:
             await self._pause(RESTORE_CHECK_S)
             self._known.drop_old()
-            is_restored_lately = self._is_restored_lately()
-            if not len(self._known) and not is_restored_lately:
+            await self._grace.check_start()
+            await self._grace.settle()
+            was_active = self._grace.is_active
+            if not len(self._known) and not was_active:
                 continue
             # Any response tells the era; no record has this key.
             response = await self._store.get(RECORDS_PREFIX.encode())
-            if is_restored_lately and isinstance(response, Unavailable):
-                self._restored_at = self._clock()
+            if was_active and isinstance(response, Unavailable):
+                self._grace.begin()
 
     async def flush(self) -> None:
         """Wait until no write is pending."""
@@ -244,12 +248,9 @@
         value = encode_record(claim.record)
         self._known.add(claim.key, request.request_id, value, request.deadline_at)
 
-    def _is_restored_lately(self) -> bool:
-        return self._clock() < self._restored_at + RESTORE_GRACE_S
-
     def _write_all_again(self) -> None:
         """Schedule the writes of all known records, after the store was restored."""
-        self._restored_at = self._clock()
+        self._grace.begin()
         self._known.drop_old()
         records = self._known.all()
         if records:
--- a/libs/router/tests/test_router_idempotency.py
+++ b/libs/router/tests/test_router_idempotency.py
@@ -15,7 +15,7 @@
     WorkEstimate,
 )
 from berylwalk.router._claim_results import Claimed, ClaimRefused
-from berylwalk.router._idempotency import RESTORE_GRACE_S, IdempotencyRecords
+from berylwalk.router._idempotency import IdempotencyRecords
 from berylwalk.router._known_records import (
     KEEP_S,
     MAX_KNOWN_BYTES,
@@ -23,6 +23,7 @@
 )
 from berylwalk.router._record_leases import RecordLeases
 from berylwalk.router._records import RecordState, decode_record, record_key
+from berylwalk.router._restore_grace import RESTORE_GRACE_S, SETTLED_ERA_KEY
 from berylwalk.router._stored_responses import StoredResponse
 from berylwalk.standins.memory import InMemoryKeyValue
 
@@ -262,7 +263,7 @@
         await records.claim(make_request("r1"))
         await restored(store, copy)
         await flushed(records)
-        clock.now += RESTORE_GRACE_S
+        await grace_passed(records, store, clock)
         result = await records_of(store, clock).claim(make_request("r2"))
         assert result.refusal.reason is RefusalReason.KEY_IN_USE
 
@@ -276,7 +277,7 @@
         await flushed(records)
         records.complete(make_request("r1"), 200, RESPONSE)
         await flushed(records)
-        clock.now += RESTORE_GRACE_S
+        await grace_passed(records, store, clock)
         result = await records_of(store, clock).claim(make_request("r2"))
         assert result.replay == RESPONSE
 
@@ -290,7 +291,7 @@
         await flushed(records)
         await restored(store, copy)
         await flushed(records)
-        clock.now += RESTORE_GRACE_S
+        await grace_passed(records, store, clock)
         result = await records_of(store, clock).claim(make_request("r2"))
         assert result.replay == RESPONSE
 
@@ -303,7 +304,7 @@
         await flushed(records)
         await restored(store, copy)
         await flushed(records)
-        clock.now += RESTORE_GRACE_S
+        await grace_passed(records, store, clock)
         result = await records_of(store, clock).claim(make_request("r2"))
         assert result.replay == RESPONSE
 
@@ -315,7 +316,7 @@
         records.forget(request.request_id)
         await restored(store, copy)
         await flushed(records)
-        clock.now += RESTORE_GRACE_S
+        await grace_passed(records, store, clock)
         result = await records_of(store, clock).claim(make_request("r2"))
         assert result.refusal.reason is RefusalReason.KEY_IN_USE
 
@@ -328,7 +329,7 @@
         await flushed(records)
         await restored(store, copy)
         await flushed(records)
-        clock.now += RESTORE_GRACE_S
+        await grace_passed(records, store, clock)
         assert await records_of(store, clock).claim(make_request("r2")) == Claimed()
 
     async def test_other_routers_wait_until_records_are_written_again(
@@ -392,6 +393,71 @@
                     await anyio.sleep(0.005)
             tasks.cancel_scope.cancel()
 
+    async def test_router_that_starts_before_records_are_written_again(
+        self, store, clock
+    ):
+        """It has seen no restore; the key of a running request is free in the store."""
+        records = records_of(store, clock)
+        copy = store.take_copy()
+        await records.claim(make_request("r1"))
+        await restored(store, copy)
+        started = records_of(store, clock)
+        result = await started.claim(make_request("r2"))
+        assert result.refusal.reason is RefusalReason.PLATFORM_DOWN
+        await flushed(records)
+        clock.now += RESTORE_GRACE_S
+        result = await started.claim(make_request("r2"))
+        assert result.refusal.reason is RefusalReason.KEY_IN_USE
+
+    async def test_router_that_starts_long_after_a_restore(self, store, clock):
+        """It serves keys at once, also if all routers of the restore are gone."""
+        records = records_of(store, clock)
+        await restored(store, store.take_copy())
+        await grace_passed(records, store, clock)
+        assert await records_of(store, clock).claim(make_request("r2")) == Claimed()
+
+    async def test_router_that_starts_after_a_further_restore(self, store, clock):
+        """The copy tells that lost records of an earlier restore are written again."""
+        records = records_of(store, clock)
+        await restored(store, store.take_copy())
+        await grace_passed(records, store, clock)
+        await restored(store, store.take_copy())
+        result = await records_of(store, clock).claim(make_request("r2"))
+        assert result.refusal.reason is RefusalReason.PLATFORM_DOWN
+
+    async def test_router_that_starts_in_an_outage_after_a_restore(self, store, clock):
+        """Its wait begins when the store responds, since others could not write."""
+        records = records_of(store, clock)
+        copy = store.take_copy()
+        await records.claim(make_request("r1"))
+        store.restore(copy)
+        store.down = True
+        started = records_of(store, clock)
+        result = await started.claim(make_request("r2"))
+        assert result.refusal.reason is RefusalReason.PLATFORM_DOWN
+        clock.now += RESTORE_GRACE_S
+        store.down = False
+        result = await started.claim(make_request("r2"))
+        assert "restored" in result.refusal.detail
+        await flushed(records)
+        clock.now += RESTORE_GRACE_S
+        result = await started.claim(make_request("r2"))
+        assert result.refusal.reason is RefusalReason.KEY_IN_USE
+
+    async def test_unreadable_settled_era(self, store, clock):
+        """It counts as none, and is written anew."""
+        await store.compare_and_swap(SETTLED_ERA_KEY, b"\xffnine", 0)
+        records = records_of(store, clock)
+        assert await records.claim(make_request("r1")) == Claimed()
+        await restored(store, store.take_copy())
+        clock.now += RESTORE_GRACE_S
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(records.run_restore_checks)
+            with anyio.fail_after(5):
+                while (await store.get(SETTLED_ERA_KEY)).value != b"1":
+                    await anyio.sleep(0.005)
+            tasks.cancel_scope.cancel()
+
     async def test_many_restores(self, store, clock):
         records = records_of(store, clock)
         copy = store.take_copy()
@@ -431,6 +497,19 @@
         assert kept == [b"3", b"4", b"5"]
 
 
+async def grace_passed(
+    records: IdempotencyRecords, store: InMemoryKeyValue, clock: Clock
+) -> None:
+    """Wait until routers that start know that lost records are written again."""
+    clock.now += RESTORE_GRACE_S
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(records.run_restore_checks)
+        with anyio.fail_after(5):
+            while await store.get(SETTLED_ERA_KEY) is None:
+                await anyio.sleep(0.005)
+        tasks.cancel_scope.cancel()
+
+
 async def restored(store: InMemoryKeyValue, copy) -> None:
     """Restore the store, and let its users know."""
     store.restore(copy)
--- a/tests/fuzz/test_fuzz_idempotency.py
+++ b/tests/fuzz/test_fuzz_idempotency.py
@@ -25,6 +25,8 @@
 
 LONG = os.environ.get("BERYLWALK_FUZZ") == "long"
 ROUTERS = ("r1", "r2")
+LATE_ROUTER = "r3"
+"""Starts just after a restore, beside those that know of lost records."""
 KEYS = ("k1", "k2")
 EVENT_LOOP_TURNS = 40
 REWRITE_TURNS = 200
@@ -42,7 +44,7 @@
         st.tuples(st.just("land_late"), st.none(), st.none()),
         st.tuples(st.just("restart"), st.sampled_from(ROUTERS), st.none()),
         st.tuples(st.just("copy"), st.none(), st.none()),
-        st.tuples(st.just("restore"), st.none(), st.none()),
+        st.tuples(st.just("restore"), st.sampled_from((None, *KEYS)), st.none()),
         st.tuples(st.just("wait"), st.sampled_from((0.5, 3.0)), st.none()),
     ),
     min_size=12,
@@ -179,18 +181,24 @@
         elif kind == "copy":
             self.copy, self.copied_at = self.store.take_copy(), self.now
         elif kind == "restore":
-            await self.restore()
+            await self.restore(value)
         elif kind == "wait":
             self.now += value
 
-    async def restore(self) -> None:
-        """Restore the store, which answers then until records are written again."""
+    async def restore(self, late_key: str | None) -> None:
+        """Restore the store, which answers then until records are written again.
+
+        If a key is given, a router starts at once and claims it.
+        """
         if self.now - self.copied_at >= KEEP_S:
             return
         self.store.down = False
         self.store.lose_answers = self.store.delay_writes = 0
         self.store.restore(self.copy)
         await self.store.get(b"any")
+        if late_key is not None:
+            self.start(LATE_ROUTER)
+            self.tasks.start_soon(self.claim, LATE_ROUTER, late_key)
         for _ in range(REWRITE_TURNS):
             await anyio.sleep(0)
 
