Fuzz: an injected fault of keys at a router that starts just after a restore

The oracle has to notice if routers that start no longer ask whether lost records are written again. Run by hand for the three faults that the fuzz test of keys has to catch: all three caught, with "an idempotency key ran twice". The other faults were not run.

--- a/tests/fuzz/faults.py
+++ b/tests/fuzz/faults.py
@@ -408,6 +408,13 @@
         ),
         IDEMPOTENCY,
     ),
+    Fault(
+        "a router that starts just after a restore claims keys",
+        KEY,
+        (Edit("router/_restore_grace", "if not self.is_settled:", "if False:"),),
+        IDEMPOTENCY,
+        "an idempotency key ran twice",
+    ),
     Fault(
         "a draining agent dispatches",
         LEAVING,
