Roll-outs: routers tell each other which versions a decided roll-out has barred

What callers would see: a router that started in a restored store sent requests to old targets of a completed roll-out, as long as the copy listed them.

Cause: a router that hears "completed" from another made the record itself and barred the versions that it knew. One that has not listed any target knows none, so it barred none. In an intact store the stored record replaces that one; after a restore there is none, and the router may write its own, without barred versions, to the store.

Change: updates contain the barred versions of a decided roll-out. The field is the last one and may be missing, so older routers and newer ones understand each other; for an older sender it is as before.

Evidence: test_completion_that_it_learns_before_it_lists_the_targets failed before.

--- a/libs/rollout/src/berylwalk/rollout/_messages.py
+++ b/libs/rollout/src/berylwalk/rollout/_messages.py
@@ -60,6 +60,8 @@
         Of the order; empty if unknown.
     period_s : float
         Of the order, in seconds; 0 if unknown.
+    barred : list of str
+        Versions that get no requests by the record; only of a decided roll-out.
     """
 
     service: Name
@@ -78,6 +80,7 @@
     crashed_old: Count = 0
     version: Name = ""
     period_s: Annotated[float, Meta(ge=0)] = 0.0
+    barred: Annotated[list[Name], Meta(max_length=64)] = field(default_factory=list)
 
     def new_tallies(self) -> dict[NewVersionKey, Tally]:
         """Return the tallies of the new version."""
--- a/libs/rollout/src/berylwalk/rollout/_rollouts.py
+++ b/libs/rollout/src/berylwalk/rollout/_rollouts.py
@@ -607,6 +607,7 @@
             crashed_old,
             progress.order.version,
             progress.order.period_s,
+            [] if progress.is_active else record.barred,
         )
 
     def has_drained(self, progress: Progress, now: float) -> bool:
@@ -682,7 +683,8 @@
         if update.number <= known or update.phase not in set(Phase):
             return
         former = self._records_by_service.get(update.service)
-        barred = [] if former is None else former.barred
+        # This router may not have listed the targets of the versions yet.
+        barred = [*([] if former is None else former.barred), *update.barred]
         merged = Record(
             version=progress.order.version,
             order_revision=progress.order.revision,
--- a/libs/rollout/tests/test_rollout_restored.py
+++ b/libs/rollout/tests/test_rollout_restored.py
@@ -219,6 +219,24 @@
         rollouts.merge("r/2", other.updates(10.0), 1.0)
         assert rollouts.progress(SERVICE).phase is Phase.SHIFTING
 
+    def test_completion_that_it_learns_before_it_lists_the_targets(self):
+        """The old version is barred as at the router that tells it."""
+        other = in_phase(Phase.SHIFTING)
+        known = other.versions.known(SERVICE)
+        shifting = other.progress(SERVICE).record
+        completed = shifting.with_phase(Phase.COMPLETED, "drained", known)
+        other.merge_record(SERVICE, completed, 10.0)
+        rollouts = Rollouts(ExposureRules(), router="r/1")
+        rollouts.note_era(ERA, 0.0)
+        rollouts.set_orders([order(ERA + 57)], 0.0)
+        rollouts.merge("r/2", other.updates(10.0), 0.1)
+        rollouts.versions.record_version(SERVICE, "v1", ERA + 10)
+        rollouts.versions.record_version(SERVICE, "v2", ERA + 60)
+        rollouts.versions.record_orders_known(ERA + 70)
+        assert rollouts.last_record(SERVICE).barred == ["v1"]
+        assert not rollouts.allows(SERVICE, "v1", 0.9, 0.2)
+        assert rollouts.allows(SERVICE, "v2", 0.9, 0.2)
+
     def test_order_that_it_does_not_know_yet(self):
         """Another router holds the version back, so this one does, too."""
         rollouts, other = router(start=ERA), in_phase(Phase.REVERTED)
