Forwarding: report the end of a caller's input in the pass that reads it

A caller's close reached its request one pass of the event loop late: the end of the input only closed the transport, whose loss the loop reports in the next pass. On a busy VM a pass lasts as long as all work that is due, so the target worked on meanwhile.

The connection now closes its transport, drops what was read ahead and reports the disconnect when the end of the input is read. The loss that follows reports nothing more. A reset is still reported with the loss of the connection.

Both new tests failed before: no disconnect was reported at the end of the input, and a response written afterwards served the request that was read ahead.

--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -177,19 +177,30 @@
             self._parse(head + data[error.args[0] :])
 
     def eof_received(self) -> bool:
-        """Treat the end of the input as a disconnect."""
+        """Treat the end of the input as a disconnect and report it at once.
+
+        The event loop reports the loss of the connection only in a later pass.
+        """
+        if self._transport is not None:
+            self._transport.close()
+        self._report_disconnect()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Report that the caller has disconnected."""
+        """Report that the caller has disconnected, unless that was done."""
         self._registry.discard(self)
-        self._queue.clear()
         if self._buffers is not None and self._transport is not None:
             self._buffers.forget(self)
             self._release_body(self._body_bytes)
         transport, self._transport = self._transport, None
-        if self._active is not None and transport is not None:
-            self._active = None
+        if transport is not None:
+            self._report_disconnect()
+
+    def _report_disconnect(self) -> None:
+        """Drop what was read ahead and report an unanswered request."""
+        self._queue.clear()
+        active, self._active = self._active, None
+        if active is not None:
             self._on_disconnect(self)
 
     def pause_writing(self) -> None:
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -270,6 +270,25 @@
             each.connection.connection_lost(None)
         assert (caller.disconnects, idle.disconnects) == (1, 0)
 
+    def test_end_of_the_input_is_reported_before_the_connection_is_lost(self):
+        """The loop reports the loss one pass later, which is long on a busy VM."""
+        caller, idle = Caller(), Caller()
+        caller.send(HEAD + b"Content-Length: 0\r\n\r\n")
+        for each in (caller, idle):
+            assert not each.connection.eof_received()
+        assert (caller.disconnects, idle.disconnects) == (1, 0)
+        caller.connection.connection_lost(None)
+        assert caller.disconnects == 1
+
+    def test_request_that_was_read_ahead_is_not_served_after_the_end(self):
+        """A response to the request before must not start the next one."""
+        caller = Caller()
+        caller.send((HEAD + b"Content-Length: 0\r\n\r\n") * 2)
+        caller.connection.eof_received()
+        caller.connection.respond(200, [], b"")
+        assert len(caller.requests) == 1
+        assert caller.transport.written == b""
+
 
 class TestCallerResponses:
     """Writing of responses."""
