Router: close the target's connection when a request is cancelled

A cancelled request closed its connection to the target in the clean-up of its task, which runs in a later pass of the event loop. On a busy VM the target worked on for that long after its caller had left.

Cancelling an exchange now closes the connection of its running attempt itself; the clean-up finds it closed. The same holds for callers that read too slowly and for the end of the process.

The new test failed before: the connection was still open after the cancellation.

--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -89,6 +89,12 @@
         self._attempt_feedback = AttemptFeedback(context, admitted, log)
         self._progress: AttemptProgress | None = None
         self._version_observer: VersionObserver | None = None
+        self._connection: TargetConnection | None = None
+
+    def close_connection(self) -> None:
+        """Close the connection of the running attempt; its target stops processing."""
+        if self._connection is not None:
+            self._connection.close()
 
     async def send(
         self, target: Target, connection: TargetConnection | None = None
@@ -240,12 +246,14 @@
             attempt,
             is_head=self._admitted.request.is_head,
         )
+        self._connection = connection
         if self._progress is not None:
             self._progress.note_sent(self._context.clock())
         target.on_incarnation_ended.add(on_incarnation_ended)
         try:
             await self._wait_for_end(target, attempt)
         finally:
+            self._connection = None
             target.on_incarnation_ended.discard(on_incarnation_ended)
             if attempt.is_paused:
                 target.note_read(self._context.clock())
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -98,11 +98,17 @@
         self._scope = CancelScope()
         self._log = ExchangeLog(context, request.arrived_at)
         self._cancel_reason = CALLER_LEFT
+        self._lifecycle: RequestLifecycle | None = None
 
     def cancel(self, reason: str = CALLER_LEFT) -> None:
-        """Cancel the request; nothing can be written to its caller any more."""
+        """Cancel the request; nothing can be written to its caller any more.
+
+        Its target learns of it at once, before the task of the request has its turn.
+        """
         self._cancel_reason = reason
         self._scope.cancel()
+        if self._lifecycle is not None:
+            self._lifecycle.close_target_connection()
 
     def end_at_stop(self) -> None:
         """End the request because the router stops, with a status if none was sent."""
@@ -137,6 +143,7 @@
             self._log,
             trial_permits=self._trial_permits,
         )
+        self._lifecycle = lifecycle
         with self._scope:
             await lifecycle.run()
         if not self._scope.cancelled_caught or lifecycle.is_finished:
@@ -222,6 +229,10 @@
                 with move_on_after(PERMIT_RETURN_TIMEOUT_S, shield=True):
                     await self._trial_permits.give_back(trial_of)
 
+    def close_target_connection(self) -> None:
+        """Close the connection of the running attempt, if there is one."""
+        self._attempt_runner.close_connection()
+
     def end_at_stop(self) -> None:
         """Respond that the router stops; call it after the request was cancelled."""
         end = AttemptEnd.BROKEN if self._has_sent else AttemptEnd.NOT_SENT
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -530,6 +530,32 @@
             await fleet.until(lambda: target.in_flight == 0)
             await fleet.until(lambda: fleet.targets[0].open_requests == 0)
 
+    async def test_target_connection_is_closed_with_the_cancellation(self, running):
+        """It does not wait for the task, whose turn is late on a busy VM."""
+
+        async def waits(request, writer):
+            while not request.sender_left():
+                await sleep(0.01)
+
+        async with running(waits) as fleet:
+            pool, opened = fleet.router._context.pool, []
+            open_connection = pool.open
+
+            async def record(address):
+                opened.append(await open_connection(address))
+                return opened[-1]
+
+            pool.open = record
+            _, writer = await fleet.connect()
+            writer.write(fleet.encoded("/idempotent/"))
+            await fleet.until(lambda: fleet.targets[0].received)
+            (exchange,) = fleet.router._exchanges_by_connection.values()
+            assert opened[0].is_open
+            exchange.cancel()
+            assert not opened[0].is_open
+            await fleet.until(lambda: fleet.targets[0].open_requests == 0)
+            writer.close()
+
     async def test_queued_request_of_disconnected_caller_is_not_sent(self, running):
         """The request is removed from the queue."""
         async with running(answers("ok")) as fleet:
