Router: count a caller's time limit from when its request arrived

A caller's time limit counted from the moment at which its request was read completely. A request that waits for a busy event loop, or whose body is sent slowly, gave its target more time than the caller had, and the target worked on after the caller had left. In one recorded case a target ended a request 0.9 s after the time limit, with success.

The time limit now counts from the earliest moment at which the first byte can have been there: the return of the selector before the pass of the loop that reads it, unless the selector waited. A new connection is accepted one pass before it is made and watched only some passes later, so its first input counts from the accept. The deadline, what is sent to the target and the record of refused requests use it; the route's timeout counts from the arrival as before. `read_delay_ms` of `request-ended` tells the delay. On uvloop only the time since the first byte counts.

Ruled out as a measure: the time of the kernel for each packet, which asyncio's transports don't read.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -112,7 +112,9 @@
     def gives_up_at(self) -> float | None:
         """When the caller gives up, in seconds; None if it named no time limit."""
         limit_s = self.parsed_headers.time_limit_s
-        return None if limit_s is None else self.request.arrived_at + limit_s
+        if limit_s is None:
+            return None
+        return self.request.arrived_at - self.request.read_delay_s + limit_s
 
     @property
     def takes_up_stream(self) -> bool:
@@ -257,7 +259,8 @@
     service = route.service_for(random())
     limit_s = route.timeout_s
     if parsed_headers.time_limit_s is not None:
-        limit_s = min(limit_s, parsed_headers.time_limit_s - TIMEOUT_MARGIN_S)
+        left_s = parsed_headers.time_limit_s - request.read_delay_s
+        limit_s = min(limit_s, left_s - TIMEOUT_MARGIN_S)
     return Admitted(
         request=request,
         parsed_headers=parsed_headers,
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -139,6 +139,7 @@
             limits=self._limits,
             buffers=self._buffers,
             takes_connection=self._takes_connection,
+            ready_since=_ready_since(loop, context.clock),
         )
         self._vm_meter = VmMeter(
             context,
@@ -494,3 +495,12 @@
 def _waited_s(loop: AbstractEventLoop) -> Callable[[], float] | None:
     """Return what tells for how long a loop had nothing to do; None if none does."""
     return (lambda: loop.waited_s) if isinstance(loop, MeasuredLoop) else None
+
+
+def _ready_since(
+    loop: AbstractEventLoop, clock: Callable[[], float]
+) -> Callable[[int], float] | None:
+    """Return what tells since when input can have waited; None if nothing does."""
+    if not isinstance(loop, MeasuredLoop):
+        return None
+    return lambda passes_ago: clock() - loop.ready_age_s(passes_ago)
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -288,6 +288,7 @@
             **_charge_fields(admitted.charge),
             objective_ms=_ms(admitted.route.objective_s),
             longest_pause_allowed_ms=_ms(admitted.route.longest_pause_s),
+            read_delay_ms=_ms(admitted.request.read_delay_s),
             limit_ms=_ms(admitted.deadline - admitted.request.arrived_at),
             waited_ms=_ms(self.waited_s),
             first_asked_ms_ago=self._first_asked_ms_ago(self.arrived_at),
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -49,6 +49,8 @@
         Returns whether to take a new connection. While it doesn't, nothing is read from
         new connections: the socket is closed, so that their callers learn at once that
         they have to reach another router.
+    ready_since : callable or None
+        As of `CallerConnection`.
     """
 
     def __init__(
@@ -62,7 +64,9 @@
         limits: Callable[[], CallerLimits] = CallerLimits,
         buffers: CallerBuffers | None = None,
         takes_connection: Callable[[], bool] = lambda: True,
+        ready_since: Callable[[int], float] | None = None,
     ) -> None:
+        self._ready_since = ready_since
         self._loop = loop
         self._address = address
         self._takes_connection = takes_connection
@@ -170,6 +174,7 @@
             call_later=self._loop.call_later,
             buffers=self._buffers,
             accepts=self._accepts,
+            ready_since=self._ready_since,
         )
         connection.closing = self.closing
         return connection
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -63,6 +63,9 @@
         Bounds what is held for all callers; None for no bound.
     accepts : callable
         Returns whether to read from this connection; otherwise it is reset.
+    ready_since : callable or None
+        Returns since when input can have waited that the event loop reported in this
+        pass (given 0) or in the pass before (given 1); None if nothing waits.
 
     Attributes
     ----------
@@ -81,8 +84,13 @@
         call_later: Callable[..., Any],
         buffers: CallerBuffers | None = None,
         accepts: Callable[[], bool] = lambda: True,
+        ready_since: Callable[[int], float] | None = None,
     ) -> None:
         self._accepts = accepts
+        self._ready_since = ready_since or (lambda passes_ago: clock())
+        # The event loop accepts a socket in the pass before.
+        self._accepted_at = self._input_since = self._ready_since(1)
+        self._watched_from = clock()
         self._serve = serve
         self._on_disconnect = on_disconnect
         self._limits = limits
@@ -119,6 +127,7 @@
             _reset(transport)
             return
         self._transport = transport
+        self._watched_from = self._clock()
         self._registry.add(self)
         if self._buffers is not None:
             self.bound_unsent(self._buffers.each_bytes)
@@ -129,6 +138,7 @@
             self._buffers.traffic.note_received(len(data))
         if self._error_status is not None:
             return
+        self._input_since = self._earliest_arrival()
         if self._partial is None or not self._partial.head_done:
             self._head_bytes += len(data)
         try:
@@ -150,6 +160,15 @@
             self._reading_paused = True
             self._transport.pause_reading()
 
+    def _earliest_arrival(self) -> float:
+        """Return the earliest time at which the input read now can have arrived.
+
+        The first input of a connection may have been there when it was accepted, some
+        passes of the event loop before it was first watched.
+        """
+        since = self._ready_since(0)
+        return since if since > self._watched_from else self._accepted_at
+
     def _parse(self, data: bytes) -> None:
         """Parse data; an offer to upgrade the connection is ignored.
 
@@ -221,7 +240,7 @@
         """Start a new request."""
         if self._is_last_read:
             raise RestOfConnectionError
-        self._partial = PartialRequest(self._clock())
+        self._partial = PartialRequest(self._clock(), self._input_since)
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the request target."""
@@ -272,6 +291,7 @@
         is_old = self._parser.get_http_version() == "1.0"
         is_ambiguous = is_old and is_encoded(partial.headers)
         is_last = self._has_offer or is_ambiguous
+        now = self._clock()
         self._queue.append(
             CallerRequest(
                 method=self._parser.get_method(),
@@ -279,9 +299,10 @@
                 headers=partial.headers,
                 body=b"".join(partial.body),
                 body_digest=partial.body_hash.digest(),
-                arrived_at=self._clock(),
+                arrived_at=now,
                 keep_alive=self._parser.should_keep_alive() and not is_last,
                 http_1_0=is_old,
+                read_delay_s=max(0.0, now - partial.ready_since),
             )
         )
 
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_requests.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_requests.py
@@ -32,6 +32,9 @@
         Hash of the body.
     arrived_at : float
         Time of the event loop when the last byte was read.
+    read_delay_s : float
+        Longest time from the arrival of its first byte until `arrived_at`, in seconds.
+        The caller's time limit runs meanwhile.
     keep_alive : bool
         Whether the caller keeps the connection open.
     http_1_0 : bool
@@ -46,6 +49,7 @@
     arrived_at: float
     keep_alive: bool
     http_1_0: bool = False
+    read_delay_s: float = 0.0
 
     @property
     def is_head(self) -> bool:
@@ -58,6 +62,8 @@
     """State of a request that is being read."""
 
     started_at: float
+    ready_since: float
+    """Earliest time at which its first byte can have arrived."""
     target: bytearray = field(default_factory=bytearray)
     headers: Headers = field(default_factory=list)
     body: list[bytes] = field(default_factory=list)
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -60,6 +60,7 @@
         self.disconnects = 0
         self.timers = []
         self.transport = RecordedTransport()
+        self.delay_s = 0.0
         self.connection = CallerConnection(
             serve=lambda _, request: self.requests.append(request),
             on_disconnect=lambda _: self.disconnect(),
@@ -67,6 +68,7 @@
             clock=lambda: self.now,
             registry=set(),
             call_later=lambda _, callback: self.timers.append(callback),
+            ready_since=lambda passes_ago: self.now - self.delay_s,
         )
         self.connection.connection_made(self.transport)
 
@@ -262,6 +264,28 @@
         idle.connection.close_if_overdue(15.1)
         assert idle.transport.closed
 
+    @pytest.mark.parametrize(
+        ("delay_s", "expected_s"),
+        [(0.0, 0.0), (0.25, 0.25), (1.0, 1.5), (1.25, 1.5)],
+    )
+    def test_delay_of_the_first_input(self, delay_s, expected_s):
+        """What was there when the socket was first watched is as old as its accept."""
+        caller = Caller()
+        caller.now = 0.5
+        caller.connection.connection_made(caller.transport)
+        caller.now, caller.delay_s = 1.5, delay_s
+        caller.send(HEAD + b"Content-Length: 0\r\n\r\n")
+        assert caller.requests[0].read_delay_s == expected_s
+
+    def test_delay_counts_from_the_first_byte(self):
+        """The caller's time limit runs while its request is sent."""
+        caller = Caller()
+        caller.now, caller.delay_s = 1.0, 0.25
+        caller.send(HEAD + b"Content-Length: 1\r\n\r\n")
+        caller.now = 3.0
+        caller.send(b"x")
+        assert caller.requests[0].read_delay_s == 2.25
+
     def test_disconnect_is_reported_only_during_a_request(self):
         """A caller without an open request may disconnect unnoticed."""
         caller, idle = Caller(), Caller()
