Router: do not send a request after its deadline

A request whose deadline had passed was sent all the same if a connection to its target was open, with a time limit of 1 ms, and the connection was closed at once. The deadline was checked only where a connection had to be opened. Its caller got 504, as if it might have been executed.

The check now holds for every connection.

Failed before: the target received the request and the caller got 504.

--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -124,12 +124,11 @@
                 connection = context.pool.take_idle(target.entry.incarnation_id)
             if connection is None:
                 connection = await self._open(target)
-            if connection is None:
-                is_late = context.clock() >= self._admitted.deadline
+            if context.clock() >= self._admitted.deadline:
+                attempt.abandon(AttemptEnd.NOT_SENT, "timeout")
+            elif connection is None:
                 attempt.abandon(
-                    AttemptEnd.NOT_SENT,
-                    "timeout" if is_late else "connection failed",
-                    target_unreachable=not is_late,
+                    AttemptEnd.NOT_SENT, "connection failed", target_unreachable=True
                 )
             elif not may_send(context, self._admitted, target):
                 attempt.abandon(AttemptEnd.NOT_SENT, "sending no longer allowed")
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -99,6 +99,16 @@
         assert 0 < limits[0] <= 500
         assert 500 < limits[1] <= 10_000
 
+    async def test_request_is_not_sent_after_its_deadline(self, running):
+        """Nor over a connection that is open, for which nothing has to be waited."""
+        async with running(answers("ok")) as fleet:
+            await fleet.call("/idempotent/")
+            reply = await fleet.call("/idempotent/", Deadline_Ms="1")
+            ends = fleet.router._context.metrics.attempts.labels("s", "not-sent")
+            assert ends._value.get() == 1
+        assert total_received(fleet) == 1
+        assert reply.status == 503
+
     async def test_target_connection_is_reused(self, running):
         """Sequential requests use one connection."""
         async with running(answers("ok")) as fleet:
