Forwarding: shut a target's connection down in the pass that closes it

Closing a connection to a target left its socket open until the next pass of the event loop, in which the transport reports its loss.

`close` now shuts the socket down itself.

The new test failed before: with the loop at rest, the target's end saw no end of input within 2 s. Passed: libs/forwarding/tests and test_direct_requests.

--- a/libs/direct/tests/stating_targets.py
+++ b/libs/direct/tests/stating_targets.py
@@ -13,11 +13,14 @@
 
 
 class FakeSocket:
-    """Accepts socket options."""
+    """Accepts socket options and is shut down with its transport."""
 
     def setsockopt(self, *_):
         """Do nothing."""
 
+    def shutdown(self, *_):
+        """Do nothing."""
+
 
 class TargetTransport(SimulatedTransport):
     """Connection to a simulated target."""
--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -3,7 +3,9 @@
 import re
 from asyncio import Protocol, Transport
 from collections.abc import Callable
+from contextlib import suppress
 from enum import StrEnum
+from socket import SHUT_RDWR
 from typing import Protocol as Interface
 
 import httptools
@@ -50,6 +52,13 @@
     """Raised in a parser callback for a response that the protocol doesn't allow."""
 
 
+class Socket(Interface):
+    """Part of a socket that is used to close a connection."""
+
+    def shutdown(self, how: int) -> None:
+        """Shut down the connection."""
+
+
 class ResponseSink(Interface):
     """Receives a response as it arrives."""
 
@@ -100,6 +109,7 @@
         self._traffic = TrafficCounter() if traffic is None else traffic
         self._parser = httptools.HttpResponseParser(self)
         self._transport: Transport | None = None
+        self._socket: Socket | None = None
         self._sink: ResponseSink | None = None
         self._request_id = b""
         self._is_head = False
@@ -174,12 +184,24 @@
         if self.is_open:
             self._transport.resume_reading()
 
+    def use_socket(self, connected: Socket) -> None:
+        """Store the socket of the transport, which `close` shuts down."""
+        self._socket = connected
+
     def close(self) -> None:
-        """Close immediately and abandon a request in progress."""
+        """Close immediately and abandon a request in progress.
+
+        The event loop closes the socket in its next pass; the target learns of it now.
+        """
         self._sink = None
         self.reusable = False
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        self._transport.abort()
+        if self._socket is not None:
+            # The target may have closed it, and uvloop's sockets can't be shut down.
+            with suppress(OSError, TypeError):
+                self._socket.shutdown(SHUT_RDWR)
 
     # Callbacks of the event loop.
 
--- a/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
@@ -95,6 +95,7 @@
                 return None
             self._on_opened()
             connected = transport.get_extra_info("socket")
+            connection.use_socket(connected)
             with suppress(OSError):
                 connected.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
             return connection
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -1,5 +1,9 @@
 """Connections of callers and targets over a recording transport."""
 
+from asyncio import get_running_loop, run
+from socket import create_server
+from types import SimpleNamespace
+
 import pytest
 
 from berylwalk.forwarding import (
@@ -15,6 +19,8 @@
 LIMITS = ConnectionLimits(
     max_header_bytes=400, max_body_bytes=50, header_timeout_s=3.0, idle_timeout_s=15.0
 )
+NEVER_S = 2.0
+"""How long to wait in vain for what does not arrive, in seconds."""
 HEAD = b"POST /r/x HTTP/1.1\r\nHost: h\r\n"
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
 
@@ -572,6 +578,31 @@
         assert target.transport.reading
         assert pool.take_idle("i-1") is target.connection
 
+    def test_close_reaches_the_target_before_the_next_pass_of_the_loop(self):
+        """On a busy VM, the target would go on until then."""
+
+        async def close_while_the_loop_rests(accepted_by):
+            pool = TargetPool(
+                get_running_loop(),
+                clock=lambda: 0.0,
+                id_header=b"attempt-id",
+                on_bytes=lambda _: None,
+                on_opened=lambda: None,
+            )
+            host, port = accepted_by.getsockname()
+            address = SimpleNamespace(host=host, port=port, incarnation_id="i-1")
+            connection = await pool.open(address)
+            accepted, _ = accepted_by.accept()
+            with accepted:
+                accepted.settimeout(NEVER_S)
+                connection.send(b"(request)", b"r1", Sink())
+                connection.close()
+                return [accepted.recv(100), accepted.recv(100)]
+
+        with create_server(("127.0.0.1", 0)) as listening:
+            received = run(close_while_the_loop_rests(listening))
+        assert received == [b"(request)", b""]
+
 
 class TestEvents:
     """Splitting of event streams."""
