Router: tell how late callers are read and what time limit targets get

Whether a target worked on for a caller that had left because the router noticed the end of the connection late, or because the target got too long a time limit, could not be told from the log.

`request-ended` now has `disconnect_delay_ms` (how long the end of the connection can have waited to be read) beside `read_delay_ms`, and each attempt `time_limit_ms`, which is what its target got. `berylwalk_input_delay_seconds` counts both delays.

The new test failed before, for want of the fields. Passed: libs/forwarding/tests, test_direct_requests, test_direct_read_delay.

--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -90,6 +90,7 @@
         self._progress: AttemptProgress | None = None
         self._version_observer: VersionObserver | None = None
         self._connection: TargetConnection | None = None
+        self._time_limit_s: float | None = None
 
     def close_connection(self) -> None:
         """Close the connection of the running attempt; its target stops processing."""
@@ -119,6 +120,7 @@
             target.note_finished(work, had_first_event=False)
             raise
         self.takeover = None
+        self._time_limit_s = None
         try:
             if connection is None:
                 connection = context.pool.take_idle(target.entry.incarnation_id)
@@ -288,11 +290,12 @@
             > self._admitted.parsed_headers.last_event_id
         ):
             headers = headers_to_resume(headers, self._response_writer.last_event_id)
+        self._time_limit_s = self._admitted.deadline - self._context.clock()
         headers = headers_for_target(
             headers,
             target_id=target.entry.target_id,
             account=self._admitted.account_name,
-            remaining_s=self._admitted.deadline - self._context.clock(),
+            remaining_s=self._time_limit_s,
         )
         if request.body or request.method not in (b"GET", b"HEAD"):
             headers.append((b"Content-Length", b"%d" % len(request.body)))
@@ -371,7 +374,7 @@
         if attempt.end is not None:
             self._attempts.note(attempt.end)
             context.metrics.attempts.labels(admitted.service, attempt.end).inc()
-        self._log.record_attempt(target, attempt, sent_at)
+        self._log.record_attempt(target, attempt, sent_at, self._time_limit_s)
         target.note_finished(
             admitted.parsed_headers.work,
             had_first_event=attempt.first_event_at is not None,
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -416,6 +416,7 @@
     def _on_caller_disconnected(self, connection: CallerConnection) -> None:
         exchange = self._exchanges_by_connection.get(connection)
         if exchange is not None:
+            exchange.note_disconnect(connection.disconnect_delay_s)
             exchange.cancel()
 
     def _end_slow_reader(
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -110,6 +110,10 @@
         if self._lifecycle is not None:
             self._lifecycle.close_target_connection()
 
+    def note_disconnect(self, delay_s: float) -> None:
+        """Record how late its caller's disconnect was noticed at most, in seconds."""
+        self._log.record_disconnect(delay_s)
+
     def end_at_stop(self) -> None:
         """End the request because the router stops, with a status if none was sent."""
         self.cancel(ROUTER_STOPPED)
@@ -130,6 +134,7 @@
 
     async def _run(self) -> None:
         self._context.note_suspension()
+        self._log.record_read(self._request.read_delay_s)
         admitted = admit(self._context, self._request)
         if isinstance(admitted, Refusal):
             self._log.log_refused(admitted)
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -26,6 +26,9 @@
 RETURN_REFUSED = "refused"
 RETURN_FAILED = "failed"
 """Outcomes, in metrics, of requests whose callers had been refused before."""
+INPUT_REQUEST = "request"
+INPUT_DISCONNECT = "disconnect"
+"""Inputs of callers, in metrics."""
 NO_RANK = -1
 """Rank, in metrics, of a request that was rejected."""
 
@@ -50,6 +53,16 @@
     first_asked_at: float | None = None
     send_by: float = float("inf")
     retry_fields: dict[str, object] = field(default_factory=dict)
+    disconnect_delay_s: float | None = None
+
+    def record_read(self, delay_s: float) -> None:
+        """Record how long the request can have waited to be read, in seconds."""
+        self.context.metrics.input_delay_s.labels(INPUT_REQUEST).observe(delay_s)
+
+    def record_disconnect(self, delay_s: float) -> None:
+        """Record how late the caller's disconnect was noticed at most, in seconds."""
+        self.disconnect_delay_s = delay_s
+        self.context.metrics.input_delay_s.labels(INPUT_DISCONNECT).observe(delay_s)
 
     def record_wait(self, admitted: Admitted, waited_s: float) -> None:
         """Record how long the request was queued."""
@@ -117,8 +130,27 @@
             **self._urgency_fields(admitted, self.context.clock()),
         )
 
-    def record_attempt(self, target: Target, attempt: Attempt, sent_at: float) -> None:
-        """Record how an attempt ended."""
+    def record_attempt(
+        self,
+        target: Target,
+        attempt: Attempt,
+        sent_at: float,
+        time_limit_s: float | None,
+    ) -> None:
+        """Record how an attempt ended.
+
+        Parameters
+        ----------
+        target : Target
+            Its target.
+        attempt : Attempt
+            The attempt.
+        sent_at : float
+            When it began, in seconds.
+        time_limit_s : float or None
+            Time limit that the target got, in seconds; None if it got no request.
+        """
+        time_limit_ms = None if time_limit_s is None else _ms(time_limit_s)
         if self.first_event_at is None:
             self.first_event_at = attempt.first_event_at
         first_event_ms = None
@@ -130,6 +162,7 @@
                 "end": attempt.end or "caller-left",
                 "detail": attempt.detail,
                 "sent_ms": _ms(sent_at - self.arrived_at),
+                "time_limit_ms": time_limit_ms,
                 "first_event_ms": first_event_ms,
                 "longest_pause_ms": _ms(attempt.longest_pause_s),
                 "events": attempt.events,
@@ -294,6 +327,7 @@
             first_asked_ms_ago=self._first_asked_ms_ago(self.arrived_at),
             first_event_ms=first_event_ms,
             attempts=self.attempts,
+            **self._disconnect_fields(),
             **self.retry_fields,
         )
 
@@ -311,6 +345,10 @@
             "over_share": usage.is_over_share(service, account, now),
         }
 
+    def _disconnect_fields(self) -> dict[str, object]:
+        delay_s = self.disconnect_delay_s
+        return {} if delay_s is None else {"disconnect_delay_ms": _ms(delay_s)}
+
     def _first_asked_ms_ago(self, now: float) -> float | None:
         if self.first_asked_at is None:
             return None
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -38,6 +38,13 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self.input_delay_s = Histogram(
+            "berylwalk_input_delay_seconds",
+            "Longest time until a request, or the end of its connection, was read.",
+            ("input",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
         self.waited_s = Histogram(
             "berylwalk_waited_seconds",
             "Time that a request waited for a place at a target.",
--- a/libs/direct/tests/test_direct_read_delay.py
+++ b/libs/direct/tests/test_direct_read_delay.py
@@ -63,6 +63,39 @@
         assert int(received.headers["deadline-ms"]) <= LIMIT_MS - BUSY_S * 1000
 
 
+class TestLog:
+    """Log and metrics of requests whose input was read late."""
+
+    async def test_delays_and_the_time_limit_are_told(self, running):
+        """They tell whether a target worked on for a caller that had left."""
+
+        async def waits(request, writer):
+            while not request.sender_left():
+                await sleep(0.01)
+
+        async with running(waits) as fleet:
+            context, lines = fleet.router._context, []
+            context.log.request = lambda name, _, **fields: lines.append((name, fields))
+            request = fleet.encoded("/idempotent/", Deadline_Ms=str(LIMIT_MS))
+            address = fleet.settings.caller_address
+            with socket.create_connection((address.host, address.port)) as caller:
+                caller.sendall(request)
+                time.sleep(BUSY_S)
+                await fleet.until(lambda: fleet.targets[0].received)
+            time.sleep(BUSY_S)
+            await fleet.until(lambda: lines[-1][0] == "request-ended")
+            exported = context.metrics.text().decode()
+        fields = lines[-1][1]
+        (attempt,) = fields["attempts"]
+        limit_ms = int(fleet.targets[0].received[0].headers["deadline-ms"])
+        assert int(attempt["time_limit_ms"]) == limit_ms
+        assert fields["reason"] == "caller-left"
+        assert fields["read_delay_ms"] >= BUSY_S * 1000
+        assert fields["disconnect_delay_ms"] >= BUSY_S * 1000
+        for read in ("request", "disconnect"):
+            assert f'input_delay_seconds_count{{input="{read}"}} 1.0' in exported
+
+
 class TestMeasuredDelay:
     """The delay that the event loop measures."""
 
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -71,6 +71,8 @@
     ----------
     closing : bool
         Whether responses announce that the connection will be closed.
+    disconnect_delay_s : float
+        Longest time for which the caller's disconnect was not noticed, in seconds.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         self._idle_since = clock()
         self._writable = True
         self.closing = False
+        self.disconnect_delay_s = 0.0
         self.served = 0
         self.on_writable: Callable[[bool], None] | None = None
 
@@ -220,6 +223,8 @@
         self._queue.clear()
         active, self._active = self._active, None
         if active is not None:
+            since = self._earliest_arrival()
+            self.disconnect_delay_s = max(0.0, self._clock() - since)
             self._on_disconnect(self)
 
     def pause_writing(self) -> None:
