Dispatch: no negative Retry-After after the deadline

A request that is refused once its deadline has passed got a negative `Retry-After`, a third of the time since then, which no caller can read as a delay.

The remaining time now counts as none once it is negative: the delay is 0, or that of the targets' backoff.

Failed before with both backoffs. Passed: test_dispatch_outcomes.

--- a/libs/dispatch/src/berylwalk/dispatch/_retry_after.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_retry_after.py
@@ -38,7 +38,7 @@
     Parameters
     ----------
     remaining_s : float
-        Time left until the caller's deadline, in seconds.
+        Time left until the caller's deadline, in seconds; negative once it has passed.
     in_time_s : float
         Time left in which a target has to be found for a response in time, in seconds.
     available_in_s : float
@@ -47,7 +47,7 @@
     draw : callable
         Returns a random number between two bounds.
     """
-    latest_s = min(MAX_DELAY_S, remaining_s * MAX_REMAINING_SHARE)
+    latest_s = min(MAX_DELAY_S, max(0.0, remaining_s) * MAX_REMAINING_SHARE)
     # If only other routers may send, the caller may reach one of them sooner.
     wait_s = 0.0 if isinf(available_in_s) else max(available_in_s, 0.0)
     left_s = min(in_time_s - wait_s, latest_s)
--- a/libs/dispatch/tests/test_dispatch_outcomes.py
+++ b/libs/dispatch/tests/test_dispatch_outcomes.py
@@ -95,6 +95,15 @@
         latest = retry_after_s(left_s, draw=lambda low, high: high)
         assert 0 < earliest <= latest <= left_s / 3
 
+    @pytest.mark.parametrize("backoff_s", [0.0, 0.5])
+    def test_delay_after_the_deadline_is_not_negative(self, backoff_s):
+        """A request may be refused when its time has passed already."""
+        delays = [
+            retry_after_s(-2.0, available_in_s=backoff_s, draw=draw)
+            for draw in (min, max)
+        ]
+        assert delays == [backoff_s, backoff_s]
+
     def test_retries_that_can_be_in_time_are(self):
         """Later ones would all be late and take places from others."""
         draw = Random(1).uniform
