--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -88,6 +88,13 @@
         self._attempt_feedback = AttemptFeedback(context, admitted, log)
         self._progress: AttemptProgress | None = None
         self._version_observer: VersionObserver | None = None
+        self._connection: TargetConnection | None = None
+        self._time_limit_s: float | None = None
+
+    def close_connection(self) -> None:
+        """Close the connection of the running attempt; its target stops processing."""
+        if self._connection is not None:
+            self._connection.close()
 
     async def send(
         self, target: Target, connection: TargetConnection | None = None
@@ -112,17 +119,17 @@
             target.note_finished(work, had_first_event=False)
             raise
         self.takeover = None
+        self._time_limit_s = None
         try:
             if connection is None:
                 connection = context.pool.take_idle(target.entry.incarnation_id)
             if connection is None:
                 connection = await self._open(target)
-            if connection is None:
-                is_late = context.clock() >= self._admitted.deadline
+            if context.clock() >= self._admitted.deadline:
+                attempt.abandon(AttemptEnd.NOT_SENT, "timeout")
+            elif connection is None:
                 attempt.abandon(
-                    AttemptEnd.NOT_SENT,
-                    "timeout" if is_late else "connection failed",
-                    target_unreachable=not is_late,
+                    AttemptEnd.NOT_SENT, "connection failed", target_unreachable=True
                 )
             elif not may_send(context, self._admitted, target):
                 attempt.abandon(AttemptEnd.NOT_SENT, "sending no longer allowed")
@@ -248,12 +255,14 @@
             attempt,
             is_head=self._admitted.request.is_head,
         )
+        self._connection = connection
         if self._progress is not None:
             self._progress.note_sent(self._context.clock())
         target.on_incarnation_ended.add(on_incarnation_ended)
         try:
             await self._wait_for_end(target, attempt)
         finally:
+            self._connection = None
             target.on_incarnation_ended.discard(on_incarnation_ended)
             if attempt.is_paused:
                 target.note_read(self._context.clock())
@@ -289,11 +298,12 @@
             > self._admitted.parsed_headers.last_event_id
         ):
             headers = headers_to_resume(headers, self._response_writer.last_event_id)
+        self._time_limit_s = self._admitted.deadline - self._context.clock()
         headers = headers_for_target(
             headers,
             target_id=target.entry.target_id,
             account=self._admitted.account_name,
-            remaining_s=self._admitted.deadline - self._context.clock(),
+            remaining_s=self._time_limit_s,
         )
         if request.body or request.method not in (b"GET", b"HEAD"):
             headers.append((b"Content-Length", b"%d" % len(request.body)))
@@ -372,7 +382,7 @@
         if attempt.end is not None:
             self._attempts.note(attempt.end)
             context.metrics.attempts.labels(admitted.service, attempt.end).inc()
-        self._log.record_attempt(target, attempt, sent_at)
+        self._log.record_attempt(target, attempt, sent_at, self._time_limit_s)
         target.note_finished(
             admitted.parsed_headers.work,
             had_first_event=attempt.first_event_at is not None,
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -99,11 +99,21 @@
         self._scope = CancelScope()
         self._log = ExchangeLog(context, request.arrived_at)
         self._cancel_reason = CALLER_LEFT
+        self._lifecycle: RequestLifecycle | None = None
 
     def cancel(self, reason: str = CALLER_LEFT) -> None:
-        """Cancel the request; nothing can be written to its caller any more."""
+        """Cancel the request; nothing can be written to its caller any more.
+
+        Its target learns of it at once, before the task of the request has its turn.
+        """
         self._cancel_reason = reason
         self._scope.cancel()
+        if self._lifecycle is not None:
+            self._lifecycle.close_target_connection()
+
+    def note_disconnect(self, delay_s: float) -> None:
+        """Record how late its caller's disconnect was noticed at most, in seconds."""
+        self._log.record_disconnect(delay_s)
 
     def end_at_stop(self) -> None:
         """End the request because the router stops, with a status if none was sent."""
@@ -125,6 +135,7 @@
 
     async def _run(self) -> None:
         self._context.note_suspension()
+        self._log.record_read(self._request.read_delay_s)
         admitted = admit(self._context, self._request)
         if isinstance(admitted, Refusal):
             self._log.log_refused(admitted)
@@ -138,6 +149,7 @@
             self._log,
             trial_permits=self._trial_permits,
         )
+        self._lifecycle = lifecycle
         try:
             with self._scope:
                 await lifecycle.run()
@@ -231,6 +243,10 @@
         """Drop events that are held for their record; call it after the end."""
         self._response_writer.discard()
 
+    def close_target_connection(self) -> None:
+        """Close the connection of the running attempt, if there is one."""
+        self._attempt_runner.close_connection()
+
     def end_at_stop(self) -> None:
         """Respond that the router stops; call it after the request was cancelled."""
         end = AttemptEnd.BROKEN if self._has_sent else AttemptEnd.NOT_SENT
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -27,6 +27,9 @@
 RETURN_REFUSED = "refused"
 RETURN_FAILED = "failed"
 """Outcomes, in metrics, of requests whose callers had been refused before."""
+INPUT_REQUEST = "request"
+INPUT_DISCONNECT = "disconnect"
+"""Inputs of callers, in metrics."""
 NO_RANK = -1
 """Rank, in metrics, of a request that was rejected."""
 
@@ -52,6 +55,16 @@
     send_by: float = float("inf")
     stream_version: str | None = None
     retry_fields: dict[str, object] = field(default_factory=dict)
+    disconnect_delay_s: float | None = None
+
+    def record_read(self, delay_s: float) -> None:
+        """Record how long the request can have waited to be read, in seconds."""
+        self.context.metrics.input_delay_s.labels(INPUT_REQUEST).observe(delay_s)
+
+    def record_disconnect(self, delay_s: float) -> None:
+        """Record how late the caller's disconnect was noticed at most, in seconds."""
+        self.disconnect_delay_s = delay_s
+        self.context.metrics.input_delay_s.labels(INPUT_DISCONNECT).observe(delay_s)
 
     def record_wait(self, admitted: Admitted, waited_s: float) -> None:
         """Record how long the request was queued."""
@@ -142,8 +155,27 @@
             took_ms=_ms(self.context.clock() - self.arrived_at),
         )
 
-    def record_attempt(self, target: Target, attempt: Attempt, sent_at: float) -> None:
-        """Record how an attempt ended."""
+    def record_attempt(
+        self,
+        target: Target,
+        attempt: Attempt,
+        sent_at: float,
+        time_limit_s: float | None,
+    ) -> None:
+        """Record how an attempt ended.
+
+        Parameters
+        ----------
+        target : Target
+            Its target.
+        attempt : Attempt
+            The attempt.
+        sent_at : float
+            When it began, in seconds.
+        time_limit_s : float or None
+            Time limit that the target got, in seconds; None if it got no request.
+        """
+        time_limit_ms = None if time_limit_s is None else _ms(time_limit_s)
         if self.first_event_at is None:
             self.first_event_at = attempt.first_event_at
         first_event_ms = None
@@ -155,6 +187,7 @@
                 "end": attempt.end or "caller-left",
                 "detail": attempt.detail,
                 "sent_ms": _ms(sent_at - self.arrived_at),
+                "time_limit_ms": time_limit_ms,
                 "first_event_ms": first_event_ms,
                 "longest_pause_ms": _ms(attempt.longest_pause_s),
                 "events": attempt.events,
@@ -314,11 +347,13 @@
             **_charge_fields(admitted.charge),
             objective_ms=_ms(admitted.route.objective_s),
             longest_pause_allowed_ms=_ms(admitted.route.longest_pause_s),
+            read_delay_ms=_ms(admitted.request.read_delay_s),
             limit_ms=_ms(admitted.deadline - admitted.request.arrived_at),
             waited_ms=_ms(self.waited_s),
             first_asked_ms_ago=self._first_asked_ms_ago(self.arrived_at),
             first_event_ms=first_event_ms,
             attempts=self.attempts,
+            **self._disconnect_fields(),
             **self.retry_fields,
         )
 
@@ -343,6 +378,10 @@
             "over_share": usage.is_over_share(service, account, now),
         }
 
+    def _disconnect_fields(self) -> dict[str, object]:
+        delay_s = self.disconnect_delay_s
+        return {} if delay_s is None else {"disconnect_delay_ms": _ms(delay_s)}
+
     def _first_asked_ms_ago(self, now: float) -> float | None:
         if self.first_asked_at is None:
             return None
--- a/libs/direct/tests/test_direct_requests.py
+++ b/libs/direct/tests/test_direct_requests.py
@@ -99,6 +99,16 @@
         assert 0 < limits[0] <= 500
         assert 500 < limits[1] <= 10_000
 
+    async def test_request_is_not_sent_after_its_deadline(self, running):
+        """Nor over a connection that is open, for which nothing has to be waited."""
+        async with running(answers("ok")) as fleet:
+            await fleet.call("/idempotent/")
+            reply = await fleet.call("/idempotent/", Deadline_Ms="1")
+            ends = fleet.router._context.metrics.attempts.labels("s", "not-sent")
+            assert ends._value.get() == 1
+        assert total_received(fleet) == 1
+        assert reply.status == 503
+
     async def test_target_connection_is_reused(self, running):
         """Sequential requests use one connection."""
         async with running(answers("ok")) as fleet:
@@ -530,6 +540,32 @@
             await fleet.until(lambda: target.in_flight == 0)
             await fleet.until(lambda: fleet.targets[0].open_requests == 0)
 
+    async def test_target_connection_is_closed_with_the_cancellation(self, running):
+        """It does not wait for the task, whose turn is late on a busy VM."""
+
+        async def waits(request, writer):
+            while not request.sender_left():
+                await sleep(0.01)
+
+        async with running(waits) as fleet:
+            pool, opened = fleet.router._context.pool, []
+            open_connection = pool.open
+
+            async def record(address):
+                opened.append(await open_connection(address))
+                return opened[-1]
+
+            pool.open = record
+            _, writer = await fleet.connect()
+            writer.write(fleet.encoded("/idempotent/"))
+            await fleet.until(lambda: fleet.targets[0].received)
+            (exchange,) = fleet.router._exchanges_by_connection.values()
+            assert opened[0].is_open
+            exchange.cancel()
+            assert not opened[0].is_open
+            await fleet.until(lambda: fleet.targets[0].open_requests == 0)
+            writer.close()
+
     async def test_queued_request_of_disconnected_caller_is_not_sent(self, running):
         """The request is removed from the queue."""
         async with running(answers("ok")) as fleet:
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -1,5 +1,9 @@
 """Connections of callers and targets over a recording transport."""
 
+from asyncio import get_running_loop, run
+from socket import create_server
+from types import SimpleNamespace
+
 import pytest
 
 from berylwalk.forwarding import (
@@ -15,6 +19,8 @@
 LIMITS = ConnectionLimits(
     max_header_bytes=400, max_body_bytes=50, header_timeout_s=3.0, idle_timeout_s=15.0
 )
+NEVER_S = 2.0
+"""How long to wait in vain for what does not arrive, in seconds."""
 HEAD = b"POST /r/x HTTP/1.1\r\nHost: h\r\n"
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n"
 
@@ -60,6 +66,7 @@
         self.disconnects = 0
         self.timers = []
         self.transport = RecordedTransport()
+        self.delay_s = 0.0
         self.connection = CallerConnection(
             serve=lambda _, request: self.requests.append(request),
             on_disconnect=lambda _: self.disconnect(),
@@ -67,6 +74,7 @@
             clock=lambda: self.now,
             registry=set(),
             call_later=lambda _, callback: self.timers.append(callback),
+            ready_since=lambda passes_ago: self.now - self.delay_s,
         )
         self.connection.connection_made(self.transport)
 
@@ -262,6 +270,28 @@
         idle.connection.close_if_overdue(15.1)
         assert idle.transport.closed
 
+    @pytest.mark.parametrize(
+        ("delay_s", "expected_s"),
+        [(0.0, 0.0), (0.25, 0.25), (1.0, 1.5), (1.25, 1.5)],
+    )
+    def test_delay_of_the_first_input(self, delay_s, expected_s):
+        """What was there when the socket was first watched is as old as its accept."""
+        caller = Caller()
+        caller.now = 0.5
+        caller.connection.connection_made(caller.transport)
+        caller.now, caller.delay_s = 1.5, delay_s
+        caller.send(HEAD + b"Content-Length: 0\r\n\r\n")
+        assert caller.requests[0].read_delay_s == expected_s
+
+    def test_delay_counts_from_the_first_byte(self):
+        """The caller's time limit runs while its request is sent."""
+        caller = Caller()
+        caller.now, caller.delay_s = 1.0, 0.25
+        caller.send(HEAD + b"Content-Length: 1\r\n\r\n")
+        caller.now = 3.0
+        caller.send(b"x")
+        assert caller.requests[0].read_delay_s == 2.25
+
     def test_disconnect_is_reported_only_during_a_request(self):
         """A caller without an open request may disconnect unnoticed."""
         caller, idle = Caller(), Caller()
@@ -270,6 +300,25 @@
             each.connection.connection_lost(None)
         assert (caller.disconnects, idle.disconnects) == (1, 0)
 
+    def test_end_of_the_input_is_reported_before_the_connection_is_lost(self):
+        """The loop reports the loss one pass later, which is long on a busy VM."""
+        caller, idle = Caller(), Caller()
+        caller.send(HEAD + b"Content-Length: 0\r\n\r\n")
+        for each in (caller, idle):
+            assert not each.connection.eof_received()
+        assert (caller.disconnects, idle.disconnects) == (1, 0)
+        caller.connection.connection_lost(None)
+        assert caller.disconnects == 1
+
+    def test_request_that_was_read_ahead_is_not_served_after_the_end(self):
+        """A response to the request before must not start the next one."""
+        caller = Caller()
+        caller.send((HEAD + b"Content-Length: 0\r\n\r\n") * 2)
+        caller.connection.eof_received()
+        caller.connection.respond(200, [], b"")
+        assert len(caller.requests) == 1
+        assert caller.transport.written == b""
+
 
 class TestCallerResponses:
     """Writing of responses."""
@@ -529,6 +578,31 @@
         assert target.transport.reading
         assert pool.take_idle("i-1") is target.connection
 
+    def test_close_reaches_the_target_before_the_next_pass_of_the_loop(self):
+        """On a busy VM, the target would go on until then."""
+
+        async def close_while_the_loop_rests(accepted_by):
+            pool = TargetPool(
+                get_running_loop(),
+                clock=lambda: 0.0,
+                id_header=b"attempt-id",
+                on_bytes=lambda _: None,
+                on_opened=lambda: None,
+            )
+            host, port = accepted_by.getsockname()
+            address = SimpleNamespace(host=host, port=port, incarnation_id="i-1")
+            connection = await pool.open(address)
+            accepted, _ = accepted_by.accept()
+            with accepted:
+                accepted.settimeout(NEVER_S)
+                connection.send(b"(request)", b"r1", Sink())
+                connection.close()
+                return [accepted.recv(100), accepted.recv(100)]
+
+        with create_server(("127.0.0.1", 0)) as listening:
+            received = run(close_while_the_loop_rests(listening))
+        assert received == [b"(request)", b""]
+
 
 class TestEvents:
     """Splitting of event streams."""
