Forwarding: last responses reach callers that are still sending

Cause: a response that ends its connection was followed by a close of the socket. Bytes that are unread then, or that come later, make the kernel reset the connection. The reset overtakes the response, discards what of it is not sent yet, or makes the caller fail while it sends on.

Bounds: 2 s after the response is flushed, the largest head and body of a request for one connection, a tenth of the link for all, 1/16 of the descriptors. Bodies of refused requests are released at once. Idle connections are closed as before: a request that crosses the close is reset, which tells its caller that it was not read. Bytes that are dropped behind a faulty or the last request are bounded too.

The stand-ins of transports in two test files now have a half-close. Their checks demand it, and that the socket is closed when the timer runs, where they demanded the close; that is stricter. An idle connection with unsent bytes has to be ended and then discarded.

Ruled out: that the response was not written (callers that read its end before they send on see it whole), and that the parser missed the errors: each of the three values of a second Content-Length gets its 400.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -51,6 +51,7 @@
     CallerConnection,
     CallerRequest,
     HeldResponse,
+    LingeringConnections,
     RequestBodies,
     ResponseBuffers,
     TargetPool,
@@ -139,6 +140,10 @@
             limits=self._limits,
             buffers=self._buffers,
             takes_connection=self._takes_connection,
+            lingering=LingeringConnections.from_vm_limits(
+                descriptors=settings.limits.descriptors,
+                link_bytes_per_s=settings.limits.link_bytes_per_s,
+            ),
         )
         self._vm_meter = VmMeter(
             context,
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -9,6 +9,7 @@
     CallerConnection,
     CallerRequest,
     ConnectionLimits,
+    LingeringConnections,
 )
 
 BACKLOG = 1024
@@ -49,6 +50,9 @@
         Returns whether to take a new connection. While it doesn't, nothing is read from
         new connections: the socket is closed, so that their callers learn at once that
         they have to reach another router.
+    lingering : LingeringConnections or None
+        Bounds what is read of connections after their last response; None for no bound
+        of the bytes.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         limits: Callable[[], CallerLimits] = CallerLimits,
         buffers: CallerBuffers | None = None,
         takes_connection: Callable[[], bool] = lambda: True,
+        lingering: LingeringConnections[CallerConnection] | None = None,
     ) -> None:
         self._loop = loop
         self._address = address
@@ -71,6 +76,7 @@
         self._on_disconnect = on_disconnect
         self._limits = limits
         self._buffers = buffers
+        self._lingering = LingeringConnections() if lingering is None else lingering
         self._server: Server | None = None
         self._is_closed = False
         self._is_starting = False
@@ -170,6 +176,7 @@
             call_later=self._loop.call_later,
             buffers=self._buffers,
             accepts=self._accepts,
+            lingering=self._lingering,
         )
         connection.closing = self.closing
         return connection
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -26,6 +26,10 @@
     request_head,
     response_head,
 )
+from berylwalk.forwarding._lingering_connections import (
+    LINGER_S,
+    LingeringConnections,
+)
 
 MAX_PIPELINED_REQUESTS = 4
 """Number of pipelined requests from which reading is paused."""
@@ -63,6 +67,9 @@
         Bounds what is held for all callers; None for no bound.
     accepts : callable
         Returns whether to read from this connection; otherwise it is reset.
+    lingering : LingeringConnections or None
+        Bounds what is read after the last response; None for no bound for all
+        connections.
 
     Attributes
     ----------
@@ -81,8 +88,10 @@
         call_later: Callable[..., Any],
         buffers: CallerBuffers | None = None,
         accepts: Callable[[], bool] = lambda: True,
+        lingering: LingeringConnections["CallerConnection"] | None = None,
     ) -> None:
         self._accepts = accepts
+        self._lingering = LingeringConnections() if lingering is None else lingering
         self._serve = serve
         self._on_disconnect = on_disconnect
         self._limits = limits
@@ -101,6 +110,8 @@
         self._error_status: int | None = None
         self._has_offer = False
         self._is_last_read = False
+        self._is_ended = False
+        self._discarded_bytes = 0
         self._reading_paused = False
         self._streaming = False
         self._closes_after_stream = False
@@ -127,7 +138,8 @@
         """Parse received data and start to serve the next request."""
         if self._buffers is not None:
             self._buffers.traffic.note_received(len(data))
-        if self._error_status is not None:
+        if self._is_ended or self._is_last_read or self._error_status is not None:
+            self._discard_input(len(data))
             return
         if self._partial is None or not self._partial.head_done:
             self._head_bytes += len(data)
@@ -157,8 +169,6 @@
         is parsed again without it. It is the last one on its connection: what follows
         may be in the other protocol.
         """
-        if self._is_last_read:
-            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -176,6 +186,21 @@
             self._has_offer = True
             self._parse(head + data[error.args[0] :])
 
+    def _discard_input(self, size: int) -> None:
+        """Count received bytes that no request is read from, up to a bound.
+
+        Beyond it, reading is paused and the connection stays open: the caller has time
+        to read the response before the connection is reset.
+        """
+        self._discarded_bytes += size
+        limits = self._limits()
+        max_bytes = limits.max_header_bytes + limits.max_body_bytes
+        is_within = self._discarded_bytes <= max_bytes
+        if self._is_ended:
+            is_within = self._lingering.take(size, self._clock()) and is_within
+        if not is_within:
+            self._transport.pause_reading()
+
     def eof_received(self) -> bool:
         """Treat the end of the input as a disconnect."""
         return False
@@ -183,6 +208,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the caller has disconnected."""
         self._registry.discard(self)
+        self._lingering.remove(self)
         self._queue.clear()
         if self._buffers is not None and self._transport is not None:
             self._buffers.forget(self)
@@ -278,8 +304,10 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the connection is open."""
-        return self._transport is not None and not self._transport.is_closing()
+        """Whether the connection is open and its last response has not ended."""
+        if self._transport is None or self._is_ended:
+            return False
+        return not self._transport.is_closing()
 
     @property
     def is_busy(self) -> bool:
@@ -386,7 +414,7 @@
 
     def truncate_response(self) -> None:
         """Close the connection so that the caller detects an incomplete response."""
-        self.close()
+        self._end_connection()
         self._active = None
 
     def fail_response(
@@ -425,18 +453,71 @@
             self.abort()
 
     def close(self) -> None:
-        """Close the connection once the buffered data is flushed.
+        """Close an idle connection, or end it once the buffered data is flushed.
+
+        A request that crosses the close of an idle connection is reset, from which its
+        caller learns that it was not read.
+        """
+        if self.unsent_bytes:
+            self._end_connection()
+        elif self._transport is not None:
+            self._transport.close()
+
+    def _end_connection(self) -> None:
+        """Stop sending once the buffered data is flushed, and read on for a while.
 
         A stream that the end of the connection would complete is reset instead.
         """
-        if self._transport is None:
+        if not self.is_open:
             return
-        transport = self._transport
-        active = self._active
+        transport, active = self._transport, self._active
         if self._streaming and active is not None and active.http_1_0:
             _reset(transport)
             return
-        transport.close()
+        self._is_ended = True
+        self._forget_input()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            transport.abort()
+            return
+        if self._reading_paused:
+            transport.resume_reading()
+        oldest = self._lingering.add(self)
+        if oldest is not None:
+            oldest.stop_lingering()
+        self._has_read_on()
+        self._await_end()
+
+    def _forget_input(self) -> None:
+        """Release what was read of requests that are not served."""
+        self._partial = None
+        self._queue.clear()
+        self._release_body(self._body_bytes)
+
+    def _await_end(self) -> None:
+        """Wait until the caller has closed the connection, within bounds."""
+        is_flushed = self.unsent_bytes == 0
+        self._call_later(
+            LINGER_S if is_flushed else CLOSE_TIMEOUT_S,
+            lambda: self._check_end(was_flushed=is_flushed),
+        )
+
+    def _check_end(self, *, was_flushed: bool) -> None:
+        """Close the connection, unless its response was flushed or read meanwhile."""
+        if was_flushed:
+            self.stop_lingering()
+        elif self.unsent_bytes == 0 or self._has_read_on():
+            self._await_end()
+        else:
+            self.discard_response()
+
+    def stop_lingering(self) -> None:
+        """Close the connection without reading on, once the response is flushed."""
+        if self._transport is None:
+            return
+        self._transport.close()
         self._has_read_on()
         # A caller that does not read must not keep the connection open forever.
         self._call_later(CLOSE_TIMEOUT_S, self._discard_unread)
@@ -503,7 +584,7 @@
         self.served += 1
         self._idle_since = self._clock()
         if not keep_open:
-            self.close()
+            self._end_connection()
             return
         if self._reading_paused and len(self._queue) < MAX_PIPELINED_REQUESTS:
             self._reading_paused = False
@@ -536,7 +617,7 @@
         if status == 503:
             headers.append((b"Retry-After", b"%d" % RETRY_AFTER_FULL_S))
         self._transport.write(response_head(status, headers))
-        self.close()
+        self._end_connection()
 
     def _check_head_size(self) -> None:
         partial = self._partial
--- a/libs/forwarding/tests/test_forwarding_buffers.py
+++ b/libs/forwarding/tests/test_forwarding_buffers.py
@@ -115,6 +115,9 @@
     def is_closing(self):
         return self.is_aborted
 
+    def write_eof(self):
+        pass
+
     def close(self):
         pass
 
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self.written = b""
+        self.stopped_sending = False
         self.closed = False
         self.aborted = False
         self.reading = True
@@ -32,11 +33,14 @@
     def write(self, data):
         self.written += data
 
+    def write_eof(self):
+        self.stopped_sending = True
+
     def close(self):
-        self.closed = True
+        self.stopped_sending = self.closed = True
 
     def abort(self):
-        self.closed = self.aborted = True
+        self.stopped_sending = self.closed = self.aborted = True
 
     def is_closing(self):
         return self.closed
@@ -74,6 +78,12 @@
         """Run the callback that was scheduled first."""
         self.timers.pop(0)()
 
+    def has_ended(self):
+        """Return whether the connection ends; it is read on until its timer runs."""
+        is_read_on = self.transport.stopped_sending and not self.transport.closed
+        self.run_timer()
+        return is_read_on and self.transport.closed
+
     def disconnect(self):
         self.disconnects += 1
 
@@ -158,7 +168,7 @@
         assert caller.transport.written.index(b"one") < caller.transport.written.index(
             b"two"
         )
-        assert not caller.transport.closed
+        assert not caller.transport.stopped_sending
 
     @pytest.mark.parametrize(
         "rest",
@@ -179,7 +189,7 @@
         caller.send(HEAD + rest + b"GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n")
         assert caller.requests == []
         assert caller.transport.written.startswith(b"HTTP/1.1 400 ")
-        assert caller.transport.closed
+        assert caller.has_ended()
 
     def test_upgrade_is_ignored_and_data_after_it_dropped(self):
         """Data after an upgrade request must not be parsed as a request."""
@@ -188,7 +198,7 @@
         assert len(caller.requests) == 1
         caller.connection.respond(200, [], b"")
         assert len(caller.requests) == 1
-        assert caller.transport.closed
+        assert caller.has_ended()
 
     @pytest.mark.parametrize(
         "body",
@@ -210,7 +220,7 @@
         assert not request.keep_alive
         caller.connection.respond(200, [], b"only")
         assert caller.transport.written.endswith(b"only")
-        assert caller.transport.closed
+        assert caller.has_ended()
         assert len(caller.requests) == 1
 
     def test_interim_response_is_written_into_a_response_under_way(self):
@@ -238,7 +248,7 @@
         caller = Caller()
         caller.send(HEAD + rest)
         assert caller.transport.written.startswith(b"HTTP/1.1 %d " % status)
-        assert caller.transport.closed
+        assert caller.has_ended()
 
     def test_malformed_request_after_a_valid_one(self):
         """The valid request must be answered before the connection is closed."""
@@ -257,8 +267,8 @@
         for caller, now in ((slow, 3.1), (idle, 14.0), (busy, 1000.0)):
             caller.connection.close_if_overdue(now)
         assert slow.transport.written.startswith(b"HTTP/1.1 408 ")
-        assert (slow.transport.closed, idle.transport.closed) == (True, False)
-        assert not busy.transport.closed
+        assert (slow.has_ended(), idle.transport.stopped_sending) == (True, False)
+        assert not busy.transport.stopped_sending
         idle.connection.close_if_overdue(15.1)
         assert idle.transport.closed
 
@@ -283,7 +293,7 @@
         assert caller.transport.written.endswith(b"\r\n\r\n5\r\nevent\r\n")
         caller.connection.end_stream()
         assert caller.transport.written.endswith(b"0\r\n\r\n")
-        assert not caller.transport.closed
+        assert not caller.transport.stopped_sending
 
     def test_truncated_stream_has_no_final_chunk(self):
         """A truncated response must not look complete to the caller."""
@@ -293,7 +303,7 @@
         caller.connection.write(b"event")
         caller.connection.truncate_response()
         assert not caller.transport.written.endswith(b"0\r\n\r\n")
-        assert caller.transport.closed
+        assert caller.has_ended()
 
     def test_shutdown_is_announced_in_responses(self):
         """A response during shutdown must be complete and close the connection."""
@@ -303,7 +313,7 @@
         caller.connection.respond(200, [], b"whole")
         assert b"Connection: close" in caller.transport.written
         assert caller.transport.written.endswith(b"whole")
-        assert caller.transport.closed
+        assert caller.has_ended()
 
 
 class TestEndOfAStream:
@@ -327,7 +337,7 @@
         caller.connection.respond(200, [], b"second")
         assert b"Connection: close" in caller.transport.written
         assert caller.transport.written.endswith(b"second")
-        assert caller.transport.closed
+        assert caller.has_ended()
 
     def test_connection_closes_after_a_stream_that_announced_it(self):
         """A caller must be able to rely on the announcement."""
@@ -336,7 +346,7 @@
         self.stream(caller)
         assert b"Connection: close" in caller.transport.written
         caller.connection.end_stream()
-        assert caller.transport.closed
+        assert caller.has_ended()
 
     def test_requests_that_were_read_ahead_are_dropped_at_a_shutdown(self):
         """Only the last of them may say that the connection is closed."""
@@ -344,12 +354,12 @@
         caller.send((HEAD + b"Content-Length: 0\r\n\r\n") * 3)
         caller.connection.closing = True
         for number in range(3):
-            assert not caller.transport.closed
+            assert not caller.transport.stopped_sending
             caller.connection.respond(200, [], b"answer %d" % number)
         assert len(caller.requests) == 3
         assert caller.transport.written.count(b"Connection: close") == 1
         assert caller.transport.written.endswith(b"answer 2")
-        assert caller.transport.closed
+        assert caller.has_ended()
 
     def test_stream_to_an_old_caller_ends_with_its_connection(self):
         """Nothing else tells a caller without chunked encoding where it ends."""
@@ -358,7 +368,7 @@
         self.stream(caller, b"POST /r/x HTTP/1.0", keep_alive)
         caller.connection.end_stream()
         assert b"Connection: close" in caller.transport.written
-        assert caller.transport.closed
+        assert caller.has_ended()
 
 
 class TestUnsentResponses:
@@ -378,12 +388,14 @@
         caller.transport.unsent = 500
         caller.connection.close_if_overdue(14.0)
         caller.connection.close_if_overdue(28.0)
-        assert not caller.transport.closed
+        assert not caller.transport.stopped_sending
 
     def test_connection_that_is_not_read_is_idle(self, caller):
         caller.connection.close_if_overdue(14.0)
         caller.connection.close_if_overdue(15.1)
-        assert caller.transport.closed
+        assert caller.transport.stopped_sending
+        caller.run_timer()
+        assert caller.transport.aborted
 
     def test_connection_that_is_read_on_is_flushed(self, caller):
         """The rest of a response is not discarded while it is read."""
