Forwarding: responses of targets that close before they have read the request

A target that responds and closes while the router still sends the request (an early 429 with a long body, say) resets the connection. The router took that for a connection that was closed without a response, although the response had been received: the request was repeated at another target where it may be, or ended as one that may have run.

Cause: the event loop closes a connection as soon as sending fails. Where the response and the reset come after the loop has found the socket writable, where the response is longer than is read at once, or while reading is paused for a slow caller, the failure comes before the response is read, and what the socket holds is dropped.

Change: when sending has failed, what the socket still holds is parsed before the end is told. After a reset no more can come, so that this ends. A response that is delimited by the end of the connection stays incomplete, and nothing is taken for a response if no byte of the request was sent.

The recording transport of a test file has no socket to read, and now says so; no check is changed.

Ruled out: that a response in one read is lost when the loop finds the socket readable as well; it then reads first. How often callers were affected was not measured.

--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -3,6 +3,7 @@
 import re
 from asyncio import Protocol, Transport
 from collections.abc import Callable
+from contextlib import suppress
 from enum import StrEnum
 from typing import Protocol as Interface
 
@@ -26,6 +27,8 @@
 """Keep-alive timeouts that are used; others count as none."""
 PARSED_INTERIM_STATUSES = (100, 102, 103)
 """Interim statuses that the parser ends with their head, whatever length they state."""
+READ_BYTES = 64 * 1024
+"""Bytes that are read at once of a connection that has failed."""
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes of a response up to which none has to be part of a head or of a body that is
 complete; the parser keeps them."""
@@ -108,6 +111,7 @@
         self._discarding = False
         self._close_delimited = False
         self._has_surplus = False
+        self._has_sent = False
         self._unused_bytes = 0
         self._idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._idle_since = 0.0
@@ -163,6 +167,7 @@
         self.uses += 1
         self._traffic.note_sent(len(data))
         self._transport.write(data)
+        self._has_sent = self.is_open
 
     def pause(self) -> None:
         """Stop reading until `resume` is called."""
@@ -213,12 +218,31 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Report that the response will not be completed."""
-        self._transport = None
+        """Report that the response will not be completed, unless it was received."""
+        transport, self._transport = self._transport, None
+        self.reusable = False
+        if isinstance(exc, ConnectionError) and transport is not None:
+            self._receive_rest(transport)
         by_target = exc is None or isinstance(exc, ConnectionError)
         end = ResponseEnd.CLOSED if by_target else ResponseEnd.UNREACHABLE
         self._end(end, repr(exc) if exc else "closed")
 
+    def _receive_rest(self, transport: Transport) -> None:
+        """Parse what was received before a reset that showed when data was sent.
+
+        A target may respond and close before it has read the whole request. What the
+        end of the connection would complete is incomplete, as it ends with a reset. If
+        nothing of the request was sent, nothing that was received belongs to it.
+        """
+        connected = transport.get_extra_info("socket")
+        if not self._has_sent or connected is None:
+            return
+        # The reading ends with an error, either of the connection or that there is no
+        # more; the first one is reported already.
+        with suppress(OSError), connected.dup() as received:
+            while self._sink is not None and (data := received.recv(READ_BYTES)):
+                self.data_received(data)
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -54,6 +54,9 @@
     def get_write_buffer_size(self):
         return self.unsent
 
+    def get_extra_info(self, name):
+        return None
+
 
 class Caller:
     """Connection of a caller, with the requests and disconnects it reported."""
