Stop: requests that are not received by the end of the grace are refused

A caller that was still sending its request at the end of a router's grace lost its connection without a response, and could not tell whether the request had run.

Cause: only requests that were received completely were ended with a status; connections with a part of one were closed with the process.

Change: such a request is refused with 503, Connection: close and Retry-After just before the process ends, at the same time as those that run get their status. It has not run.

Not changed: the 50 ms between these responses and the exit.

--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -153,6 +153,11 @@
             if connection.is_open and not connection.is_busy:
                 connection.close()
 
+    def refuse_partial(self) -> None:
+        """Refuse requests that are not received to their end."""
+        for connection in list(self.connections):
+            connection.refuse_partial()
+
     def sweep(self) -> int:
         """Close connections that exceed the idle or header timeout.
 
--- a/libs/direct/tests/test_direct_lingering.py
+++ b/libs/direct/tests/test_direct_lingering.py
@@ -84,3 +84,19 @@
                 writer.close()
         assert took_s < GRACE_S
         assert {reply.status for reply in replies} == {413}
+
+    async def test_request_that_is_not_received_by_the_end_of_the_grace(self, running):
+        """Its caller is told that it has not run, instead of losing its connection."""
+        async with running(answers("ok"), stop_grace_s=GRACE_S) as fleet:
+            reader, writer = await fleet.connect()
+            fleet.stop()
+            await sleep(HEAD_AFTER_S)
+            writer.write(head(f"Content-Length: {len(BODY)}\r\n\r\n") + BODY[:-1])
+            with fail_after(TEST_TIMEOUT_S):
+                reply = await read_reply(reader)
+            await fleet.until(lambda: fleet.done)
+            writer.close()
+        assert reply.status == 503
+        assert reply.headers["connection"] == "close"
+        assert int(reply.headers["retry-after"]) > 0
+        assert fleet.targets[0].received == []
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -35,8 +35,8 @@
 """Number of pipelined requests from which reading is paused."""
 CLOSE_TIMEOUT_S = 5.0
 """Time without progress after which a closing connection is aborted, in seconds."""
-RETRY_AFTER_FULL_S = 1
-"""``Retry-After`` of a request whose body exceeds the bound for all bodies."""
+RETRY_AFTER_S = 1
+"""``Retry-After`` of a request that is refused before its end, in seconds."""
 OFFERS = frozenset({b"upgrade", b"http2-settings"})
 """Headers that offer to go on in another protocol."""
 CONTINUE = b"100-continue"
@@ -562,6 +562,15 @@
             return True
         return False
 
+    def refuse_partial(self) -> None:
+        """Refuse a request that is not received to its end, after those before it.
+
+        Its response says when to return.
+        """
+        if self._partial is not None and self._error_status is None:
+            self._error_status = HTTPStatus.SERVICE_UNAVAILABLE.value
+            self._serve_next()
+
     def _write(self, data: bytes) -> None:
         self._transport.write(data)
         if self._buffers is not None:
@@ -614,8 +623,8 @@
 
     def _reject(self, status: int) -> None:
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-        if status == 503:
-            headers.append((b"Retry-After", b"%d" % RETRY_AFTER_FULL_S))
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append((b"Retry-After", b"%d" % RETRY_AFTER_S))
         self._transport.write(response_head(status, headers))
         self._end_connection()
 
