Stop: requests that were sent ahead are not begun at the end of the grace

A caller that had sent a second request ahead got the status of the first one at the end of a router's grace, on a connection that seemed to stay open; the second request was then sent to a target and cut there 50 ms later, without a response.

Cause: the status of the first request completes its response, and the next request of the connection is served at once, though the process is about to end.

Change: requests that wait are dropped before the running ones get their status. That response then says that the connection is closed, from which the caller knows that what it sent after it was not served (RFC 9112, section 9.6).

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -327,7 +327,7 @@
                 break
             await sleep(0.05)
         context.log.process("stopped", cut_requests=len(self._exchanges_by_connection))
-        self._callers.refuse_partial()
+        self._callers.end_input()
         for exchange in list(self._exchanges_by_connection.values()):
             exchange.end_at_stop()
         await self._peering.leave()
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -153,9 +153,10 @@
             if connection.is_open and not connection.is_busy:
                 connection.close()
 
-    def refuse_partial(self) -> None:
-        """Refuse requests that are not received to their end."""
+    def end_input(self) -> None:
+        """Drop requests that wait, and refuse those not received to their end."""
         for connection in list(self.connections):
+            connection.drop_waiting()
             connection.refuse_partial()
 
     def sweep(self) -> int:
--- a/libs/direct/tests/test_direct_lingering.py
+++ b/libs/direct/tests/test_direct_lingering.py
@@ -100,3 +100,22 @@
         assert reply.headers["connection"] == "close"
         assert int(reply.headers["retry-after"]) > 0
         assert fleet.targets[0].received == []
+
+    async def test_request_that_was_sent_ahead_is_not_begun_at_the_end(self, running):
+        """It would be cut while its target is at work on it."""
+
+        async def hangs(request, writer):
+            await sleep(60)
+
+        async with running(hangs, stop_grace_s=GRACE_S) as fleet:
+            reader, writer = await fleet.connect()
+            writer.write(fleet.encoded("/idempotent/") * 2)
+            await fleet.until(lambda: fleet.targets[0].received)
+            fleet.stop()
+            reply = await read_reply(reader)
+            assert await reader.read() == b""
+            await fleet.until(lambda: fleet.done)
+            writer.close()
+        assert reply.status == 502
+        assert reply.headers["connection"] == "close"
+        assert len(fleet.targets[0].received) == 1
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -562,6 +562,14 @@
             return True
         return False
 
+    def drop_waiting(self) -> None:
+        """Drop requests that wait for the response to the one before.
+
+        That response says that the connection is closed, if `closing` is set.
+        """
+        self._release_body(sum(len(request.body) for request in self._queue))
+        self._queue.clear()
+
     def refuse_partial(self) -> None:
         """Refuse a request that is not received to its end, after those before it.
 
