Forwarding: a connection that is closed while it is busy ends in steps

`close` now ends a busy connection like a last response does, and the timer is only set while bytes are unsent. `LINGER_S` is private again.

--- a/libs/forwarding/src/berylwalk/forwarding/__init__.py
+++ b/libs/forwarding/src/berylwalk/forwarding/__init__.py
@@ -10,10 +10,7 @@
     header_value,
     request_head,
 )
-from berylwalk.forwarding._lingering_connections import (
-    LINGER_S,
-    LingeringConnections,
-)
+from berylwalk.forwarding._lingering_connections import LingeringConnections
 from berylwalk.forwarding._request_bodies import RequestBodies
 from berylwalk.forwarding._response_buffers import (
     DEFAULT_EACH_BYTES,
@@ -31,7 +28,6 @@
 
 __all__ = [
     "DEFAULT_EACH_BYTES",
-    "LINGER_S",
     "BufferBounds",
     "CallerBuffers",
     "CallerConnection",
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -453,12 +453,12 @@
             self.abort()
 
     def close(self) -> None:
-        """Close an idle connection, or end it once the buffered data is flushed.
+        """Close an idle connection at once, or end it once its response is flushed.
 
         A request that crosses the close of an idle connection is reset, from which its
         caller learns that it was not read.
         """
-        if self.unsent_bytes:
+        if self.is_busy or self.unsent_bytes:
             self._end_connection()
         elif self._transport is not None:
             self._transport.close()
@@ -519,8 +519,9 @@
             return
         self._transport.close()
         self._has_read_on()
-        # A caller that does not read must not keep the connection open forever.
-        self._call_later(CLOSE_TIMEOUT_S, self._discard_unread)
+        if self.unsent_bytes:
+            # A caller that does not read must not keep the connection open forever.
+            self._call_later(CLOSE_TIMEOUT_S, self._discard_unread)
 
     def _discard_unread(self) -> None:
         """Discard what is not sent, unless the caller has read on."""
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -407,6 +407,29 @@
         caller.run_timer()
         assert not caller.transport.aborted
 
+    def test_connection_is_read_on_from_when_its_response_is_flushed(self, caller):
+        """However long that took."""
+        caller.connection.close()
+        caller.transport.unsent = 0
+        caller.run_timer()
+        assert not caller.transport.closed
+        caller.run_timer()
+        assert caller.transport.closed
+        assert not caller.transport.aborted
+
+    def test_stream_is_reset_that_the_end_of_its_connection_would_complete(
+        self, monkeypatch
+    ):
+        resets = []
+        monkeypatch.setattr(
+            "berylwalk.forwarding._caller_connection._reset", resets.append
+        )
+        caller = Caller()
+        caller.send(b"POST /r/x HTTP/1.0\r\nHost: h\r\n\r\n")
+        caller.connection.start_stream(200, [])
+        caller.connection.close()
+        assert resets == [caller.transport]
+
     def test_connection_that_is_not_read_on_is_discarded(self, caller):
         caller.connection.close()
         caller.transport.unsent = 500
