--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -52,6 +52,7 @@
     CallerConnection,
     CallerRequest,
     HeldResponse,
+    LingeringConnections,
     RequestBodies,
     ResponseBuffers,
     TargetPool,
@@ -145,6 +146,10 @@
             buffers=self._buffers,
             takes_connection=self._takes_connection,
             ready_since=_ready_since(loop, context.clock),
+            lingering=LingeringConnections.from_vm_limits(
+                descriptors=settings.limits.descriptors,
+                link_bytes_per_s=settings.limits.link_bytes_per_s,
+            ),
         )
         self._vm_meter = VmMeter(
             context,
@@ -329,6 +334,7 @@
                 break
             await sleep(0.05)
         context.log.process("stopped", cut_requests=len(self._exchanges_by_connection))
+        self._callers.end_input()
         for exchange in list(self._exchanges_by_connection.values()):
             exchange.end_at_stop()
         await self._peering.leave()
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -9,6 +9,7 @@
     CallerConnection,
     CallerRequest,
     ConnectionLimits,
+    LingeringConnections,
 )
 
 BACKLOG = 1024
@@ -51,6 +52,9 @@
         they have to reach another router.
     ready_since : callable or None
         As of `CallerConnection`.
+    lingering : LingeringConnections or None
+        Bounds what is read of connections after their last response; None for no bound
+        of the bytes.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         buffers: CallerBuffers | None = None,
         takes_connection: Callable[[], bool] = lambda: True,
         ready_since: Callable[[int], float] | None = None,
+        lingering: LingeringConnections[CallerConnection] | None = None,
     ) -> None:
         self._ready_since = ready_since
         self._loop = loop
@@ -75,6 +80,7 @@
         self._on_disconnect = on_disconnect
         self._limits = limits
         self._buffers = buffers
+        self._lingering = LingeringConnections() if lingering is None else lingering
         self._server: Server | None = None
         self._is_closed = False
         self._is_starting = False
@@ -151,6 +157,12 @@
             if connection.is_open and not connection.is_busy:
                 connection.close()
 
+    def end_input(self) -> None:
+        """Drop requests that wait, and refuse those not received to their end."""
+        for connection in list(self.connections):
+            connection.drop_waiting()
+            connection.refuse_partial()
+
     def sweep(self) -> int:
         """Close connections that exceed the idle or header timeout.
 
@@ -175,6 +187,7 @@
             buffers=self._buffers,
             accepts=self._accepts,
             ready_since=self._ready_since,
+            lingering=self._lingering,
         )
         connection.closing = self.closing
         return connection
--- a/libs/forwarding/src/berylwalk/forwarding/__init__.py
+++ b/libs/forwarding/src/berylwalk/forwarding/__init__.py
@@ -10,6 +10,7 @@
     header_value,
     request_head,
 )
+from berylwalk.forwarding._lingering_connections import LingeringConnections
 from berylwalk.forwarding._request_bodies import RequestBodies
 from berylwalk.forwarding._response_buffers import (
     DEFAULT_EACH_BYTES,
@@ -36,6 +37,7 @@
     "EventSplitter",
     "Headers",
     "HeldResponse",
+    "LingeringConnections",
     "RequestBodies",
     "ResponseBuffers",
     "ResponseEnd",
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -26,13 +26,17 @@
     request_head,
     response_head,
 )
+from berylwalk.forwarding._lingering_connections import (
+    LINGER_S,
+    LingeringConnections,
+)
 
 MAX_PIPELINED_REQUESTS = 4
 """Number of pipelined requests from which reading is paused."""
 CLOSE_TIMEOUT_S = 5.0
 """Time without progress after which a closing connection is aborted, in seconds."""
-RETRY_AFTER_FULL_S = 1
-"""``Retry-After`` of a request whose body exceeds the bound for all bodies."""
+RETRY_AFTER_S = 1
+"""``Retry-After`` of a request that is refused before its end, in seconds."""
 OFFERS = frozenset({b"upgrade", b"http2-settings"})
 """Headers that offer to go on in another protocol."""
 CONTINUE = b"100-continue"
@@ -66,6 +70,9 @@
     ready_since : callable or None
         Returns since when input can have waited that the event loop reported in this
         pass (given 0) or in the pass before (given 1); None if nothing waits.
+    lingering : LingeringConnections or None
+        Bounds what is read after the last response; None for no bound for all
+        connections.
 
     Attributes
     ----------
@@ -87,8 +94,10 @@
         buffers: CallerBuffers | None = None,
         accepts: Callable[[], bool] = lambda: True,
         ready_since: Callable[[int], float] | None = None,
+        lingering: LingeringConnections["CallerConnection"] | None = None,
     ) -> None:
         self._accepts = accepts
+        self._lingering = LingeringConnections() if lingering is None else lingering
         self._ready_since = ready_since or (lambda passes_ago: clock())
         # The event loop accepts a socket in the pass before.
         self._accepted_at = self._input_since = self._ready_since(1)
@@ -111,6 +120,8 @@
         self._error_status: int | None = None
         self._has_offer = False
         self._is_last_read = False
+        self._is_ended = False
+        self._discarded_bytes = 0
         self._reading_paused = False
         self._streaming = False
         self._closes_after_stream = False
@@ -139,7 +150,8 @@
         """Parse received data and start to serve the next request."""
         if self._buffers is not None:
             self._buffers.traffic.note_received(len(data))
-        if self._error_status is not None:
+        if self._is_ended or self._is_last_read or self._error_status is not None:
+            self._discard_input(len(data))
             return
         self._input_since = self._earliest_arrival()
         if self._partial is None or not self._partial.head_done:
@@ -179,8 +191,6 @@
         is parsed again without it. It is the last one on its connection: what follows
         may be in the other protocol.
         """
-        if self._is_last_read:
-            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -198,6 +208,21 @@
             self._has_offer = True
             self._parse(head + data[error.args[0] :])
 
+    def _discard_input(self, size: int) -> None:
+        """Count received bytes that no request is read from, up to a bound.
+
+        Beyond it, reading is paused and the connection stays open: the caller has time
+        to read the response before the connection is reset.
+        """
+        self._discarded_bytes += size
+        limits = self._limits()
+        max_bytes = limits.max_header_bytes + limits.max_body_bytes
+        is_within = self._discarded_bytes <= max_bytes
+        if self._is_ended:
+            is_within = self._lingering.take(size, self._clock()) and is_within
+        if not is_within:
+            self._transport.pause_reading()
+
     def eof_received(self) -> bool:
         """Treat the end of the input as a disconnect and report it at once.
 
@@ -211,6 +236,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the caller has disconnected, unless that was done."""
         self._registry.discard(self)
+        self._lingering.remove(self)
         if self._buffers is not None and self._transport is not None:
             self._buffers.forget(self)
             self._release_body(self._body_bytes)
@@ -315,8 +341,10 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether the connection is open."""
-        return self._transport is not None and not self._transport.is_closing()
+        """Whether the connection is open and its last response has not ended."""
+        if self._transport is None or self._is_ended:
+            return False
+        return not self._transport.is_closing()
 
     @property
     def is_busy(self) -> bool:
@@ -423,7 +451,7 @@
 
     def truncate_response(self) -> None:
         """Close the connection so that the caller detects an incomplete response."""
-        self.close()
+        self._end_connection()
         self._active = None
 
     def fail_response(
@@ -462,21 +490,75 @@
             self.abort()
 
     def close(self) -> None:
-        """Close the connection once the buffered data is flushed.
+        """Close an idle connection at once, or end it once its response is flushed.
+
+        A request that crosses the close of an idle connection is reset, from which its
+        caller learns that it was not read.
+        """
+        if self.is_busy or self.unsent_bytes:
+            self._end_connection()
+        elif self._transport is not None:
+            self._transport.close()
+
+    def _end_connection(self) -> None:
+        """Stop sending once the buffered data is flushed, and read on for a while.
 
         A stream that the end of the connection would complete is reset instead.
         """
-        if self._transport is None:
+        if not self.is_open:
             return
-        transport = self._transport
-        active = self._active
+        transport, active = self._transport, self._active
         if self._streaming and active is not None and active.http_1_0:
             _reset(transport)
             return
-        transport.close()
+        self._is_ended = True
+        self._forget_input()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            transport.abort()
+            return
+        if self._reading_paused:
+            transport.resume_reading()
+        oldest = self._lingering.add(self)
+        if oldest is not None:
+            oldest.stop_lingering()
         self._has_read_on()
-        # A caller that does not read must not keep the connection open forever.
-        self._call_later(CLOSE_TIMEOUT_S, self._discard_unread)
+        self._await_end()
+
+    def _forget_input(self) -> None:
+        """Release what was read of requests that are not served."""
+        self._partial = None
+        self._queue.clear()
+        self._release_body(self._body_bytes)
+
+    def _await_end(self) -> None:
+        """Wait until the caller has closed the connection, within bounds."""
+        is_flushed = self.unsent_bytes == 0
+        self._call_later(
+            LINGER_S if is_flushed else CLOSE_TIMEOUT_S,
+            lambda: self._check_end(was_flushed=is_flushed),
+        )
+
+    def _check_end(self, *, was_flushed: bool) -> None:
+        """Close the connection, unless its response was flushed or read meanwhile."""
+        if was_flushed:
+            self.stop_lingering()
+        elif self.unsent_bytes == 0 or self._has_read_on():
+            self._await_end()
+        else:
+            self.discard_response()
+
+    def stop_lingering(self) -> None:
+        """Close the connection without reading on, once the response is flushed."""
+        if self._transport is None:
+            return
+        self._transport.close()
+        self._has_read_on()
+        if self.unsent_bytes:
+            # A caller that does not read must not keep the connection open forever.
+            self._call_later(CLOSE_TIMEOUT_S, self._discard_unread)
 
     def _discard_unread(self) -> None:
         """Discard what is not sent, unless the caller has read on."""
@@ -518,6 +600,23 @@
             return True
         return False
 
+    def drop_waiting(self) -> None:
+        """Drop requests that wait for the response to the one before.
+
+        That response says that the connection is closed, if `closing` is set.
+        """
+        self._release_body(sum(len(request.body) for request in self._queue))
+        self._queue.clear()
+
+    def refuse_partial(self) -> None:
+        """Refuse a request that is not received to its end, after those before it.
+
+        Its response says when to return.
+        """
+        if self._partial is not None and self._error_status is None:
+            self._error_status = HTTPStatus.SERVICE_UNAVAILABLE.value
+            self._serve_next()
+
     def _write(self, data: bytes) -> None:
         self._transport.write(data)
         if self._buffers is not None:
@@ -540,7 +639,7 @@
         self.served += 1
         self._idle_since = self._clock()
         if not keep_open:
-            self.close()
+            self._end_connection()
             return
         if self._reading_paused and len(self._queue) < MAX_PIPELINED_REQUESTS:
             self._reading_paused = False
@@ -570,10 +669,10 @@
 
     def _reject(self, status: int) -> None:
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-        if status == 503:
-            headers.append((b"Retry-After", b"%d" % RETRY_AFTER_FULL_S))
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append((b"Retry-After", b"%d" % RETRY_AFTER_S))
         self._transport.write(response_head(status, headers))
-        self.close()
+        self._end_connection()
 
     def _check_head_size(self) -> None:
         partial = self._partial
