Streams whose beginning is not named are bound like those without a record

A caller that names an event but no usable attempt was placed anywhere, so that its stream could be joined from two versions. It goes on only if the history of the service has one version; otherwise it is refused at once, and the log says not-named. The first of the two new tests failed before (200, at the other version); the second shows that nothing changes while a service has one version.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -118,9 +118,8 @@
 
     @property
     def takes_up_stream(self) -> bool:
-        """Whether the caller has events of the stream, and names how it began."""
-        headers = self.parsed_headers
-        has_events = bool(headers.resumes) and headers.last_event_id != NO_EVENT
+        """Whether the caller has events of a stream that began before."""
+        has_events = self.parsed_headers.last_event_id != NO_EVENT
         return has_events and self.route.resumable
 
     @property
--- a/libs/direct/src/berylwalk/direct/_stream_binding.py
+++ b/libs/direct/src/berylwalk/direct/_stream_binding.py
@@ -33,14 +33,17 @@
     source : VersionSource
         How it is known, or why it is not.
     """
+    is_named = bool(admitted.parsed_headers.resumes)
     key = admitted.stream_key
-    version = context.streams.version_of(key, context.clock())
+    version = context.streams.version_of(key, context.clock()) if is_named else None
     if version is not None:
         return version, VersionSource.RECORDED
     is_confirmed = await context.confirm_versions(admitted.service)
     version = context.targets.versions.only_version(admitted.service)
     if version is not None and (is_confirmed or not context.is_cut_off()):
         return version, VersionSource.ONLY_ONE
+    if not is_named:
+        return None, VersionSource.NOT_NAMED
     found = await context.find_stored_stream(key)
     if isinstance(found, LookupFailure):
         return None, VersionSource.from_failure(found)
--- a/libs/direct/src/berylwalk/direct/_stream_lookup.py
+++ b/libs/direct/src/berylwalk/direct/_stream_lookup.py
@@ -29,6 +29,9 @@
     ONLY_ONE = "only-one"
     """The stream can only have begun at one version."""
 
+    NOT_NAMED = "not-named"
+    """The caller does not say which request began the stream."""
+
     ABSENT = "absent"
     UNAVAILABLE = "unavailable"
     LATE = "late"
--- a/libs/direct/tests/test_direct_stream_versions.py
+++ b/libs/direct/tests/test_direct_stream_versions.py
@@ -120,6 +120,21 @@
             reply = await fleet.call("/streaming/", Resumes="other", Last_Event_Id="5")
         assert float(reply.headers["retry-after"]) < 0.4
 
+    async def test_stream_that_is_not_named_does_not_join_versions(self, running):
+        """No record can be found for it."""
+        async with running(GOES_ON, GOES_ON, routes=STREAM, prepare=resumable) as fleet:
+            await set_versions(fleet, [fleet.router], "v1", "v2")
+            reply = await fleet.call("/streaming/", Last_Event_Id="5")
+        assert reply.status == 503
+        assert resumed_at(fleet) == []
+
+    async def test_stream_that_is_not_named_goes_on_at_the_only_version(self, running):
+        """It can have begun at no other."""
+        prepare = resumable_at("v1", "v1")
+        async with running(GOES_ON, GOES_ON, routes=STREAM, prepare=prepare) as fleet:
+            reply = await fleet.call("/streaming/", Last_Event_Id="5")
+        assert reply.body == b"".join(map(event, range(6, 21)))
+
     async def test_stream_of_a_service_with_one_version_is_taken_up(self, running):
         """No record is needed."""
         prepare = resumable_at("v1", "v1")
