Process tests: forged datagrams are sent once a router knows the version of each node

test_foreign_datagrams_are_ignored failed once under load: a router told settings version 0 for a node before the calls and 1 after them.

Cause, by reading; not reproduced: the fixture waits until the nodes' own metrics show one version, while the test compares what the first router tells of the others. It learns that from their datagrams, and tells 0 for a router until the first one.

Change: the test waits until what the first router tells is what the nodes report. Its assertions are as before. The product is right: 0 is what it knows of a node that it has not heard.

Evidence: the class TestInternalPorts passes (7 tests), without other load than that of this machine.

--- a/tests/processes/test_processes_bad_input.py
+++ b/tests/processes/test_processes_bad_input.py
@@ -96,6 +96,14 @@
     return connection
 
 
+def wait_until_versions_are_told(fleet):
+    """Wait until the first router knows the settings version of each node."""
+    fleet.wait(
+        lambda: set(fleet.versions().values()) == set(fleet.own_versions().values()),
+        "the settings versions that nodes tell each other",
+    )
+
+
 def assert_routers_serve(fleet):
     """Assert that both routers serve requests."""
     responses = fleet.results(fleet.chats(6, tokens=5))
@@ -106,6 +114,7 @@
     def test_foreign_datagrams_are_ignored(self, fleet):
         """Datagrams without the fleet's key affect neither requests nor node state."""
         subnet = fleet.fleet.subnet
+        wait_until_versions_are_told(fleet)
         versions = fleet.versions()
         hosts = [subnet.router(0), subnet.router(1), subnet.target(0), subnet.target(1)]
         calls = fleet.chats(24)
