Soak: versions change while all router processes are killed

Callers keep streams at real processes and take them up with Resumes and Last-Event-Id; targets of a new version start, the former ones announce that they leave and end, all routers get SIGKILL at a random moment of it, and the store comes back from an older copy in half of the changes. Events name their version, and have to follow each other.

--- a/libs/direct/tests/direct_processes.py
+++ b/libs/direct/tests/direct_processes.py
@@ -39,6 +39,15 @@
         process.wait()
         self.processes[number] = self._start(self._files[number])
 
+    def restart_all(self, signal):
+        """Terminate all processes by a signal, then start them again."""
+        self.check()
+        for process in self.processes:
+            process.send_signal(signal)
+        for process in self.processes:
+            process.wait()
+        self.processes = [self._start(path) for path in self._files]
+
     def check(self):
         """Fail if a router process has exited unexpectedly."""
         exit_codes = [process.poll() for process in self.processes]
--- a/libs/direct/tests/test_direct_soak.py
+++ b/libs/direct/tests/test_direct_soak.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import re
 from collections import Counter, defaultdict, deque
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -50,6 +51,16 @@
 """Time after which operators and targets write again what is lost."""
 GRACE_S = 3.0
 """Grace period after a fault of a router or the store."""
+VERSIONED_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+EVENTS_OF_A_VERSIONED_STREAM = 10
+VERSIONED_EVENT_S = 0.1
+VERSION_CHANGES = 3
+LONGEST_CHANGE_S = 3.5
+"""Time from the start of a version within which all routers are killed."""
+RESTORED_SHARE = 0.5
+"""Share of the changes in which the store comes back from an older copy."""
+MAX_TAKE_UPS = 30
+TAKE_UP_AFTER_S = 0.2
 MAX_CRASHES = 3
 MAX_CRASHES_BY_PART = 5
 MAX_LATE_ATTEMPTS = 3
@@ -210,8 +221,8 @@
         self.targets_made = []
         self.copies = deque(maxlen=COPIES_KEPT)
 
-    async def add_target(self):
-        """Start a target and list it."""
+    async def add_target(self, **entry):
+        """Start a target and list it, with these fields of its entry."""
         number = len(self.targets_made)
         target = ScriptedTarget(f"i-{number}", 22_200 + number, None)
         target.script = self._script_of(target)
@@ -219,7 +230,8 @@
         self.targets_made.append(target)
         await target.start()
         self.fleet.targets.append(target)
-        self.fleet.put_target(target)
+        self.fleet.put_target(target, **entry)
+        return target
 
     def _script_of(self, target):
         async def script(request, writer):
@@ -381,12 +393,139 @@
         self.addresses = every
 
 
+@dataclass
+class TakenUpStream:
+    """A stream over all requests of its caller.
+
+    Attributes
+    ----------
+    first_id : str
+        Id of the request that brought its first event; empty before.
+    versions : set of bytes
+        Versions of the targets whose events the caller got.
+    """
+
+    first_id: str = ""
+    last_event_id: int = 0
+    versions: set = field(default_factory=set)
+    is_complete: bool = False
+
+    def receive(self, number, reply):
+        """Receive a response, whose events follow those before."""
+        for event_id, version in VERSIONED_EVENT.findall(reply.body):
+            assert int(event_id) == self.last_event_id + 1
+            self.first_id = self.first_id or number
+            self.last_event_id += 1
+            self.versions.add(version)
+        self.is_complete = reply.status == 200 and reply.is_complete
+
+
+class VersionSoak(Soak):
+    """Versions of targets change while all routers are killed at once."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.version = 1
+        self.version_by_id = {}
+        self.streams = []
+
+    def _script_of(self, target):
+        self.version_by_id[target.target_id] = f"v{self.version}"
+        return super()._script_of(target)
+
+    async def add_target(self):
+        """Start a target of the newest version and list it."""
+        return await super().add_target(version=f"v{self.version}")
+
+    async def _run(self, target, request, writer):
+        if "/streaming/" not in request.path:
+            await super()._run(target, request, writer)
+            return
+        more = f"Transfer-Encoding: chunked\r\n{self.signal_log.headers(target)}"
+        writer.write(head(request, kind=EVENTS, more=more))
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        version = self.version_by_id[target.target_id]
+        for number in range(first, EVENTS_OF_A_VERSIONED_STREAM + 1):
+            writer.write(chunk(b"id: %d\ndata: %s\n\n" % (number, version.encode())))
+            await writer.drain()
+            await sleep(VERSIONED_EVENT_S)
+        writer.write(b"0\r\n\r\n")
+
+    async def change_versions(self):
+        """Change the version again and again; callers keep their streams meanwhile."""
+        async with create_task_group() as tasks:
+            for caller in range(CALLS_OF_A_STEP):
+                tasks.start_soon(self._keep_streaming, f"c{caller}")
+            for _ in range(VERSION_CHANGES):
+                await self._change_version(tasks)
+            tasks.cancel_scope.cancel()
+
+    async def _change_version(self, tasks):
+        """Replace all targets, some entries while no router runs."""
+        draw = self.random.uniform
+        leaving = list(self.fleet.targets)
+        tasks.start_soon(self._kill_all_after, draw(0.0, LONGEST_CHANGE_S))
+        if self.random.random() < RESTORED_SHARE:
+            tasks.start_soon(self._restore_after, draw(0.0, LONGEST_CHANGE_S))
+        self.copies.append(self.fleet.platform.store.take_copy())
+        self.version += 1
+        for _ in leaving:
+            await self.add_target()
+        await sleep(draw(0.2, 1.5))
+        for target in leaving:
+            self.signal_log.signal_by_target[target.target_id] = "leaving"
+            self.fleet.put_target(
+                target,
+                version=self.version_by_id[target.target_id],
+                state="draining",
+            )
+        await sleep(draw(0.2, 1.5))
+        for target in leaving:
+            self.fleet.targets.remove(target)
+            self.fleet.platform.store.delete(f"servers/{target.target_id}".encode())
+            await target.crash()
+        await sleep(LONGEST_CHANGE_S - 1.0)
+
+    async def _kill_all_after(self, seconds):
+        await sleep(seconds)
+        self.routers.restart_all(SIGKILL)
+
+    async def _restore_after(self, seconds):
+        await sleep(seconds)
+        await self.restore_store()
+
+    async def _keep_streaming(self, caller):
+        while True:
+            stream = TakenUpStream()
+            self.streams.append(stream)
+            for number in range(MAX_TAKE_UPS):
+                await self._take_up(stream, f"{caller}-{len(self.streams)}-{number}")
+                if stream.is_complete:
+                    break
+                await sleep(TAKE_UP_AFTER_S)
+
+    async def _take_up(self, stream, number):
+        self.fleet.settings = self.calls_random.choice(self.addresses)
+        headers = {}
+        if stream.first_id:
+            headers["Resumes"] = stream.first_id
+            headers["Last_Event_Id"] = str(stream.last_event_id)
+        body = (stream.first_id or number).encode()
+        try:
+            reply = await self.fleet.call(
+                "/streaming/", request_id=number, body=body, **headers
+            )
+        except (ConnectionError, EOFError):
+            return
+        stream.receive(number, reply)
+
+
 @pytest.fixture
 def soaking(make_settings, free_port, tmp_path):
     """Return a context manager that runs three routers and the targets."""
 
     @asynccontextmanager
-    async def run(seed, targets=2):
+    async def run(seed, targets=2, soak_class=Soak):
         settings = [make_settings(name=f"edge-{number}") for number in range(3)]
         fleet = Fleet(settings[0])
         for kind in KINDS:
@@ -395,7 +534,7 @@
         async with serving(fleet.platform.handle, *STORE, fleet.platform.run):
             fleet.put_configuration()
             routers = Routers.from_settings(settings, tmp_path)
-            soak = Soak(fleet, routers, run_log, Random(seed))
+            soak = soak_class(fleet, routers, run_log, Random(seed))
             soak.addresses = soak.settings = settings
             try:
                 for _ in range(targets):
@@ -472,3 +611,12 @@
             soak.faulty.has_part = True
             await run_steps(soak, with_faulty=True)
             assert soak.faulty.crashes
+
+    @pytest.mark.parametrize("seed", EXTENDED_SEEDS)
+    async def test_versions_change_while_all_routers_are_killed(self, soaking, seed):
+        """No stream joins versions, or lacks or repeats an event."""
+        async with soaking(seed, targets=3, soak_class=VersionSoak) as soak:
+            await soak.change_versions()
+            joined = [each for each in soak.streams if len(each.versions) > 1]
+            assert joined == []
+            assert sum(each.is_complete for each in soak.streams) > STEPS
