--- a/libs/direct/tests/virtual_retries.py
+++ b/libs/direct/tests/virtual_retries.py
@@ -154,7 +154,7 @@
         self.store = KeyValueClient.from_config(
             [f"http://{simulation.store_host(name)}:80"], timeout_s=CALL_TIMEOUT_S
         )
-        store_health = StoreHealth(self.context)
+        store_health = self.store_health = StoreHealth(self.context)
         self.store.on_restored.add(store_health.note_restored)
         self.peering._membership = Membership(
             self.context,
@@ -209,6 +209,8 @@
         As of `SignalsSimulation`.
     """
 
+    router_class = RetryRouter
+
     def __init__(self, seed, *, bound=None, joining=0, **options):
         self.bound = bound or RetryBound()
         self.joining = joining
@@ -241,7 +243,7 @@
 
     def make_router(self, name, domain, incarnation):
         """Return a new process of a router."""
-        return RetryRouter(self, name, domain, incarnation)
+        return self.router_class(self, name, domain, incarnation)
 
     def store_host(self, name):
         """Return the address at which a router finds the store."""
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -212,7 +212,10 @@
             ExchangeLog(self.context, now),
             trial_permits=None,
         )
-        await lifecycle.run()
+        try:
+            await lifecycle.run()
+        finally:
+            lifecycle.discard_held()
 
 
 class Defect:
--- a/libs/direct/tests/virtual_streams.py
+++ b/libs/direct/tests/virtual_streams.py
@@ -2,6 +2,7 @@
 
 import re
 from asyncio import get_running_loop
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 
@@ -12,8 +13,6 @@
 from virtual_retries import FailingTarget, RetrySimulation
 
 EVENTS = 8
-EVENT_S = 0.08
-"""Time between two events of a stream."""
 MAX_TRIES = 3
 COMEBACK_S = 0.1
 IN_TOUCH_S = 3.0
@@ -28,16 +27,22 @@
     ----------
     cut_share : float
         Share of the streams that break after half of their events.
+    event_s : float
+        Time between two events of a stream, in seconds.
     """
 
     version = "v1"
     cut_share = 0.0
+    event_s = 0.08
 
     def entry(self, **changes):
         """Return its entry."""
         return replace(super().entry(**changes), version=self.version)
 
     def _arrive(self, transport, headers):
+        if self.is_gone:
+            transport.abort()
+            return
         self._record(headers)
         first = int(headers.get("last-event-id", "0")) + 1
         is_cut = self.simulation.random.random() < self.cut_share
@@ -48,24 +53,29 @@
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
         ]
+        if self.is_leaving:
+            head.append("Server-Leaving: 1")
         transport.deliver(("\r\n".join(head) + "\r\n\r\n").encode())
         self._send_event(transport, first, last)
 
     def _send_event(self, transport, number, last):
         loop = get_running_loop()
+        if self.is_gone:
+            transport.abort()
+            return
         if number > last:
             end = transport.abort if last < EVENTS else self._end_of(transport)
             loop.call_later(LATENCY_S, end)
             return
         data = b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
         transport.deliver(b"%x\r\n%s\r\n" % (len(data), data))
-        loop.call_later(EVENT_S, self._send_event, transport, number + 1, last)
+        loop.call_later(self.event_s, self._send_event, transport, number + 1, last)
 
     def _end_of(self, transport):
         return lambda: transport.deliver(b"0\r\n\r\n")
 
 
-@dataclass
+@dataclass(eq=False)
 class Stream:
     """One stream of a caller over all its tries.
 
@@ -73,6 +83,12 @@
     ----------
     first_id : bytes
         Id of the request that brought the first event; empty before.
+    began_at : float or None
+        When that request was sent.
+    wait : object
+        What a simulation notes of the tries since the last event.
+    on_begun : callable
+        Called with it when the caller gets the first event.
     versions : set of bytes
         Versions of the targets whose events the caller got.
     """
@@ -80,6 +96,9 @@
     first_id: bytes = b""
     last_event_id: int = 0
     versions: set = field(default_factory=set)
+    began_at: float | None = None
+    wait: object = None
+    on_begun: Callable = lambda stream: None
     is_complete: bool = False
 
 
@@ -106,7 +125,9 @@
     def write(self, data):
         """Receive events."""
         stream = self._stream
-        stream.first_id = stream.first_id or self._request_id
+        if not stream.first_id:
+            stream.first_id = self._request_id
+            stream.on_begun(stream)
         stream.versions.update(VERSION.findall(data))
         stream.last_event_id += data.count(b"id: ")
         self.had_events = True
@@ -129,8 +150,12 @@
     taken_up, gone_on : int
         Streams taken up at routers that have run for a while, and those of them that
         went on.
+    max_tries : int
+        Requests that a caller makes for one stream.
     """
 
+    max_tries = MAX_TRIES
+
     def __init__(self, seed, **options):
         super().__init__(seed, **options)
         self.route = replace(
@@ -151,14 +176,20 @@
         router = super().make_router(name, domain, incarnation)
         service = SimpleNamespace(tokens_per_event=1)
         router.context.configuration.current = SimpleNamespace(
-            version=1, services_by_name={SERVICE: service}
+            version=1,
+            services_by_name={SERVICE: service},
+            routes_by_host={"h": {"/": self.route}},
         )
         return router
 
+    def make_stream(self):
+        """Return a stream of a caller."""
+        return Stream()
+
     def _call(self, router):
-        stream = Stream()
+        stream = self.make_stream()
         self.streams.append(stream)
-        self._try(router, stream, MAX_TRIES)
+        self._try(router, stream, self.max_tries)
 
     def _try(self, router, stream, tries_left):
         self.requests += 1
@@ -171,20 +202,33 @@
                 (b"Last-Event-Id", b"%d" % stream.last_event_id),
                 (b"Resumes", stream.first_id),
             ]
-        is_counted = bool(headers) and self.clock() - router.started_at > IN_TOUCH_S
+        sent_at = self.clock()
+        on_ended = self.judge_try(router, stream)
 
         async def serve():
             try:
                 await router.serve(request_id, caller=caller, headers=headers)
             finally:
                 self.results.statuses[caller.status] += 1
-                self.taken_up += is_counted
-                self.gone_on += is_counted and caller.had_events
+                if stream.first_id and stream.began_at is None:
+                    stream.began_at = sent_at
+                on_ended(caller)
                 if not stream.is_complete and tries_left > 1:
                     self.tasks.start_soon(self._come_back, stream, tries_left - 1)
 
         self.tasks_by_name[router.name].start_soon(serve)
 
+    def judge_try(self, router, stream):
+        """Return what counts a try that begins, called with its caller at the end."""
+        is_taken_up = stream.last_event_id > 0
+        is_counted = is_taken_up and self.clock() - router.started_at > IN_TOUCH_S
+
+        def on_ended(caller):
+            self.taken_up += is_counted
+            self.gone_on += is_counted and caller.had_events
+
+        return on_ended
+
     async def _come_back(self, stream, tries_left):
         await sleep(COMEBACK_S)
         routers = list(self.routers_by_name.values())
