--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -112,8 +112,8 @@
         now.
     confirm_versions : callable
         Reads the history of the versions of a service; returns whether it succeeded.
-    is_cut_off : callable
-        Returns whether the store answers other routers, but not this one.
+    is_store_away : callable
+        Returns whether the store answers no router.
     find_stored_stream : callable
         Returns the stored version of the stream with a key, or why it is not known.
     """
@@ -148,7 +148,7 @@
     on_signals_changed: Callable[[], None] = lambda: None
     when_stream_stored: Callable[[int, Callable[[], None]], None] = _immediately
     confirm_versions: Callable[[str], Awaitable[bool]] = _unconfirmed
-    is_cut_off: Callable[[], bool] = lambda: False
+    is_store_away: Callable[[], bool] = lambda: False
     find_stored_stream: Callable[[int], Awaitable[str | LookupFailure]] = (
         _no_stored_stream
     )
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -507,8 +507,8 @@
         if self._excluded or is_continued or not rollouts.is_in_progress(service):
             return None
         version = rollouts.progress(service).order.version
-        is_unstored = version in self._context.targets.versions.missing(service)
-        if self._admitted.may_be_taken_up and is_unstored:
+        may_begin = self._context.targets.versions.may_begin(service, version, now)
+        if self._admitted.may_be_taken_up and not may_begin:
             return None
         rollouts.count_send(service)
         route = self._admitted.route.name
--- a/libs/direct/src/berylwalk/direct/_store_health.py
+++ b/libs/direct/src/berylwalk/direct/_store_health.py
@@ -156,12 +156,17 @@
         self._context.targets.note_outage_ended(now)
         self._wake()
 
-    def is_cut_off(self) -> bool:
-        """Return whether the store answers other routers, but not this one."""
+    def is_away_for_all(self) -> bool:
+        """Return whether the store is known to answer no router.
+
+        A router that hears of no other can't tell it from being cut off itself.
+        """
         if self.unreachable_since is None:
             return False
-        now = self._context.clock()
-        return self._is_healthy_for_peer(now, since=now)
+        if self._context.peers.known_count() == 1:
+            return True
+        is_told = self._context.clock() - self._peer_health_at <= PEER_HEALTH_TTL_S
+        return is_told and self._peer_healthy_since >= self._peer_health_at
 
     def healthy_s(self, now: float) -> float:
         """Return how long the store has been healthy, in seconds."""
--- a/libs/direct/src/berylwalk/direct/_stream_binding.py
+++ b/libs/direct/src/berylwalk/direct/_stream_binding.py
@@ -17,7 +17,9 @@
 
     A version that is listed now says nothing: the stream may have begun at one that has
     left. What decides are the record of the stream and, without one, a history of the
-    service that holds one version only.
+    service that holds one version only. If the store can't tell the history, the one
+    that is known counts only while the store answers no router: then no version was
+    added to it.
 
     Parameters
     ----------
@@ -38,14 +40,17 @@
     version = context.streams.version_of(key, context.clock()) if is_named else None
     if version is not None:
         return version, VersionSource.RECORDED
+    found: str | LookupFailure = LookupFailure.ABSENT
+    if is_named:
+        found = await context.find_stored_stream(key)
+    if not isinstance(found, LookupFailure):
+        context.streams.merge([(key, found)], context.clock())
+        return found, VersionSource.STORED
+    # The record may be absent since the service has one version.
     is_confirmed = await context.confirm_versions(admitted.service)
     version = context.targets.versions.only_version(admitted.service)
-    if version is not None and (is_confirmed or not context.is_cut_off()):
+    if version is not None and (is_confirmed or context.is_store_away()):
         return version, VersionSource.ONLY_ONE
     if not is_named:
         return None, VersionSource.NOT_NAMED
-    found = await context.find_stored_stream(key)
-    if isinstance(found, LookupFailure):
-        return None, VersionSource.from_failure(found)
-    context.streams.merge([(key, found)], context.clock())
-    return found, VersionSource.STORED
+    return None, VersionSource.from_failure(found)
--- a/libs/direct/src/berylwalk/direct/_version_history_store.py
+++ b/libs/direct/src/berylwalk/direct/_version_history_store.py
@@ -81,6 +81,7 @@
         self._missing_since_by_service: dict[str, float] = {}
         self._reads_by_service: dict[str, Event] = {}
         self._wake_event = Event()
+        context.targets.versions.is_read = True
         context.targets.on_versions_changed = self._on_versions_changed
         store.on_restored.add(self._on_restored)
 
@@ -124,6 +125,8 @@
         if self._is_due(service) and not await self._read(service):
             return False
         missing = versions.missing(service)
+        if not missing:
+            self._missing_since_by_service.pop(service, None)
         if missing and self._may_begin_streams(service):
             return await self._write(service, added=missing)
         outdated = self._outdated(service)
@@ -154,7 +157,8 @@
 
     def _next_check_s(self) -> float:
         """Return the time to the next check, in seconds."""
-        is_waiting = bool(self._missing_since_by_service)
+        targets = self._context.targets
+        is_waiting = any(map(targets.versions.missing, targets.services()))
         return MISSING_CHECK_INTERVAL_S if is_waiting else CHECK_INTERVAL_S
 
     def _outdated(self, service: str) -> Collection[str]:
@@ -257,8 +261,6 @@
             return
         self._revision_by_service[service] = revision
         context.targets.versions.adopt(service, versions)
-        if not context.targets.versions.missing(service):
-            self._missing_since_by_service.pop(service, None)
         context.streams.on_recorded()
         context.dispatcher.dispatch_queued(service, now)
 
--- /dev/null
+++ b/libs/direct/tests/test_direct_unknown_histories.py
@@ -0,0 +1,105 @@
+"""Streams that begin or go on while a router does not know the stored history."""
+
+import pytest
+from anyio import sleep_forever
+
+from berylwalk.dispatch import stream_key
+from test_direct_stream_versions import GOES_ON, STREAM, resumed_at
+from test_direct_versions_that_left import (
+    listing,
+    relist,
+    stop_all_routers,
+    take_up,
+    unlist,
+)
+
+pytestmark = pytest.mark.anyio
+
+ONE = listing(i_0="v1")
+
+
+def stored_history(fleet):
+    """Return the content of the stored histories."""
+    entries = fleet.platform.store.range(b"berylwalk/versions/", b"berylwalk/versions0")
+    return b"".join(each.value for each in entries)
+
+
+class SilentStore:
+    """A client of the store whose calls get no answer."""
+
+    era = 0
+
+    async def get(self, key):
+        """Get no answer."""
+        await sleep_forever()
+
+
+class TestUnconfirmedHistory:
+    """The store does not tell a router the history in time."""
+
+    async def test_router_that_may_be_cut_off_guesses_no_version(self, running):
+        """Others may have added versions."""
+        async with running(GOES_ON, routes=STREAM, prepare=ONE) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            fleet.router._version_history_store._store = SilentStore()
+            reply = await take_up(fleet, fleet.router)
+            assert reply.status == 503
+            assert resumed_at(fleet) == []
+
+    async def test_only_router_takes_streams_up_while_the_store_is_away(self, running):
+        """No version was added meanwhile."""
+        async with running(GOES_ON, routes=STREAM, prepare=ONE) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            fleet.platform.faults.key_value_down = True
+            health = fleet.router._store_health
+            await fleet.until(lambda: health.unreachable_since is not None)
+            reply = await take_up(fleet, fleet.router)
+            assert reply.status == 200
+
+    async def test_record_of_a_stream_goes_before_the_history(self, running):
+        """A version may have begun it before it was added."""
+        async with running(GOES_ON, routes=STREAM, prepare=ONE) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            key = b"berylwalk/streams/%016x" % stream_key("t", b"first")
+            fleet.platform.store.put(key, b"v2")
+            reply = await take_up(fleet, fleet.router)
+            assert reply.status == 503
+            assert resumed_at(fleet) == []
+
+
+class TestUnknownHistory:
+    """A router that has just started has not read the history."""
+
+    async def test_streams_begin_at_no_version_before_it_is_read(self, running, beside):
+        """It may lack the version."""
+        async with running(GOES_ON, GOES_ON, routes=STREAM, prepare=ONE) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            await stop_all_routers(fleet)
+            relist(fleet, fleet.unlisted[0], "v2")
+            async with beside({"name": "edge-2", "is_first_start": False}) as (second,):
+                fleet.platform.faults.delay_ms = 400.0
+                fleet.settings, fleet.router = second._context.settings, second
+                await fleet.until_ready()
+                second._context.targets.by_id["i-0"].fixed_s = 9.0
+                await fleet.call("/streaming/", request_id="first")
+            assert b"v2" not in stored_history(fleet)
+            assert not fleet.targets[1].received
+
+
+class TestVersionThatCameAndWent:
+    """A version is listed for a moment only."""
+
+    async def test_checks_are_rare_again(self, running, beside):
+        """It left before it was added."""
+        async with running(GOES_ON, GOES_ON, routes=STREAM, prepare=ONE) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            await stop_all_routers(fleet)
+            async with beside({"name": "edge-2", "is_first_start": False}) as (second,):
+                versions = second._context.targets.versions
+                await fleet.until(lambda: versions.stored("s") == {"v1"})
+                relist(fleet, fleet.unlisted[0], "v2")
+                await fleet.until(lambda: versions.missing("s"))
+                assert second._version_history_store._next_check_s() < 0.1
+                unlist(fleet, fleet.targets[1])
+                await fleet.until(lambda: not versions.missing("s"))
+                assert second._version_history_store._next_check_s() == 1.0
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -129,7 +129,7 @@
                 continue
             if not self._has_free_target(pending, urgency, now):
                 # Requests behind it that may use other versions can have free targets.
-                if may_use_any and not self._is_bound(pending):
+                if may_use_any and not self._is_bound(pending, now):
                     full_for.add(urgency)
                 continue
             target = self._choose(pending, now)
@@ -176,7 +176,7 @@
         service, rollouts = pending.service, self._rollouts
         targets = self._targets.of_service(service)
         if pending.is_resumable and pending.stream_version is None:
-            targets = self._of_stored_versions(service, targets)
+            targets = self._of_stored_versions(service, targets, now)
         if pending.stream_version is not None:
             return [
                 target
@@ -192,20 +192,24 @@
             if rollouts.allows(service, target.entry.version, pending.version_draw, now)
         ]
 
-    def _is_bound(self, pending: PendingRequest) -> bool:
+    def _is_bound(self, pending: PendingRequest, now: float) -> bool:
         """Return whether the request may use some of the versions only."""
-        versions = self._targets.versions
-        is_new = pending.is_resumable and bool(versions.missing(pending.service))
-        return pending.stream_version is not None or is_new
+        if pending.stream_version is not None or not pending.is_resumable:
+            return pending.stream_version is not None
+        versions, service = self._targets.versions, pending.service
+        return bool(versions.missing(service)) or versions.is_awaited(service, now)
 
     def _of_stored_versions(
-        self, service: str, targets: Sequence[Target]
+        self, service: str, targets: Sequence[Target], now: float
     ) -> Sequence[Target]:
         """Return the targets whose version is in the stored history.
 
         All are returned if none of those takes requests: then no stream of the stored
-        versions can go on, so that none can be joined.
+        versions can go on, so that none can be joined. While the history is about to be
+        read, none is returned.
         """
+        if self._targets.versions.is_awaited(service, now):
+            return ()
         missing = self._targets.versions.missing(service)
         if not missing:
             return targets
--- a/libs/dispatch/src/berylwalk/dispatch/_version_history.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_version_history.py
@@ -9,6 +9,9 @@
 
 UNKNOWN_VERSION = "?"
 """Stands in a history for versions that no router can name any more."""
+READING_TIME_S = 5.0
+"""How long no stream begins at a service whose history is not read yet, in seconds.
+After that the store is taken to be away from this router."""
 
 Versions = frozenset[str]
 
@@ -19,9 +22,16 @@
     A version gets no streams before it is in the stored history, and leaves it only
     when no caller can come back to a stream of it. So a history of one version tells
     the version of every stream that is not recorded.
+
+    Attributes
+    ----------
+    is_read : bool
+        Whether the histories are read from a store, so that it is worth waiting.
     """
 
     def __init__(self) -> None:
+        self.is_read = False
+        self._first_listed_at: dict[str, float] = {}
         self._stored_by_service: dict[str, Versions] = {}
         self._listed_by_service: dict[str, Versions] = {}
         self._missing_by_service: dict[str, Versions] = {}
@@ -44,6 +54,7 @@
         now : float
             Current time in seconds.
         """
+        self._first_listed_at.setdefault(service, now)
         listed = self._listed_by_service[service] = frozenset(versions)
         stored = self._stored_by_service.get(service, frozenset())
         for version in stored - listed:
@@ -65,6 +76,17 @@
         """Return the listed versions that a known history of the service lacks."""
         return self._missing_by_service.get(service, frozenset())
 
+    def is_awaited(self, service: str, now: float) -> bool:
+        """Return whether the history is about to be read."""
+        if not self.is_read or service in self._stored_by_service:
+            return False
+        return now - self._first_listed_at.get(service, now) < READING_TIME_S
+
+    def may_begin(self, service: str, version: str, now: float) -> bool:
+        """Return whether streams may begin at a version while others serve."""
+        is_missing = version in self.missing(service)
+        return not is_missing and not self.is_awaited(service, now)
+
     def is_mixed(self, service: str) -> bool:
         """Return whether streams of a service may begin at several versions."""
         stored = self._stored_by_service.get(service)
