--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, replace
 from random import random
 
+from xxhash import xxh64_intdigest
+
 from berylwalk.direct._context import RouterContext
 from berylwalk.dispatch import (
     Account,
@@ -260,7 +262,7 @@
     request: CallerRequest, parsed_headers: RequestHeaders, access: Allowed
 ) -> Admitted:
     route = access.route
-    service = route.service_for(random())
+    service = route.service_for(_draw(route, parsed_headers))
     limit_s = route.timeout_s
     if parsed_headers.time_limit_s is not None:
         left_s = parsed_headers.time_limit_s - request.read_delay_s
@@ -286,6 +288,17 @@
     )
 
 
+def _draw(route: Route, parsed_headers: RequestHeaders) -> float:
+    """Return the number in [0, 1) that selects the service of a request.
+
+    A stream that is taken up goes to the service at which it has begun.
+    """
+    if not route.resumable:
+        return random()
+    first = parsed_headers.resumes or parsed_headers.request_id
+    return (xxh64_intdigest(first) >> 11) / 2**53
+
+
 def _cost(account: Account | None, parsed_headers: RequestHeaders) -> float:
     if account is None:
         return 0.0
