Streams: answers that are no streams are not recorded

A buffered answer of a resumable route wrote a record each while a service had several versions, and stayed unfinished, so that a new version waited for it.

--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -161,7 +161,8 @@
         self._progress = progress
 
         def on_first_event() -> None:
-            self._record_stream(target)
+            if attempt.is_stream:
+                self._record_stream(target)
             taken_s = self._attempt_feedback.elapsed_s(sent_at)
             target.note_first_event(work, estimate, taken_s)
             progress.note_first_event(attempt, self._context.clock())
