--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -121,16 +121,17 @@
         self._targets.expire_reports(now)
         if not queue or not self._has_any_free_target(service, now):
             return
-        full_for: set[Urgency] = set()
+        full_for: set[tuple[Urgency, str | None, bool]] = set()
         may_use_any = not self._rollouts.restricts(service)
         for pending in queue.in_order(now, self._usage_of(service, now)):
             urgency = self._urgency(pending, now)
-            if urgency in full_for:
+            # Requests behind it that may use other versions can have free targets.
+            need = (urgency, pending.stream_version, pending.is_resumable)
+            if need in full_for:
                 continue
             if not self._has_free_target(pending, urgency, now):
-                # Requests behind it that may use other versions can have free targets.
-                if may_use_any and not self._is_bound(pending, now):
-                    full_for.add(urgency)
+                if may_use_any:
+                    full_for.add(need)
                 continue
             target = self._choose(pending, now)
             if target is None:
@@ -192,13 +193,6 @@
             if rollouts.allows(service, target.entry.version, pending.version_draw, now)
         ]
 
-    def _is_bound(self, pending: PendingRequest, now: float) -> bool:
-        """Return whether the request may use some of the versions only."""
-        if pending.stream_version is not None or not pending.is_resumable:
-            return pending.stream_version is not None
-        versions, service = self._targets.versions, pending.service
-        return bool(versions.missing(service)) or versions.is_awaited(service, now)
-
     def _of_stored_versions(
         self, service: str, targets: Sequence[Target], now: float
     ) -> Sequence[Target]:
