Streams: no wait for a record whose write is due too late

The pause between writes grows with the number of routers. Where it is longer than the wait, first events waited for 80 ms and passed without their record all the same.

--- a/libs/direct/src/berylwalk/direct/_stream_store.py
+++ b/libs/direct/src/berylwalk/direct/_stream_store.py
@@ -56,6 +56,7 @@
         self._waiting_by_key: dict[int, list[Callable[[], None]]] = {}
         self._writing_since: float | None = None
         self._is_slow = False
+        self._paused_until = float("-inf")
         context.streams.on_recorded = self.wake
         store.on_restored.add(self._on_restored)
 
@@ -73,8 +74,8 @@
                 begun_at = self._context.clock()
                 if await self._write(streams[:MAX_RECORDS_PER_WRITE]):
                     failures = 0
-                    taken_s = self._context.clock() - begun_at
-                    await sleep(max(0.0, self._write_interval_s() - taken_s))
+                    self._paused_until = begun_at + self._write_interval_s()
+                    await sleep(max(0.0, self._paused_until - self._context.clock()))
                 else:
                     failures += 1
                     await self._store_health.back_off(failures)
@@ -119,9 +120,10 @@
 
     def _is_prompt(self) -> bool:
         """Return whether the store is expected to acknowledge a record in time."""
-        since = self._writing_since
-        is_late = since is not None and self._context.clock() - since > RECORD_WAIT_S
-        return not self._is_slow and not is_late
+        now, since = self._context.clock(), self._writing_since
+        is_late = since is not None and now - since > RECORD_WAIT_S
+        is_due = self._paused_until - now < RECORD_WAIT_S
+        return is_due and not self._is_slow and not is_late
 
     def _give_up(self, key: int, callback: Callable[[], None]) -> None:
         waiting = self._waiting_by_key.get(key, [])
