--- a/libs/direct/src/berylwalk/direct/_version_history_store.py
+++ b/libs/direct/src/berylwalk/direct/_version_history_store.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection
+from math import inf
 
 from anyio import Event, move_on_after
 from msgspec import DecodeError, Struct, json
@@ -30,7 +31,7 @@
 may have shortened."""
 RETURN_TIME_S = 5.0
 """Time after its start for which a router leaves the streams to the stored versions, if
-they serve: within it come back the callers whose streams no record tells of."""
+they serve all: within it come back the callers whose streams no record tells of."""
 RECORDING_TIME_S = 0.5
 """How long a new version waits until the records of the unfinished streams are stored,
 in seconds."""
@@ -107,11 +108,13 @@
         """
         begun_at = self._context.clock()
         with move_on_after(CONFIRM_TIMEOUT_S):
-            under_way = self._reads_by_service.get(service)
-            if under_way is None:
-                return await self._read(service)
-            await under_way.wait()
-        return self._read_at_by_service.get(service, float("-inf")) >= begun_at
+            while under_way := self._reads_by_service.get(service):
+                # It ends without a result if its caller leaves.
+                await under_way.wait()
+                if self._read_at_by_service.get(service, -inf) >= begun_at:
+                    return True
+            return await self._read(service)
+        return False
 
     def _note_longest(self) -> None:
         """Keep records for as long as callers may come back to their streams."""
@@ -149,7 +152,9 @@
         if not context.targets.serves_version(service, stored):
             return True
         is_starting = now - self._started_at < RETURN_TIME_S
-        if is_starting and not context.settings.is_first_start:
+        # Requests that wait need the targets of the new version.
+        is_idle = context.dispatcher.queue_length(service) == 0
+        if is_starting and is_idle and not context.settings.is_first_start:
             return False
         return now - since >= RECORDING_TIME_S or not context.streams.has_unstored(
             service
--- a/libs/dispatch/src/berylwalk/dispatch/_version_history.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_version_history.py
@@ -70,7 +70,9 @@
     def only_version(self, service: str) -> str | None:
         """Return the only version at which streams can have begun; None if unknown."""
         stored = self._stored_by_service.get(service, frozenset())
-        return next(iter(stored)) if len(stored) == 1 else None
+        if len(stored) != 1 or UNKNOWN_VERSION in stored:
+            return None
+        return next(iter(stored))
 
     def missing(self, service: str) -> Versions:
         """Return the listed versions that a known history of the service lacks."""
