--- a/libs/direct/tests/test_direct_unknown_histories.py
+++ b/libs/direct/tests/test_direct_unknown_histories.py
@@ -1,10 +1,17 @@
 """Streams that begin or go on while a router does not know the stored history."""
 
 import pytest
-from anyio import sleep_forever
+from anyio import create_task_group, move_on_after, sleep, sleep_forever
 
 from berylwalk.dispatch import stream_key
-from test_direct_stream_versions import GOES_ON, STREAM, resumed_at
+from direct_fleet import CHUNKED, answers, chunk, event, head
+from test_direct_stream_versions import (
+    GOES_ON,
+    STREAM,
+    resumable,
+    resumed_at,
+    stored_streams,
+)
 from test_direct_versions_that_left import (
     listing,
     relist,
@@ -103,3 +110,105 @@
                 unlist(fleet, fleet.targets[1])
                 await fleet.until(lambda: not versions.missing("s"))
                 assert second._version_history_store._next_check_s() == 1.0
+
+
+class TestSharedRead:
+    """Callers that come back together share one read of the history."""
+
+    async def test_caller_that_leaves_does_not_fail_the_others(self, running):
+        """The first of them begins the read."""
+        async with running(GOES_ON, routes=STREAM, prepare=ONE) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            fleet.platform.faults.delay_ms = 200.0
+            confirm = fleet.router._version_history_store.confirm
+            results = []
+
+            async def wait():
+                await sleep(0.02)
+                results.append(await confirm("s"))
+
+            async with create_task_group() as tasks:
+                tasks.start_soon(wait)
+                with move_on_after(0.05):
+                    await confirm("s")
+        assert results == [True]
+
+
+class TestRecords:
+    """What needs a record."""
+
+    async def test_answer_that_is_no_stream_is_not_stored(self, running):
+        """No caller takes it up."""
+        both = listing(i_0="v1", i_1="v2")
+        scripts = (answers("{}"), answers("{}"))
+        async with running(*scripts, routes=STREAM, prepare=both) as fleet:
+            await fleet.call("/streaming/", request_id="first")
+            await sleep(0.3)
+            assert stored_streams(fleet) == []
+
+
+def slow_streams(pause_s):
+    """Return a script of streams of two events."""
+
+    async def script(request, writer):
+        writer.write(head(request, kind="text/event-stream", more=CHUNKED))
+        writer.write(chunk(event(1)))
+        await writer.drain()
+        await sleep(pause_s)
+        writer.write(chunk(event(2)) + b"0\r\n\r\n")
+
+    return script
+
+
+class TestFewTargetsOfTheStoredVersion:
+    """All routers start while one target of the stored version is left."""
+
+    async def test_requests_that_wait_get_targets_of_the_new_version(
+        self, running, beside
+    ):
+        """The router doesn't keep them from it for the time of returns."""
+        slow = slow_streams(0.5)
+        async with running(slow, slow, slow, routes=STREAM, prepare=ONE) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            await stop_all_routers(fleet)
+            relist(fleet, fleet.unlisted[0], "v2")
+            relist(fleet, fleet.unlisted[0], "v2")
+            async with beside({"name": "edge-2", "is_first_start": False}) as (second,):
+                fleet.settings, fleet.router = second._context.settings, second
+                await fleet.until_ready()
+
+                async with create_task_group() as tasks:
+                    for _ in range(40):
+                        tasks.start_soon(fleet.call, "/streaming/")
+                        await sleep(0.05)
+            assert all(each.received for each in fleet.targets)
+
+
+class TestSplitRoutes:
+    """A route is split between services."""
+
+    async def test_stream_is_taken_up_at_the_service_that_began_it(self, running):
+        """Another service has not begun it."""
+
+        def split(fleet):
+            resumable(fleet)
+            del fleet.routes[0]["service"]
+            fleet.routes[0]["split"] = [
+                {"service": "s", "weight": 1},
+                {"service": "other", "weight": 1},
+            ]
+            fleet.targets[1].service = "other"
+            fleet.put_target(fleet.targets[0], version="v1")
+            fleet.put_target(fleet.targets[1], version="v7")
+
+        async with running(GOES_ON, GOES_ON, routes=STREAM, prepare=split) as fleet:
+            versions = fleet.router._context.targets.versions
+            await fleet.until(lambda: versions.stored("s") and versions.stored("other"))
+            for number in range(20):
+                first = f"f{number}"
+                await fleet.call("/streaming/", request_id=first)
+                reply = await fleet.call(
+                    "/streaming/", Resumes=first, Last_Event_Id="5"
+                )
+                assert reply.status == 200
+            assert all(each.received for each in fleet.targets)
