--- a/libs/direct/tests/test_direct_quarantine_records.py
+++ b/libs/direct/tests/test_direct_quarantine_records.py
@@ -236,6 +236,7 @@
             await fleet.until(lambda: identity() in quarantine_of(fleet).blames)
             store = fleet.platform.store
             await fleet.until(lambda: store.get(b"berylwalk/routers/edge-1"))
+            await fleet.until(lambda: store.get(b"berylwalk/versions/s"))
             fleet.platform.faults.lose_answers = 1
             replies = [
                 await fleet.call("/idempotent/x", body=BODY, Deadline_Ms="9000")
