--- a/libs/direct/tests/test_direct_soak.py
+++ b/libs/direct/tests/test_direct_soak.py
@@ -623,4 +623,5 @@
             await soak.change_versions()
             joined = [each for each in soak.streams if len(each.versions) > 1]
             assert joined == []
+            assert sum(each.is_complete for each in soak.streams) > STEPS
             assert any(each.went_on and each.is_complete for each in soak.streams)
