--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -175,7 +175,8 @@
         time_limit_s : float or None
             Time limit that the target got, in seconds; None if it got no request.
         """
-        time_limit_ms = None if time_limit_s is None else _ms(time_limit_s)
+        # The target gets whole milliseconds, rounded down.
+        time_limit_ms = None if time_limit_s is None else int(time_limit_s * 1000)
         if self.first_event_at is None:
             self.first_event_at = attempt.first_event_at
         first_event_ms = None
