--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -54,6 +54,8 @@
         Called when the attempt ends.
     end : AttemptEnd or None
         How the attempt ended; None while it runs.
+    response_end : ResponseEnd or None
+        What ended the response of the target; None if it had not ended.
     target_unreachable : bool
         Whether the attempt was abandoned because the target is unreachable.
     target_ended : bool
@@ -102,6 +104,7 @@
         self.on_finished: Callable[[], None] | None = None
         self.end: AttemptEnd | None = None
         self.detail = ""
+        self.response_end: ResponseEnd | None = None
         self.target_unreachable = False
         self.target_ended = False
         self.is_paused = False
@@ -204,6 +207,7 @@
         """Handle the end of the response."""
         if self.end is not None:
             return
+        self.response_end = end
         # A target may end a response that remains unread, which shows once it is read.
         since_resumed_s = self._clock() - self._resumed_at
         self.ended_unread = self.is_paused or since_resumed_s <= UNREAD_END_S
--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -383,6 +383,9 @@
         if attempt.end is not None:
             self._attempts.note(attempt.end)
             context.metrics.attempts.labels(admitted.service, attempt.end).inc()
+        if attempt.response_end is not None:
+            ends = context.metrics.response_ends
+            ends.labels(admitted.service, attempt.response_end).inc()
         self._log.record_attempt(target, attempt, sent_at, self._time_limit_s)
         target.note_finished(
             admitted.parsed_headers.work,
--- a/libs/direct/src/berylwalk/direct/_metrics.py
+++ b/libs/direct/src/berylwalk/direct/_metrics.py
@@ -89,6 +89,12 @@
             ("service", "end"),
             registry=registry,
         )
+        self.response_ends = Counter(
+            "berylwalk_response_ends",
+            "Responses of targets by what ended them.",
+            ("service", "end"),
+            registry=registry,
+        )
         self.retry_decisions = Counter(
             "berylwalk_retry_decisions",
             "Decisions of the retry budget on one more target for a request.",
