Tests: wait for the socket of callers that is opened again, not for the end of its pause

test_connections_are_taken_again failed once beside load (connection refused): is_paused is false as soon as the router begins to open its socket, and the test called at that moment. The check itself is the same.

--- a/libs/direct/tests/test_direct_vm_capacity.py
+++ b/libs/direct/tests/test_direct_vm_capacity.py
@@ -185,7 +185,8 @@
                 await fleet.call("/idempotent/")
             assert fleet.router._callers.is_paused
             capacity.may_take = lambda now: True
-            await fleet.until(lambda: not fleet.router._callers.is_paused)
+            # It no longer counts as paused before its socket listens.
+            await fleet.until(lambda: fleet.router._callers._server is not None)
             assert (await fleet.call("/idempotent/")).status == 200
 
     async def test_router_that_stops_does_not_listen_again(self, running):
