A response that ends with its connection is whole only if its target has outlived that end

Cause: the kernel closes the connections of a process that ends like those of one that goes on (FIN). A response without a length or chunks has no other end, and the router then stated one of its own, with a last chunk or a length. The class: the absence of an error is taken for success.

Test: target processes of their own that get signals in the midst of responses.

Change: bytes and events pass at once, the end waits until the target has shown that its process goes on: a response of its state, sent after the end, or that it still accepts connections 0.1 s later. If not, the response counts as broken: it is sent again or goes on at another target where that is allowed, and looks incomplete elsewhere.

Ruled out: never completing such responses (whole ones of sound targets that run once would be lost); passing the framing on (callers would be deceived in the router's place).

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -4,10 +4,16 @@
 
 from anyio import Event as Signal
 
+from berylwalk.direct._end_proof import EndProof
 from berylwalk.direct._response_writer import ResponseWriter
 from berylwalk.dispatch import NO_SIGNALS, AttemptEnd, TargetSignals
 from berylwalk.forwarding import EventSplitter, Headers, ResponseEnd, header_value
-from berylwalk.platform import REQUEST_ID_HEADER, is_not_executed, parse_target_headers
+from berylwalk.platform import (
+    NO_EVENT,
+    REQUEST_ID_HEADER,
+    is_not_executed,
+    parse_target_headers,
+)
 
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 SPEED_REPORT_EVENTS = 8
@@ -49,13 +55,16 @@
     Attributes
     ----------
     done : Signal
-        Set when the attempt has ended.
+        Set when the attempt has ended, or awaits a proof of its end.
     on_finished : callable or None
-        Called when the attempt ends.
+        Called at the same time.
     end : AttemptEnd or None
         How the attempt ended; None while it runs.
     response_end : ResponseEnd or None
         What ended the response of the target; None if it had not ended.
+    end_proof : EndProof or None
+        Whether the target outlived an end of its connection that completes the
+        response; None if that was not asked.
     target_unreachable : bool
         Whether the attempt was abandoned because the target is unreachable.
     target_ended : bool
@@ -105,6 +114,7 @@
         self.end: AttemptEnd | None = None
         self.detail = ""
         self.response_end: ResponseEnd | None = None
+        self.end_proof: EndProof | None = None
         self.target_unreachable = False
         self.target_ended = False
         self.is_paused = False
@@ -123,6 +133,17 @@
         """Whether the response is forwarded event by event."""
         return self._splitter is not None
 
+    @property
+    def awaits_proof(self) -> bool:
+        """Whether all depends on whether the target has outlived the response."""
+        is_closed = self.response_end is ResponseEnd.AT_CLOSE
+        return self.end is None and is_closed
+
+    @property
+    def is_running(self) -> bool:
+        """Whether more of the response may arrive."""
+        return self.end is None and self.response_end is None
+
     @property
     def is_success(self) -> bool:
         """Whether the target responded with a 2xx status."""
@@ -215,9 +236,32 @@
         if end is ResponseEnd.AT_CLOSE and self._is_truncated():
             self.target_ended = not self.ended_unread
             self._finish(AttemptEnd.BROKEN, "closed before the end of the response")
+        elif end is ResponseEnd.AT_CLOSE and not self._is_refused:
+            self._signal_end()
         elif end not in (ResponseEnd.COMPLETE, ResponseEnd.AT_CLOSE):
             self._finish(AttemptEnd.BROKEN, f"{end}: {detail}")
-        elif self._splitter is not None:
+        else:
+            self._complete()
+
+    def note_proof(self, proof: EndProof) -> None:
+        """End an attempt that awaits the proof of its end.
+
+        Parameters
+        ----------
+        proof : EndProof
+            Whether the target has outlived the end of the connection.
+        """
+        if self.end is not None:
+            return
+        self.end_proof = proof
+        if proof is EndProof.OUTLIVED and not self.ended_unread:
+            self._complete()
+            return
+        self.target_ended = proof is EndProof.ENDED and not self.ended_unread
+        self._finish(AttemptEnd.BROKEN, f"closed without a length, target {proof}")
+
+    def _complete(self) -> None:
+        if self._splitter is not None:
             if self._splitter.has_partial_event:
                 self._finish(AttemptEnd.BROKEN, "stream ends with a partial event")
             else:
@@ -227,13 +271,20 @@
         else:
             self._finish(*self._classify_answer())
 
+    @property
+    def _is_refused(self) -> bool:
+        """Whether the head says that the request was not executed."""
+        return self._splitter is None and is_not_executed(self.status, self.headers)
+
     def _is_truncated(self) -> bool:
         """Return whether a response that ended with its connection is incomplete.
 
-        A success without a single byte can't be told from a crash after the head.
+        Only a stream that is continued may have no event left.
         """
         if self._splitter is not None:
-            return self.events == 0 or self._splitter.has_partial_event
+            is_begun = self._response_writer.last_event_id > NO_EVENT
+            is_empty = self.events == 0 and not is_begun
+            return is_empty or self._splitter.has_partial_event
         return self.is_success and self._body_bytes == 0
 
     def record_buffered_answer(self) -> None:
@@ -278,6 +329,9 @@
         if self.end is None:
             self.end = end
             self.detail = detail
-            self.done.set()
-            if self.on_finished is not None:
-                self.on_finished()
+            self._signal_end()
+
+    def _signal_end(self) -> None:
+        self.done.set()
+        if self.on_finished is not None:
+            self.on_finished()
--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -13,6 +13,7 @@
 )
 from berylwalk.direct._attempt_progress import AttemptProgress, GiveUpReason
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._end_proof import prove_end
 from berylwalk.direct._exchange_log import ExchangeLog
 from berylwalk.direct._flow_control import apply_signals
 from berylwalk.direct._response_writer import ResponseWriter
@@ -274,7 +275,10 @@
         while attempt.end is None:
             self._context.note_suspension()
             now = clock()
-            if now >= deadline:
+            if attempt.awaits_proof:
+                proof = await prove_end(self._context, target, deadline - now)
+                attempt.note_proof(proof)
+            elif now >= deadline:
                 attempt.abandon(AttemptEnd.SILENT, "timeout")
             elif reason := await self._reason_to_hand_over(target, attempt, now):
                 attempt.abandon(
@@ -326,7 +330,7 @@
 
         def is_needed() -> bool:
             now = self._context.clock()
-            is_running = attempt.end is None and now < self._admitted.deadline
+            is_running = attempt.is_running and now < self._admitted.deadline
             return is_running and bool(self._give_up_reason(target, attempt, now))
 
         found: Takeover | KeptReason = KeptReason.NOT_CONNECTED
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -188,6 +188,7 @@
                 "end": attempt.end or "caller-left",
                 "detail": attempt.detail,
                 "response_end": attempt.response_end,
+                **({"end_proof": attempt.end_proof} if attempt.end_proof else {}),
                 "sent_ms": _ms(sent_at - self.arrived_at),
                 "time_limit_ms": time_limit_ms,
                 "first_event_ms": first_event_ms,
--- a/libs/direct/tests/direct_fleet.py
+++ b/libs/direct/tests/direct_fleet.py
@@ -17,6 +17,7 @@
 KEY = "k1"
 EVENTS = "text/event-stream"
 CHUNKED = "Transfer-Encoding: chunked\r\n"
+STATE_PATH = "/report"
 
 
 @dataclass
@@ -34,13 +35,15 @@
 class ScriptedTarget:
     """A target that handles each request by a script.
 
-    A script is a coroutine function of the request and the writer.
+    A script is a coroutine function of the request and the writer, as is the one that
+    handles requests for the target's state.
     """
 
     target_id: str
     port: int
     script: object
     service: str = "s"
+    state_script: object = None
     received: list = field(default_factory=list)
     open_requests: int = 0
     writers: set = field(default_factory=set)
@@ -78,6 +81,9 @@
                 headers = dict(line.lower().split(": ", 1) for line in lines)
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
                 request = Received(method, path, headers, body, reader.at_eof)
+                if path == STATE_PATH:
+                    await (self.state_script or tells_state)(request, writer)
+                    continue
                 self.received.append(request)
                 self.open_requests += 1
                 try:
@@ -92,6 +98,11 @@
             writer.close()
 
 
+async def tells_state(request, writer):
+    """Respond with the state of a target."""
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+
 def head(request, *, status="200 OK", length=None, kind="application/json", more=""):
     """Return the head of a target's response."""
     lines = [
@@ -184,11 +195,17 @@
 async def readiness(fleet):
     """Return the status of a readiness check."""
     address = fleet.settings.readiness_address
-    reader, writer = await open_connection(address.host, address.port)
-    writer.write(b"GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n")
-    reply = await read_reply(reader)
-    writer.close()
-    return reply.status
+    return (await get(address.host, address.port, "/readyz")).status
+
+
+async def get(host, port, path):
+    """Return the response to a request of an operator."""
+    reader, writer = await open_connection(host, port)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: r\r\n\r\n".encode())
+    try:
+        return await read_reply(reader)
+    finally:
+        writer.close()
 
 
 class Fleet:
--- a/libs/direct/tests/direct_processes.py
+++ b/libs/direct/tests/direct_processes.py
@@ -15,15 +15,18 @@
         self.processes = [self._start(path) for path in settings_files]
 
     @classmethod
-    def from_settings(cls, settings, folder):
-        """Write the settings files to a folder and start a process for each."""
+    def from_settings(cls, settings, folder, **fields):
+        """Write the settings files to a folder and start a process for each.
+
+        ``fields`` are added to those of the settings files.
+        """
         # Routers find each other through the store; the metrics port follows the peer
         # port.
         files = []
         for number, each in enumerate(settings):
             ports = [22_000 + 10 * number, 22_001 + 10 * number]
             path = folder / f"{each.name}.json"
-            path.write_text(dumps(settings_document(each, ports)))
+            path.write_text(dumps(settings_document(each, ports) | fields))
             files.append(str(path))
         return cls(files)
 
