A stream to a caller of HTTP/1.0 is reset when its router ends in its midst

Callers of HTTP/1.0 got 200 and a part of a stream that looked whole when the router process was killed, and when they shut down their sending side while they read.

Cause: such a caller gets no chunks, so the end of the connection is the end of its stream. The router resets the connection where it ends the stream itself; the kernel ends the connections of a killed process in order. Three more ways led to the same: Listener.abort at the end of the process with bytes still buffered, the caller's half close (eof_received closes the transport), and an abort by the event loop.

Change: SO_LINGER with 0 s from the head of the stream, which the kernel honours at any close, also that of an exiting process; taken back once the stream has ended and the write buffer is empty. The buffer's limits are set to 0 for it, and not changed after the last response, so that the event loop reports when it is empty, before it shuts down or closes the socket. Slow readers get their whole stream: with the option still set, a close would drop what the kernel holds.

Failed before: test_stream_without_chunks_that_is_under_way (real process, SIGKILL) and, on both event loops, the exit under way, the half close (two), and the exit before all is sent. Each of three planted defects fails tests: no look at the empty buffer, the limits not set to 0, the limits changed after the end. Ruled out: plain responses state a length, also to HTTP/1.0.

--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -42,7 +42,9 @@
 CONTINUE = b"100-continue"
 """Expectation of a caller that waits before it sends the body of its request."""
 RESET_ON_CLOSE = pack("ii", 1, 0)
-"""Socket option by which closing resets the connection."""
+"""Socket option by which closing resets the connection, also at the process's exit."""
+END_ON_CLOSE = pack("ii", 0, 0)
+"""Socket option by which closing sends what is buffered, and then the end."""
 
 
 class CallerConnection(Protocol):
@@ -111,6 +113,7 @@
         self._buffers = buffers
         self._body_bytes = 0
         self._is_unframed = False
+        self._resets_on_close = False
         self._parser = httptools.HttpRequestParser(self)
         self._transport: Transport | None = None
         self._partial: PartialRequest | None = None
@@ -262,6 +265,8 @@
     def resume_writing(self) -> None:
         """Report that the write buffer has drained."""
         self._writable = True
+        if self._is_ended:
+            self._end_in_order()
         if self.on_writable is not None:
             self.on_writable(True)
 
@@ -365,8 +370,11 @@
         return 0 if transport is None else transport.get_write_buffer_size()
 
     def bound_unsent(self, max_bytes: int) -> None:
-        """Set the size of the write buffer from which it is not writable."""
-        if self._transport is not None:
+        """Set the size of the write buffer from which it is not writable.
+
+        After the last response the buffer only drains, and its size is watched.
+        """
+        if self._transport is not None and not self._is_ended:
             self._transport.set_write_buffer_limits(high=max_bytes)
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
@@ -418,12 +426,19 @@
         self._finish(keep_open)
 
     def start_stream(self, status: int, headers: Headers) -> None:
-        """Start a response of unknown length."""
+        """Start a response of unknown length.
+
+        Where only the end of the connection tells its end, the connection is reset if
+        it is closed before, also by the exit of the process.
+        """
         if not self.is_open:
             return
         framing = []
         self._is_unframed = self._active.http_1_0
-        if not self._is_unframed:
+        if self._is_unframed:
+            self._resets_on_close = True
+            _set_linger(self._transport, RESET_ON_CLOSE)
+        else:
             framing.append((b"Transfer-Encoding", b"chunked"))
         self._closes_after_stream = self._is_unframed or not self._keeps_alive()
         if self._closes_after_stream:
@@ -513,6 +528,7 @@
             return
         self._is_ended = True
         self._forget_input()
+        self._await_flush()
         try:
             transport.write_eof()
         except OSError:
@@ -527,6 +543,22 @@
         self._has_read_on()
         self._await_end()
 
+    def _await_flush(self) -> None:
+        """Let the connection end in order once its whole response is flushed."""
+        if not self._resets_on_close:
+            return
+        if self.unsent_bytes == 0:
+            self._end_in_order()
+        else:
+            # Writing is paused until the buffer is empty.
+            self._transport.set_write_buffer_limits(high=0)
+
+    def _end_in_order(self) -> None:
+        """Have closing send the end of the connection: the response is whole."""
+        if self._resets_on_close and self._transport is not None:
+            self._resets_on_close = False
+            _set_linger(self._transport, END_ON_CLOSE)
+
     def _forget_input(self) -> None:
         """Release what was read of requests that are not served."""
         self._partial = None
@@ -687,7 +719,12 @@
 
 def _reset(transport: Transport) -> None:
     """Close a connection so that its peer sees a reset instead of an end."""
+    _set_linger(transport, RESET_ON_CLOSE)
+    transport.abort()
+
+
+def _set_linger(transport: Transport, option: bytes) -> None:
+    """Set what closing the socket of a transport does."""
     connection = transport.get_extra_info("socket")
     if connection is not None:
-        connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
-    transport.abort()
+        connection.setsockopt(SOL_SOCKET, SO_LINGER, option)
