A continuation within one response that leaves out events counts as broken

A resumable stream whose target broke off after events 1 and 2, and whose second target began at event 6, reached its caller as 1, 2, 6, ..., ended as whole: three events were missing.

Cause: only ids at or below the last one were looked at (dropped); nothing checked that ids go on.

Change: EventOrder decides, apart from input and output, which events are passed on. Ids increase, not necessarily by one, as the protocol says; so where the ids of this response went on by one (the first event counts if it is 0 or 1, or follows the caller's Last-Event-Id), each event of a continuation has to as well. Otherwise the attempt is broken before the event is passed on, and the request goes to another target, asked for the same event, or is cut. A target that begins again at its first event is tolerated as before: what the caller has is dropped.

Decided besides: the first target of a stream that a caller itself takes up isn't checked, since this response knows nothing of the steps. A data event without a number as its id breaks a continuation if it may be one that the caller has: the last event passed on before had no number, or the target repeats events and has sent no new one; a whole stream of such events used to be sent twice. Elsewhere it passes, as does each comment. Ids that go back within one target's events are dropped as before, now counted in the attempt's log entry (misplaced_events, beside repeated_events).

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -4,6 +4,7 @@
 
 from anyio import Event as Signal
 
+from berylwalk.direct._event_order import EventOrderError
 from berylwalk.direct._response_writer import ResponseWriter
 from berylwalk.dispatch import NO_SIGNALS, AttemptEnd, TargetSignals
 from berylwalk.forwarding import EventSplitter, Headers, ResponseEnd, header_value
@@ -67,6 +68,8 @@
     kept_reason : str
         Why the attempt was last kept although another target should have taken over;
         empty if none should.
+    repeated_events, misplaced_events : int
+        Events that were not passed on; see `EventOrder`.
     """
 
     def __init__(
@@ -111,6 +114,8 @@
         self._resumed_at = float("-inf")
         self._heard_at = float("-inf")
         self.events = 0
+        self.repeated_events = 0
+        self.misplaced_events = 0
         self.longest_pause_s = 0.0
         self.first_event_at: float | None = None
         self.last_event_at: float | None = None
@@ -159,6 +164,7 @@
                 self._finish(AttemptEnd.BROKEN, "response does not echo the request id")
                 return
             self._splitter = EventSplitter()
+            self._response_writer.begin_stream()
 
     def on_data(self, data: bytes) -> None:
         """Handle a chunk of the body."""
@@ -191,7 +197,12 @@
         self.events += len(events)
         if self.events - self._events_reported >= SPEED_REPORT_EVENTS:
             self._report_output(now)
-        self._response_writer.write_events(self.status, self.headers, events)
+        try:
+            self._response_writer.write_events(self.status, self.headers, events)
+        except EventOrderError as error:
+            self._finish(AttemptEnd.BROKEN, str(error))
+        self.repeated_events = self._response_writer.event_order.repeated_events
+        self.misplaced_events = self._response_writer.event_order.misplaced_events
 
     def _report_output(self, now: float) -> None:
         events = self.events - self._events_reported
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -192,6 +192,7 @@
                 "longest_pause_ms": _ms(attempt.longest_pause_s),
                 "events": attempt.events,
                 "took_ms": _ms(self.context.clock() - sent_at),
+                **_dropped_events(attempt),
                 **({"caller_unread": True} if attempt.was_paused else {}),
                 **({"kept": attempt.kept_reason} if attempt.kept_reason else {}),
                 **_signal_fields(attempt.signals),
@@ -463,6 +464,15 @@
     }
 
 
+def _dropped_events(attempt: Attempt) -> dict[str, int]:
+    """Return how many events were not passed on, for the log; only counts above 0."""
+    counts = {
+        "repeated_events": attempt.repeated_events,
+        "misplaced_events": attempt.misplaced_events,
+    }
+    return {name: count for name, count in counts.items() if count}
+
+
 def _signal_fields(signals: TargetSignals) -> dict[str, object]:
     """Return the fields about a target's signals; empty for most responses."""
     if signals.is_empty:
--- a/libs/direct/src/berylwalk/direct/_response_writer.py
+++ b/libs/direct/src/berylwalk/direct/_response_writer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from berylwalk.direct._event_order import EventOrder
 from berylwalk.forwarding import (
     CallerConnection,
     Event,
@@ -25,13 +26,13 @@
     ----------
     started : bool
         Whether the response head has been sent.
-    last_event_id : int
-        Id of the last event that the caller has.
+    event_order : EventOrder
+        Decides which events are sent.
     """
 
     def __init__(self, connection: CallerConnection, *, last_event_id: int) -> None:
         self._connection = connection
-        self.last_event_id = last_event_id
+        self.event_order = EventOrder(last_event_id)
         self.started = False
         self.events = 0
         self._is_held = False
@@ -43,6 +44,15 @@
         """Whether the caller's receive buffer has room."""
         return self._connection.is_writable
 
+    @property
+    def last_event_id(self) -> int:
+        """Id of the last event that the caller has."""
+        return self.event_order.last_event_id
+
+    def begin_stream(self) -> None:
+        """Begin the events of another target."""
+        self.event_order.begin_attempt(is_continuation=self.started)
+
     def set_on_writable(self, callback: Callable[[bool], None] | None) -> None:
         """Set the callback for changes of `is_writable`; None removes it."""
         self._connection.on_writable = callback
@@ -51,16 +61,22 @@
         """Send the events that the caller does not have yet.
 
         The response head is that of the first attempt that yields an event.
+
+        Raises
+        ------
+        EventOrderError
+            If an event does not follow those before; they are sent.
         """
         data = []
-        for event in events:
-            if event.event_id is not None:
-                if event.event_id <= self.last_event_id:
-                    continue
-                self.last_event_id = event.event_id
-            data.append(event.data)
-        if not data:
-            return
+        try:
+            for event in events:
+                if self.event_order.is_next(event):
+                    data.append(event.data)
+        finally:
+            if data:
+                self._write(status, headers, data)
+
+    def _write(self, status: int, headers: Headers, data: list[bytes]) -> None:
         if not self.started:
             self.started = True
             self._start_stream(status, headers)
--- a/libs/forwarding/src/berylwalk/forwarding/_events.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_events.py
@@ -25,6 +25,11 @@
     event_id: int | None
     data: bytes
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it has a ``data`` field; without one it is only a comment."""
+        return self.data.startswith(b"data") or b"\ndata" in self.data
+
 
 class EventSplitter:
     """Splits the body of an event stream into complete events.
