Forwarding: reading of requests and the close of sockets in modules of their own

RequestReader (_request_reader.py) parses the requests of one connection; _close_behavior.py holds what closing a socket sends. The connection keeps the order of requests, responses and the end. Two tests patch the moved function under its new name. Tests of forwarding, lingering, slow readers and killed routers pass.

--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -4,12 +4,8 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from socket import SO_LINGER, SOL_SOCKET
-from struct import pack
 from typing import Any
 
-import httptools
-
 from berylwalk.forwarding._caller_buffers import CallerBuffers
 from berylwalk.forwarding._caller_requests import (
     CallerRequest,
@@ -18,18 +14,21 @@
     PartialRequest,
     RestOfConnectionError,
 )
+from berylwalk.forwarding._close_behavior import (
+    end_on_close,
+    reset,
+    reset_on_close,
+)
 from berylwalk.forwarding._heads import (
     BODILESS_STATUSES,
     Headers,
-    header_value,
-    is_encoded,
-    request_head,
     response_head,
 )
 from berylwalk.forwarding._lingering_connections import (
     LINGER_S,
     LingeringConnections,
 )
+from berylwalk.forwarding._request_reader import RequestReader
 
 MAX_PIPELINED_REQUESTS = 4
 """Number of pipelined requests from which reading is paused."""
@@ -37,14 +36,6 @@
 """Time without progress after which a closing connection is aborted, in seconds."""
 RETRY_AFTER_S = 1
 """``Retry-After`` of a request that is refused before its end, in seconds."""
-OFFERS = frozenset({b"upgrade", b"http2-settings"})
-"""Headers that offer to go on in another protocol."""
-CONTINUE = b"100-continue"
-"""Expectation of a caller that waits before it sends the body of its request."""
-RESET_ON_CLOSE = pack("ii", 1, 0)
-"""Socket option by which closing resets the connection, also at the process's exit."""
-END_ON_CLOSE = pack("ii", 0, 0)
-"""Socket option by which closing sends what is buffered, and then the end."""
 
 
 class CallerConnection(Protocol):
@@ -102,7 +93,7 @@
         self._lingering = LingeringConnections() if lingering is None else lingering
         self._ready_since = ready_since or (lambda passes_ago: clock())
         # The event loop accepts a socket in the pass before.
-        self._accepted_at = self._input_since = self._ready_since(1)
+        self._accepted_at = self._ready_since(1)
         self._watched_from = clock()
         self._serve = serve
         self._on_disconnect = on_disconnect
@@ -111,18 +102,18 @@
         self._registry = registry
         self._call_later = call_later
         self._buffers = buffers
-        self._body_bytes = 0
         self._is_unframed = False
         self._resets_on_close = False
-        self._parser = httptools.HttpRequestParser(self)
         self._transport: Transport | None = None
-        self._partial: PartialRequest | None = None
-        self._head_bytes = 0
         self._queue: deque[CallerRequest] = deque()
+        self._reader = RequestReader(
+            limits=limits,
+            clock=clock,
+            bodies=None if buffers is None else buffers.bodies,
+            on_request=self._queue.append,
+        )
         self._active: CallerRequest | None = None
         self._error_status: int | None = None
-        self._has_offer = False
-        self._is_last_read = False
         self._is_ended = False
         self._discarded_bytes = 0
         self._reading_paused = False
@@ -141,7 +132,7 @@
     def connection_made(self, transport: Transport) -> None:  # type: ignore[override]
         """Store the transport and register the connection, unless it is not taken."""
         if not self._accepts():
-            _reset(transport)
+            reset(transport)
             return
         self._transport = transport
         self._watched_from = self._clock()
@@ -153,31 +144,27 @@
         """Parse received data and start to serve the next request."""
         if self._buffers is not None:
             self._buffers.traffic.note_received(len(data))
-        if self._is_ended or self._is_last_read or self._error_status is not None:
+        if not self._reads_requests:
             self._discard_input(len(data))
             return
-        self._input_since = self._earliest_arrival()
-        if self._partial is None or not self._partial.head_done:
-            self._head_bytes += len(data)
         try:
-            self._parse(data)
-            self._check_head_size()
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if self._is_last_read:
-                self._serve_next()
-                return
-            known = isinstance(cause, InvalidRequestError)
-            self._error_status = cause.status if known else 400
+            self._reader.feed(data, self._earliest_arrival())
+        except RestOfConnectionError:
+            self._serve_next()
+            return
         except InvalidRequestError as error:
             self._error_status = error.status
-        except httptools.HttpParserError:
-            self._error_status = 400
         self._serve_next()
         if len(self._queue) >= MAX_PIPELINED_REQUESTS and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
 
+    @property
+    def _reads_requests(self) -> bool:
+        """Whether what is received may be part of a request that is served."""
+        is_over = self._is_ended or self._reader.is_last_read
+        return not is_over and self._error_status is None
+
     def _earliest_arrival(self) -> float:
         """Return the earliest time at which the input read now can have arrived.
 
@@ -187,30 +174,6 @@
         since = self._ready_since(0)
         return since if since > self._watched_from else self._accepted_at
 
-    def _parse(self, data: bytes) -> None:
-        """Parse data; an offer to upgrade the connection is ignored.
-
-        The parser drops the body of a request that makes such an offer, so the request
-        is parsed again without it. It is the last one on its connection: what follows
-        may be in the other protocol.
-        """
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            partial, self._partial = self._partial, None
-            if partial is None or self._parser.get_method() == b"CONNECT":
-                self._error_status = 400
-                return
-            head = request_head(
-                self._parser.get_method(),
-                bytes(partial.target),
-                [each for each in partial.headers if each[0].lower() not in OFFERS],
-                version=self._parser.get_http_version().encode(),
-            )
-            self._parser = httptools.HttpRequestParser(self)
-            self._has_offer = True
-            self._parse(head + data[error.args[0] :])
-
     def _discard_input(self, size: int) -> None:
         """Count received bytes that no request is read from, up to a bound.
 
@@ -242,7 +205,7 @@
         self._lingering.remove(self)
         if self._buffers is not None and self._transport is not None:
             self._buffers.forget(self)
-            self._release_body(self._body_bytes)
+            self._reader.release_all()
         transport, self._transport = self._transport, None
         if transport is not None:
             self._report_disconnect()
@@ -270,78 +233,6 @@
         if self.on_writable is not None:
             self.on_writable(True)
 
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Start a new request."""
-        if self._is_last_read:
-            raise RestOfConnectionError
-        self._partial = PartialRequest(self._clock(), self._input_since)
-
-    def on_url(self, url: bytes) -> None:
-        """Add a part of the request target."""
-        self._partial.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers are dropped."""
-        if not self._partial.head_done:
-            self._partial.headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Validate the head of the request."""
-        partial = self._partial
-        partial.head_done = True
-        hosts = [1 for name, _ in partial.headers if name.lower() == b"host"]
-        if len(hosts) != 1 or not partial.target.startswith(b"/"):
-            raise InvalidRequestError(400)
-        self._check_head_size()
-        self._head_bytes = 0
-        length = header_value(partial.headers, b"content-length")
-        if length is not None and int(length) > self._limits().max_body_bytes:
-            raise InvalidRequestError(413)
-        expected = header_value(partial.headers, b"expect") or b""
-        is_old = self._parser.get_http_version() == "1.0"
-        partial.awaits_continue = expected.lower() == CONTINUE and not is_old
-
-    def on_body(self, data: bytes) -> None:
-        """Add a part of the body."""
-        partial = self._partial
-        partial.body_bytes += len(data)
-        if partial.body_bytes > self._limits().max_body_bytes:
-            raise InvalidRequestError(413)
-        if self._buffers is not None:
-            if not self._buffers.bodies.take(len(data)):
-                raise InvalidRequestError(503)
-            self._body_bytes += len(data)
-        partial.body.append(data)
-        partial.body_hash.add(data)
-
-    def on_message_complete(self) -> None:
-        """Queue the complete request."""
-        if self._parser.should_upgrade():
-            # The parser has skipped its body.
-            return
-        self._is_last_read = self._has_offer
-        partial, self._partial = self._partial, None
-        self._head_bytes = 0
-        is_old = self._parser.get_http_version() == "1.0"
-        is_ambiguous = is_old and is_encoded(partial.headers)
-        is_last = self._has_offer or is_ambiguous
-        now = self._clock()
-        self._queue.append(
-            CallerRequest(
-                method=self._parser.get_method(),
-                target=bytes(partial.target),
-                headers=partial.headers,
-                body=b"".join(partial.body),
-                body_digest=partial.body_hash.digest(),
-                arrived_at=now,
-                keep_alive=self._parser.should_keep_alive() and not is_last,
-                http_1_0=is_old,
-                read_delay_s=max(0.0, now - partial.ready_since),
-            )
-        )
-
     # Responses.
 
     @property
@@ -355,7 +246,9 @@
     def is_busy(self) -> bool:
         """Whether a request is being read, queued or answered."""
         return (
-            self._active is not None or self._partial is not None or bool(self._queue)
+            self._active is not None
+            or self._reader.partial is not None
+            or bool(self._queue)
         )
 
     @property
@@ -437,7 +330,7 @@
         self._is_unframed = self._active.http_1_0
         if self._is_unframed:
             self._resets_on_close = True
-            _set_linger(self._transport, RESET_ON_CLOSE)
+            reset_on_close(self._transport)
         else:
             framing.append((b"Transfer-Encoding", b"chunked"))
         self._closes_after_stream = self._is_unframed or not self._keeps_alive()
@@ -500,7 +393,7 @@
         """
         self._active = None
         if self._is_unframed and self._transport is not None:
-            _reset(self._transport)
+            reset(self._transport)
         else:
             self.abort()
 
@@ -524,7 +417,7 @@
             return
         transport, active = self._transport, self._active
         if self._streaming and active is not None and active.http_1_0:
-            _reset(transport)
+            reset(transport)
             return
         self._is_ended = True
         self._forget_input()
@@ -557,13 +450,12 @@
         """Have closing send the end of the connection: the response is whole."""
         if self._resets_on_close and self._transport is not None:
             self._resets_on_close = False
-            _set_linger(self._transport, END_ON_CLOSE)
+            end_on_close(self._transport)
 
     def _forget_input(self) -> None:
         """Release what was read of requests that are not served."""
-        self._partial = None
         self._queue.clear()
-        self._release_body(self._body_bytes)
+        self._reader.forget()
 
     def _await_end(self) -> None:
         """Wait until the caller has closed the connection, within bounds."""
@@ -620,8 +512,8 @@
         limits = self._limits()
         if self._active is not None or not self.is_open:
             return False
-        if self._partial is not None:
-            if now - self._partial.started_at > limits.header_timeout_s:
+        if self._reader.partial is not None:
+            if now - self._reader.partial.started_at > limits.header_timeout_s:
                 self._error_status = 408
                 self._serve_next()
             return False
@@ -637,7 +529,7 @@
 
         That response says that the connection is closed, if `closing` is set.
         """
-        self._release_body(sum(len(request.body) for request in self._queue))
+        self._reader.release(sum(len(request.body) for request in self._queue))
         self._queue.clear()
 
     def refuse_partial(self) -> None:
@@ -645,7 +537,7 @@
 
         Its response says when to return.
         """
-        if self._partial is not None and self._error_status is None:
+        if self._reader.partial is not None and self._error_status is None:
             self._error_status = HTTPStatus.SERVICE_UNAVAILABLE.value
             self._serve_next()
 
@@ -654,11 +546,6 @@
         if self._buffers is not None:
             self._buffers.note_written(self, len(data))
 
-    def _release_body(self, size: int) -> None:
-        if self._buffers is not None:
-            self._buffers.bodies.release(size)
-            self._body_bytes -= size
-
     def _keeps_alive(self) -> bool:
         """Return whether to keep the connection for more than what was read ahead."""
         is_closing = self.closing and not self._queue
@@ -666,7 +553,7 @@
 
     def _finish(self, keep_open: bool) -> None:
         if self._active is not None:
-            self._release_body(len(self._active.body))
+            self._reader.release(len(self._active.body))
         self._active = None
         self.served += 1
         self._idle_since = self._clock()
@@ -688,7 +575,7 @@
         if self._error_status is not None:
             self._reject(self._error_status)
             return
-        partial = self._partial
+        partial = self._reader.partial
         if partial is not None and partial.awaits_continue:
             self._continue(partial)
 
@@ -705,26 +592,3 @@
             headers.append((b"Retry-After", b"%d" % RETRY_AFTER_S))
         self._transport.write(response_head(status, headers))
         self._end_connection()
-
-    def _check_head_size(self) -> None:
-        partial = self._partial
-        if partial is not None and partial.head_done:
-            sizes = (len(name) + len(value) + 4 for name, value in partial.headers)
-            size = len(partial.target) + sum(sizes)
-        else:
-            size = self._head_bytes if partial is not None else 0
-        if size > self._limits().max_header_bytes:
-            raise InvalidRequestError(431)
-
-
-def _reset(transport: Transport) -> None:
-    """Close a connection so that its peer sees a reset instead of an end."""
-    _set_linger(transport, RESET_ON_CLOSE)
-    transport.abort()
-
-
-def _set_linger(transport: Transport, option: bytes) -> None:
-    """Set what closing the socket of a transport does."""
-    connection = transport.get_extra_info("socket")
-    if connection is not None:
-        connection.setsockopt(SOL_SOCKET, SO_LINGER, option)
--- a/libs/forwarding/tests/test_forwarding_buffers.py
+++ b/libs/forwarding/tests/test_forwarding_buffers.py
@@ -211,7 +211,7 @@
         """A caller that speaks HTTP/1.0 takes the end of its connection for the end."""
         resets = []
         monkeypatch.setattr(
-            "berylwalk.forwarding._caller_connection._reset", resets.append
+            "berylwalk.forwarding._caller_connection.reset", resets.append
         )
         connection = Callers().request(version=b"1.0")
         connection.start_stream(200, [])
--- a/libs/forwarding/tests/test_forwarding_connections.py
+++ b/libs/forwarding/tests/test_forwarding_connections.py
@@ -471,7 +471,7 @@
     ):
         resets = []
         monkeypatch.setattr(
-            "berylwalk.forwarding._caller_connection._reset", resets.append
+            "berylwalk.forwarding._caller_connection.reset", resets.append
         )
         caller = Caller()
         caller.send(b"POST /r/x HTTP/1.0\r\nHost: h\r\n\r\n")
