Forwarding: the steps that end a caller's connection in a module of their own

LingeringConnections holds the endings instead of the connections. Tests of forwarding and of the callers' side of the direct router pass; two of them reach stop_lingering by its new place.

--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -8,6 +8,7 @@
     CallerBuffers,
     CallerConnection,
     CallerRequest,
+    ConnectionEnding,
     ConnectionLimits,
     LingeringConnections,
 )
@@ -69,7 +70,7 @@
         buffers: CallerBuffers | None = None,
         takes_connection: Callable[[], bool] = lambda: True,
         ready_since: Callable[[int], float] | None = None,
-        lingering: LingeringConnections[CallerConnection] | None = None,
+        lingering: LingeringConnections[ConnectionEnding] | None = None,
     ) -> None:
         self._ready_since = ready_since
         self._loop = loop
--- a/libs/forwarding/src/berylwalk/forwarding/__init__.py
+++ b/libs/forwarding/src/berylwalk/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from berylwalk.forwarding._caller_buffers import CallerBuffers
 from berylwalk.forwarding._caller_connection import CallerConnection
 from berylwalk.forwarding._caller_requests import CallerRequest, ConnectionLimits
+from berylwalk.forwarding._connection_ending import ConnectionEnding
 from berylwalk.forwarding._events import Event, EventSplitter
 from berylwalk.forwarding._heads import (
     Headers,
@@ -32,6 +33,7 @@
     "CallerBuffers",
     "CallerConnection",
     "CallerRequest",
+    "ConnectionEnding",
     "ConnectionLimits",
     "Event",
     "EventSplitter",
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -14,26 +14,18 @@
     PartialRequest,
     RestOfConnectionError,
 )
-from berylwalk.forwarding._close_behavior import (
-    end_on_close,
-    reset,
-    reset_on_close,
-)
+from berylwalk.forwarding._close_behavior import reset
+from berylwalk.forwarding._connection_ending import ConnectionEnding
 from berylwalk.forwarding._heads import (
     BODILESS_STATUSES,
     Headers,
     response_head,
 )
-from berylwalk.forwarding._lingering_connections import (
-    LINGER_S,
-    LingeringConnections,
-)
+from berylwalk.forwarding._lingering_connections import LingeringConnections
 from berylwalk.forwarding._request_reader import RequestReader
 
 MAX_PIPELINED_REQUESTS = 4
 """Number of pipelined requests from which reading is paused."""
-CLOSE_TIMEOUT_S = 5.0
-"""Time without progress after which a closing connection is aborted, in seconds."""
 RETRY_AFTER_S = 1
 """``Retry-After`` of a request that is refused before its end, in seconds."""
 
@@ -87,7 +79,7 @@
         buffers: CallerBuffers | None = None,
         accepts: Callable[[], bool] = lambda: True,
         ready_since: Callable[[int], float] | None = None,
-        lingering: LingeringConnections["CallerConnection"] | None = None,
+        lingering: LingeringConnections[ConnectionEnding] | None = None,
     ) -> None:
         self._accepts = accepts
         self._lingering = LingeringConnections() if lingering is None else lingering
@@ -100,10 +92,13 @@
         self._limits = limits
         self._clock = clock
         self._registry = registry
-        self._call_later = call_later
         self._buffers = buffers
         self._is_unframed = False
-        self._resets_on_close = False
+        self._ending = ConnectionEnding(
+            lingering=self._lingering,
+            call_later=call_later,
+            discard=self.discard_response,
+        )
         self._transport: Transport | None = None
         self._queue: deque[CallerRequest] = deque()
         self._reader = RequestReader(
@@ -114,12 +109,10 @@
         )
         self._active: CallerRequest | None = None
         self._error_status: int | None = None
-        self._is_ended = False
         self._discarded_bytes = 0
         self._reading_paused = False
         self._streaming = False
         self._closes_after_stream = False
-        self._unsent_before = 0
         self._idle_since = clock()
         self._writable = True
         self.closing = False
@@ -135,6 +128,7 @@
             reset(transport)
             return
         self._transport = transport
+        self._ending.attach(transport)
         self._watched_from = self._clock()
         self._registry.add(self)
         if self._buffers is not None:
@@ -162,7 +156,7 @@
     @property
     def _reads_requests(self) -> bool:
         """Whether what is received may be part of a request that is served."""
-        is_over = self._is_ended or self._reader.is_last_read
+        is_over = self._ending.has_begun or self._reader.is_last_read
         return not is_over and self._error_status is None
 
     def _earliest_arrival(self) -> float:
@@ -184,7 +178,7 @@
         limits = self._limits()
         max_bytes = limits.max_header_bytes + limits.max_body_bytes
         is_within = self._discarded_bytes <= max_bytes
-        if self._is_ended:
+        if self._ending.has_begun:
             is_within = self._lingering.take(size, self._clock()) and is_within
         if not is_within:
             self._transport.pause_reading()
@@ -202,11 +196,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the caller has disconnected, unless that was done."""
         self._registry.discard(self)
-        self._lingering.remove(self)
         if self._buffers is not None and self._transport is not None:
             self._buffers.forget(self)
             self._reader.release_all()
         transport, self._transport = self._transport, None
+        self._ending.detach()
         if transport is not None:
             self._report_disconnect()
 
@@ -228,8 +222,7 @@
     def resume_writing(self) -> None:
         """Report that the write buffer has drained."""
         self._writable = True
-        if self._is_ended:
-            self._end_in_order()
+        self._ending.note_drained()
         if self.on_writable is not None:
             self.on_writable(True)
 
@@ -238,7 +231,7 @@
     @property
     def is_open(self) -> bool:
         """Whether the connection is open and its last response has not ended."""
-        if self._transport is None or self._is_ended:
+        if self._transport is None or self._ending.has_begun:
             return False
         return not self._transport.is_closing()
 
@@ -259,15 +252,14 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes in the write buffer that the caller has not read."""
-        transport = self._transport
-        return 0 if transport is None else transport.get_write_buffer_size()
+        return self._ending.unsent_bytes
 
     def bound_unsent(self, max_bytes: int) -> None:
         """Set the size of the write buffer from which it is not writable.
 
         After the last response the buffer only drains, and its size is watched.
         """
-        if self._transport is not None and not self._is_ended:
+        if self._transport is not None and not self._ending.has_begun:
             self._transport.set_write_buffer_limits(high=max_bytes)
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
@@ -329,8 +321,7 @@
         framing = []
         self._is_unframed = self._active.http_1_0
         if self._is_unframed:
-            self._resets_on_close = True
-            reset_on_close(self._transport)
+            self._ending.reset_unless_whole()
         else:
             framing.append((b"Transfer-Encoding", b"chunked"))
         self._closes_after_stream = self._is_unframed or not self._keeps_alive()
@@ -419,83 +410,18 @@
         if self._streaming and active is not None and active.http_1_0:
             reset(transport)
             return
-        self._is_ended = True
         self._forget_input()
-        self._await_flush()
-        try:
-            transport.write_eof()
-        except OSError:
-            # The caller has reset the connection.
-            transport.abort()
+        if not self._ending.begin():
             return
         if self._reading_paused:
             transport.resume_reading()
-        oldest = self._lingering.add(self)
-        if oldest is not None:
-            oldest.stop_lingering()
-        self._has_read_on()
-        self._await_end()
-
-    def _await_flush(self) -> None:
-        """Let the connection end in order once its whole response is flushed."""
-        if not self._resets_on_close:
-            return
-        if self.unsent_bytes == 0:
-            self._end_in_order()
-        else:
-            # Writing is paused until the buffer is empty.
-            self._transport.set_write_buffer_limits(high=0)
-
-    def _end_in_order(self) -> None:
-        """Have closing send the end of the connection: the response is whole."""
-        if self._resets_on_close and self._transport is not None:
-            self._resets_on_close = False
-            end_on_close(self._transport)
+        self._ending.read_on()
 
     def _forget_input(self) -> None:
         """Release what was read of requests that are not served."""
         self._queue.clear()
         self._reader.forget()
 
-    def _await_end(self) -> None:
-        """Wait until the caller has closed the connection, within bounds."""
-        is_flushed = self.unsent_bytes == 0
-        self._call_later(
-            LINGER_S if is_flushed else CLOSE_TIMEOUT_S,
-            lambda: self._check_end(was_flushed=is_flushed),
-        )
-
-    def _check_end(self, *, was_flushed: bool) -> None:
-        """Close the connection, unless its response was flushed or read meanwhile."""
-        if was_flushed:
-            self.stop_lingering()
-        elif self.unsent_bytes == 0 or self._has_read_on():
-            self._await_end()
-        else:
-            self.discard_response()
-
-    def stop_lingering(self) -> None:
-        """Close the connection without reading on, once the response is flushed."""
-        if self._transport is None:
-            return
-        self._transport.close()
-        self._has_read_on()
-        if self.unsent_bytes:
-            # A caller that does not read must not keep the connection open forever.
-            self._call_later(CLOSE_TIMEOUT_S, self._discard_unread)
-
-    def _discard_unread(self) -> None:
-        """Discard what is not sent, unless the caller has read on."""
-        if self._has_read_on():
-            self._call_later(CLOSE_TIMEOUT_S, self._discard_unread)
-        else:
-            self.discard_response()
-
-    def _has_read_on(self) -> bool:
-        """Return whether the caller has read unsent bytes since the last call."""
-        before, self._unsent_before = self._unsent_before, self.unsent_bytes
-        return self._unsent_before < before
-
     def abort(self) -> None:
         """Close the connection without flushing."""
         if self._transport is not None:
@@ -517,7 +443,7 @@
                 self._error_status = 408
                 self._serve_next()
             return False
-        if self._has_read_on():
+        if self._ending.has_progress():
             self._idle_since = now
         if now - self._idle_since > limits.idle_timeout_s:
             self.close()
--- a/libs/forwarding/tests/test_forwarding_unframed_streams.py
+++ b/libs/forwarding/tests/test_forwarding_unframed_streams.py
@@ -185,7 +185,7 @@
         async with streaming() as stream:
             stream.send(LARGE)
             stream.connection.end_stream()
-            stream.connection.stop_lingering()
+            stream.connection._ending.stop_lingering()
             assert await stream.receive_all() == LARGE
 
     async def test_few_bytes_are_left_at_the_end(self):
@@ -197,7 +197,7 @@
                 sent += 1
                 await sleep(0)
             stream.connection.end_stream()
-            stream.connection.stop_lingering()
+            stream.connection._ending.stop_lingering()
             assert await stream.receive_all() == EVENT * sent
 
     async def test_exit_of_the_process_before_all_is_sent(self):
