Streams that are taken up wait for the quota instead of a 429

What callers saw: after all routers had ended at once, streams that they took up got 429 from accounts near their limits, until the callers had no attempt left.

Cause: a start counts the spending of an account at its most, so nothing is left until the first known units leave the window (1.5 s after the start at the earliest). From then on the window frees an eighth of the limit each second, and the new requests, some hundred a second, took it before the few streams came back.

Streams wait in the order of their arrival. The charge is the same and made when units are there, so that the quota holds as before; the reserve only refuses more.

The log names `resumes` and `quota_wait_ms` of a refused take-up, and `awaited`.

Ruled out: no charge for take-ups (QUOTA counts them); a rank of their own in the demand of the most urgent rank, which would end the reserve of rank 0.

--- a/libs/direct/src/berylwalk/direct/_admission.py
+++ b/libs/direct/src/berylwalk/direct/_admission.py
@@ -158,6 +158,8 @@
         The charge that exceeded the account's quota.
     blocked_by : tuple of bytes
         Identities for which it is quarantined.
+    awaiting : Admitted or None
+        The request without a charge, if it takes up a stream and may wait.
     """
 
     status: int
@@ -166,6 +168,7 @@
     request_id: bytes
     charge: "Charge | None" = None
     blocked_by: tuple[Identity, ...] = ()
+    awaiting: Admitted | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,15 +226,30 @@
     admitted = replace(admitted, verdict=verdict)
     if admitted.account is None:
         return admitted
-    account, route, cost = admitted.account, admitted.route, admitted.cost
-    wait_s = context.quotas.take(account, cost, route.priority, now)
-    state = context.quotas.state(account, now)
-    charge = Charge(account.name, route, cost, state, at=now)
+    return _charged(context, admitted, admitted.account, now)
+
+
+def _charged(
+    context: RouterContext, admitted: Admitted, account: Account, now: float
+) -> Admitted | Refusal:
+    """Charge a request to its account, or reject it."""
+    quotas, route, cost = context.quotas, admitted.route, admitted.cost
+    takes_up = admitted.takes_up_stream
+    wait_s = quotas.take(account, cost, route.priority, now, takes_up_stream=takes_up)
+    charge = Charge(account.name, route, cost, quotas.state(account, now), at=now)
     if wait_s > 0:
-        reserve = context.quotas.reserve(account, cost, route.priority, now)
-        charge = replace(charge, reserve=reserve)
+        reserve = (
+            quotas.awaited_reserve(account)
+            if takes_up
+            else quotas.reserve(account, cost, route.priority, now)
+        )
         return Refusal(
-            429, "allowance-spent", wait_s, parsed_headers.request_id, charge
+            429,
+            "allowance-spent",
+            wait_s,
+            admitted.request_id,
+            replace(charge, reserve=reserve),
+            awaiting=admitted if takes_up else None,
         )
     return replace(admitted, charge=charge) if account.rate_per_s > 0 else admitted
 
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -12,6 +12,7 @@
 from berylwalk.direct._attempt_runner import AttemptRunner
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._exchange_log import ExchangeLog
+from berylwalk.direct._quota_wait import wait_for_quota
 from berylwalk.direct._response_writer import ResponseWriter
 from berylwalk.direct._stream_binding import find_stream_version
 from berylwalk.direct._takeover import Takeover, TakeoverSearch
@@ -97,6 +98,7 @@
         self._request = request
         self._trial_permits = trial_permits
         self._scope = CancelScope()
+        self._quota_scope = CancelScope()
         self._log = ExchangeLog(context, request.arrived_at)
         self._cancel_reason = CALLER_LEFT
         self._lifecycle: RequestLifecycle | None = None
@@ -108,6 +110,7 @@
         """
         self._cancel_reason = reason
         self._scope.cancel()
+        self._quota_scope.cancel()
         if self._lifecycle is not None:
             self._lifecycle.close_target_connection()
 
@@ -137,6 +140,12 @@
         self._context.note_suspension()
         self._log.record_read(self._request.read_delay_s)
         admitted = admit(self._context, self._request)
+        if isinstance(admitted, Refusal) and admitted.awaiting is not None:
+            awaiting = admitted.awaiting
+            admitted = await self._wait_for_quota(admitted, awaiting)
+            if self._is_cancelled and self._cancel_reason != ROUTER_STOPPED:
+                self._log.log_ended(awaiting, NO_STATUS, self._cancel_reason)
+                return
         if isinstance(admitted, Refusal):
             self._log.log_refused(admitted)
             headers = refusal_headers(admitted.request_id, admitted.retry_after_s)
@@ -163,6 +172,21 @@
         else:
             self._log.log_ended(admitted, NO_STATUS, self._cancel_reason)
 
+    @property
+    def _is_cancelled(self) -> bool:
+        return self._scope.cancel_called
+
+    async def _wait_for_quota(
+        self, refusal: Refusal, awaiting: Admitted
+    ) -> Admitted | Refusal:
+        """Return what a stream gets after its wait; the refusal if it is cancelled."""
+        began_at = self._context.clock()
+        result: Admitted | Refusal = refusal
+        with self._quota_scope:
+            result = await wait_for_quota(self._context, refusal, awaiting)
+        self._log.record_quota_wait(self._context.clock() - began_at)
+        return result
+
 
 class RequestLifecycle:
     """Drives an admitted request to its final response.
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -50,6 +50,7 @@
     arrived_at: float
     attempts: list[dict[str, object]] = field(default_factory=list)
     waited_s: float = 0.0
+    quota_wait_s: float = 0.0
     first_event_at: float | None = None
     first_asked_at: float | None = None
     send_by: float = float("inf")
@@ -71,6 +72,10 @@
         self.waited_s += waited_s
         self.context.metrics.waited_s.labels(admitted.service).observe(waited_s)
 
+    def record_quota_wait(self, waited_s: float) -> None:
+        """Record how long a stream that is taken up waited for the quota."""
+        self.quota_wait_s = waited_s
+
     def record_deadlines(self, send_by: float, first_asked_at: float | None) -> None:
         """Record until when a target is of use, and when the caller first asked.
 
@@ -256,6 +261,7 @@
             status=refusal.status,
             reason=refusal.reason,
             **_refused_charge_fields(refusal.charge),
+            **self._awaiting_fields(refusal.awaiting),
             **self._quarantine_fields(refusal.blocked_by),
         )
 
@@ -362,7 +368,14 @@
         if not admitted.takes_up_stream:
             return {}
         resumes = admitted.parsed_headers.resumes.decode("latin-1")
-        return {"resumes": resumes, "stream_version": self.stream_version}
+        return {
+            "resumes": resumes,
+            "stream_version": self.stream_version,
+            "quota_wait_ms": _ms(self.quota_wait_s),
+        }
+
+    def _awaiting_fields(self, awaiting: Admitted | None) -> dict[str, object]:
+        return {} if awaiting is None else self._taken_up_fields(awaiting)
 
     def _urgency_fields(self, admitted: Admitted, now: float) -> dict[str, object]:
         """Return the fields about what decides who gets a place."""
@@ -447,6 +460,7 @@
         "kept_at_most": round(reserve.wanted),
         "shortfall": round(reserve.shortfall) if is_known else None,
         "urgent_per_s": round(reserve.urgent_per_s),
+        "awaited": round(reserve.awaited),
     }
 
 
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -76,6 +76,8 @@
         Units refused for a quota since the start, by client account.
     is_full : bool
         Whether it turns new connections away to spare its VM.
+    awaited : dict
+        Units for which streams that are taken up wait there, by client account.
     """
 
     name: str
@@ -95,6 +97,7 @@
     is_unready: bool = False
     refused: dict[str, int] = field(default_factory=dict)
     is_full: bool = False
+    awaited: dict[str, int] = field(default_factory=dict)
 
     def to_peer(self) -> Peer:
         """Return the router as an entry of the peer table."""
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -285,7 +285,17 @@
         rates = limited_rates(context)
         capacity = context.vm_capacity
         readiness = (capacity.claim, self.is_unready(), not capacity.has_room)
-        current = (loads, spent, rollouts, signal_contents, retries, rates, readiness)
+        awaited = context.quotas.awaited.by_account()
+        current = (
+            loads,
+            spent,
+            rollouts,
+            signal_contents,
+            retries,
+            rates,
+            readiness,
+            awaited,
+        )
         is_unchanged = (
             self._last_sent == current
             and history_from is None
@@ -353,6 +363,10 @@
             self.is_unready(),
             {name: _told_units(units) for name, units in refused.items()},
             not capacity.has_room,
+            {
+                name: _told_units(units)
+                for name, units in context.quotas.awaited.by_account().items()
+            },
         )
 
     def _own_rates(self) -> RatesByService:
@@ -567,6 +581,7 @@
         self._context.quotas.urgent_demand.record_peer_totals(
             incarnation, update.demand, now
         )
+        self._context.quotas.awaited.record_peer(incarnation, update.awaited, now)
         self._context.rollouts.merge(incarnation, update.rollouts, now)
         return True
 
--- a/libs/direct/tests/test_direct_numbers_from_peers.py
+++ b/libs/direct/tests/test_direct_numbers_from_peers.py
@@ -59,6 +59,7 @@
         {"s": 2.5},
         1,
         refused={"t": 7},
+        awaited={"t": 7},
     )
 
 
--- a/libs/dispatch/src/berylwalk/dispatch/_quota_rules.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_quota_rules.py
@@ -100,13 +100,16 @@
         if it does not matter or the demand is not known yet.
     urgent_per_s : float
         Demand of the most urgent rank in units per second; 0 if there is none above.
+    awaited : float
+        Units that streams in progress wait for.
     """
 
     wanted: float
     shortfall: float = inf
     urgent_per_s: float = 0.0
+    awaited: float = 0.0
 
     @property
     def units(self) -> float:
-        """Units to leave: what is wanted, as far as the quota falls short."""
-        return max(0.0, min(self.wanted, self.shortfall))
+        """Units to leave: what is awaited, and what is wanted as far as it is short."""
+        return self.awaited + max(0.0, min(self.wanted, self.shortfall))
--- a/libs/dispatch/src/berylwalk/dispatch/_quotas.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_quotas.py
@@ -1,6 +1,7 @@
 """Quotas of client accounts, enforced jointly by all routers."""
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from itertools import accumulate
 from types import MappingProxyType
 
@@ -10,6 +11,7 @@
     AccountSpending,
     EffectiveLimit,
 )
+from berylwalk.dispatch._awaited_units import AwaitedUnits
 from berylwalk.dispatch._configuration import Account
 from berylwalk.dispatch._quota_rules import (
     HistoryCoverage,
@@ -66,6 +68,7 @@
         self._accounts_by_name: dict[str, Account] = {}
         self._share = 1.0
         self.urgent_demand = UrgentDemand()
+        self.awaited = AwaitedUnits()
 
     def set_share(self, alive: int, known: int) -> None:
         """Set how many of the known routers, including this one, are alive."""
@@ -87,7 +90,15 @@
                 spending.limits.append(EffectiveLimit(now, limit))
                 spending.begin_step(now)
 
-    def take(self, account: Account, cost: float, rank: int, now: float) -> float:
+    def take(
+        self,
+        account: Account,
+        cost: float,
+        rank: int,
+        now: float,
+        *,
+        takes_up_stream: bool = False,
+    ) -> float:
         """Spend units; returns 0, or the delay until they can be spent.
 
         Nothing is spent if the result is not 0.
@@ -102,6 +113,8 @@
             Rank of the request within its account; 0 is the highest.
         now : float
             Current time in seconds.
+        takes_up_stream : bool
+            Whether a stream in progress goes on with it.
 
         Returns
         -------
@@ -114,15 +127,48 @@
         spending = self._spending(account.name)
         self.urgent_demand.record(account.name, rank, cost, now)
         spending.demand.record(cost, now)
+        if takes_up_stream:
+            reserve = self.awaited_reserve(account)
+        else:
+            reserve = self.reserve(account, cost, rank, now)
+        delay_s = self._spend(account, cost, reserve, now)
+        if delay_s:
+            spending.refused += cost
+        return delay_s
+
+    def take_awaited(
+        self, account: Account, cost: float, ticket: int, now: float
+    ) -> float:
+        """Spend the units of a stream that waits; returns as `take` does.
+
+        Parameters
+        ----------
+        account : Account
+            Account to charge.
+        cost : float
+            Units of the request, which `take` has refused.
+        ticket : int
+            Its ticket among those that wait.
+        now : float
+            Current time in seconds.
+        """
+        reserve = self.awaited_reserve(account, ticket)
+        delay_s = self._spend(account, cost, reserve, now)
+        if not delay_s:
+            self._spending(account.name).refused -= cost
+        return delay_s
+
+    def _spend(
+        self, account: Account, cost: float, reserve: QuotaReserve, now: float
+    ) -> float:
+        reserved = reserve.units
         state = self.state(account, now)
-        remaining = state.remaining
-        reserve = self.reserve(account, cost, rank, now).units
+        spending = self._spending(account.name)
         # A request above the whole quota must not be delayed forever.
-        needed = min(cost, 0.9 * state.limit * state.share - reserve)
-        if remaining - reserve < needed:
-            spending.refused += cost
+        needed = min(cost, 0.9 * state.limit * state.share - reserved)
+        missing = needed + reserved - state.remaining
+        if missing > 0:
             per_s = state.limit * state.share / self._rules.window_s
-            missing = needed + reserve - remaining
             delay_s = _delay_until_free(missing, self._expiring(spending, now), per_s)
             return min(delay_s, self._rules.window_s)
         spending.add(cost, now)
@@ -132,7 +178,28 @@
     def reserve(
         self, account: Account, cost: float, rank: int, now: float
     ) -> QuotaReserve:
-        """Return what a request must leave to more urgent ones; see `take`.
+        """Return what a request must leave to others; see `take`."""
+        reserve = self._rank_reserve(account, cost, rank, now)
+        return replace(reserve, awaited=self.awaited.total(account.name, now))
+
+    def awaited_reserve(
+        self, account: Account, ticket: int | None = None
+    ) -> QuotaReserve:
+        """Return what a stream in progress must leave to those that came before it.
+
+        Parameters
+        ----------
+        account : Account
+            Account to charge.
+        ticket : int or None
+            Ticket of the stream; None if it has just arrived.
+        """
+        return QuotaReserve(0.0, awaited=self.awaited.before(account.name, ticket))
+
+    def _rank_reserve(
+        self, account: Account, cost: float, rank: int, now: float
+    ) -> QuotaReserve:
+        """Return what a request must leave to more urgent ones.
 
         The shortfall is only computed if the request does not fit otherwise.
         """
@@ -291,6 +358,7 @@
         """Drop the totals of a peer incarnation that has ended."""
         self._incarnations.discard(incarnation)
         self.urgent_demand.forget_peer(incarnation)
+        self.awaited.forget_peer(incarnation)
         for spending in self._spending_by_account.values():
             spending.spent_by_peer.pop(incarnation, None)
             spending.refused_by_peer.pop(incarnation, None)
