Reserve after a start: units whose spending is unknown leave the window too

What callers saw: for six seconds after all routers had started, less urgent requests got 429 although their account had units: 3 of 10 of the limit and more, while the urgent ones did not use them; and Retry-After of a 429 was up to a whole window where the units were free after a second. Refused requests came back in vain, among them those that took streams up.

Cause: what urgent requests need until units leave the window is reserved for them. After a start three fifths of the limit count as spent at an unknown time, and leave evenly over a window, but the reserve and Retry-After looked at known spending only.

What may be spent is unchanged, so the quota holds as before.

Tests failed before: test_dispatch_reserve_after_start, four of five (18 refused requests of the lower rank; Retry-After 8 s where 1 to 4 s are true).

--- a/libs/dispatch/src/berylwalk/dispatch/_quotas.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_quotas.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from itertools import accumulate
+from math import ceil
 from types import MappingProxyType
 
 from berylwalk.dispatch._account_demand import DemandHistory
@@ -169,7 +170,8 @@
         missing = needed + reserved - state.remaining
         if missing > 0:
             per_s = state.limit * state.share / self._rules.window_s
-            delay_s = _delay_until_free(missing, self._expiring(spending, now), per_s)
+            expiring = self._expiring(account, state, now)
+            delay_s = _delay_until_free(missing, expiring, per_s)
             return min(delay_s, self._rules.window_s)
         spending.add(cost, now)
         spending.spent += cost
@@ -209,7 +211,7 @@
         if not wanted and urgent is None:
             return QuotaReserve(0.0)
         spending = self._spending(account.name)
-        expiring = self._expiring(spending, now)
+        expiring = self._expiring(account, state, now)
         urgent_per_s = 0.0
         if urgent is not None:
             urgent_per_s = urgent.per_s
@@ -256,12 +258,28 @@
         return list(limits) or [EffectiveLimit(now, self._rules.limit(account))]
 
     def _expiring(
-        self, spending: AccountSpending, now: float
+        self, account: Account, state: QuotaState, now: float
     ) -> list[tuple[float, float]]:
-        """Return pairs of delay in seconds and units that leave the window then."""
+        """Return pairs of delay in seconds and units that are free again then."""
         window_s = self._rules.window_s + STEP_S
+        spending = self._spending(account.name)
         spent = [*sorted(spending.prior), *spending.steps]
-        return [(max(0.0, time + window_s - now), units) for time, units in spent]
+        known = [(max(0.0, time + window_s - now), units) for time, units in spent]
+        unknown = self._unknown_expiring(account, state, now)
+        return sorted(known + unknown) if unknown else known
+
+    def _unknown_expiring(
+        self, account: Account, state: QuotaState, now: float
+    ) -> list[tuple[float, float]]:
+        """Return the same for the units that may have been spent before the start."""
+        if not state.unknown:
+            return []
+        unknown_s = self._unknown_s(now)
+        if self._has_snapshot(account):
+            return [(unknown_s, state.unknown)]
+        count = ceil(unknown_s / BIN_S)
+        units = state.unknown / count
+        return [(unknown_s * number / count, units) for number in range(1, count + 1)]
 
     def refund(
         self, account: Account, cost: float, *, charged_at: float, now: float
@@ -447,18 +465,25 @@
 
     def _unknown_units(self, account: Account, limit: float, now: float) -> float:
         """Return the units that may have been spent before the start unnoticed."""
-        unknown_s = max(0.0, self._rules.window_s - (now - self._started_at))
+        unknown_s = self._unknown_s(now)
         if self._coverage is HistoryCoverage.COMPLETE or not unknown_s:
             return 0.0
+        if self._has_snapshot(account):
+            # All of the rest may have been spent since the snapshot was written.
+            return max(0.0, limit - self._spending(account.name).snapshot_units)
         units = limit - self._rules.bootstrap_units(account)
         if self._coverage is HistoryCoverage.PARTIAL:
-            snapshot_units = self._spending(account.name).snapshot_units
-            if snapshot_units:
-                # All of the rest may have been spent since the snapshot was written.
-                return max(0.0, limit - snapshot_units)
             units = HEAVY_SPENDING_SHARE * limit
         return units * unknown_s / self._rules.window_s
 
+    def _unknown_s(self, now: float) -> float:
+        """Return how much of the window lies before the start, in seconds."""
+        return max(0.0, self._rules.window_s - (now - self._started_at))
+
+    def _has_snapshot(self, account: Account) -> bool:
+        is_partial = self._coverage is HistoryCoverage.PARTIAL
+        return is_partial and self._spending(account.name).snapshot_units > 0
+
     def _spending(self, name: str) -> AccountSpending:
         spending = self._spending_by_account.get(name)
         if spending is None:
