--- a/libs/dispatch/src/berylwalk/dispatch/_quotas.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_quotas.py
@@ -1,7 +1,9 @@
 """Quotas of client accounts, enforced jointly by all routers."""
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from itertools import accumulate
+from math import ceil
 from types import MappingProxyType
 
 from berylwalk.dispatch._account_demand import DemandHistory
@@ -10,6 +12,7 @@
     AccountSpending,
     EffectiveLimit,
 )
+from berylwalk.dispatch._awaited_units import AwaitedUnits
 from berylwalk.dispatch._configuration import Account
 from berylwalk.dispatch._quota_rules import (
     HistoryCoverage,
@@ -66,6 +69,7 @@
         self._accounts_by_name: dict[str, Account] = {}
         self._share = 1.0
         self.urgent_demand = UrgentDemand()
+        self.awaited = AwaitedUnits()
 
     def set_share(self, alive: int, known: int) -> None:
         """Set how many of the known routers, including this one, are alive."""
@@ -87,7 +91,15 @@
                 spending.limits.append(EffectiveLimit(now, limit))
                 spending.begin_step(now)
 
-    def take(self, account: Account, cost: float, rank: int, now: float) -> float:
+    def take(
+        self,
+        account: Account,
+        cost: float,
+        rank: int,
+        now: float,
+        *,
+        takes_up_stream: bool = False,
+    ) -> float:
         """Spend units; returns 0, or the delay until they can be spent.
 
         Nothing is spent if the result is not 0.
@@ -102,6 +114,8 @@
             Rank of the request within its account; 0 is the highest.
         now : float
             Current time in seconds.
+        takes_up_stream : bool
+            Whether a stream in progress goes on with it.
 
         Returns
         -------
@@ -114,16 +128,50 @@
         spending = self._spending(account.name)
         self.urgent_demand.record(account.name, rank, cost, now)
         spending.demand.record(cost, now)
+        if takes_up_stream:
+            reserve = self.awaited_reserve(account)
+        else:
+            reserve = self.reserve(account, cost, rank, now)
+        delay_s = self._spend(account, cost, reserve, now)
+        if delay_s:
+            spending.refused += cost
+        return delay_s
+
+    def take_awaited(
+        self, account: Account, cost: float, ticket: int, now: float
+    ) -> float:
+        """Spend the units of a stream that waits; returns as `take` does.
+
+        Parameters
+        ----------
+        account : Account
+            Account to charge.
+        cost : float
+            Units of the request, which `take` has refused.
+        ticket : int
+            Its ticket among those that wait.
+        now : float
+            Current time in seconds.
+        """
+        reserve = self.awaited_reserve(account, ticket)
+        delay_s = self._spend(account, cost, reserve, now)
+        if not delay_s:
+            self._spending(account.name).refused -= cost
+        return delay_s
+
+    def _spend(
+        self, account: Account, cost: float, reserve: QuotaReserve, now: float
+    ) -> float:
+        reserved = reserve.units
         state = self.state(account, now)
-        remaining = state.remaining
-        reserve = self.reserve(account, cost, rank, now).units
+        spending = self._spending(account.name)
         # A request above the whole quota must not be delayed forever.
-        needed = min(cost, 0.9 * state.limit * state.share - reserve)
-        if remaining - reserve < needed:
-            spending.refused += cost
+        needed = min(cost, 0.9 * state.limit * state.share - reserved)
+        missing = needed + reserved - state.remaining
+        if missing > 0:
             per_s = state.limit * state.share / self._rules.window_s
-            missing = needed + reserve - remaining
-            delay_s = _delay_until_free(missing, self._expiring(spending, now), per_s)
+            expiring = self._expiring(account, state, now)
+            delay_s = _delay_until_free(missing, expiring, per_s)
             return min(delay_s, self._rules.window_s)
         spending.add(cost, now)
         spending.spent += cost
@@ -132,7 +180,28 @@
     def reserve(
         self, account: Account, cost: float, rank: int, now: float
     ) -> QuotaReserve:
-        """Return what a request must leave to more urgent ones; see `take`.
+        """Return what a request must leave to others; see `take`."""
+        reserve = self._rank_reserve(account, cost, rank, now)
+        return replace(reserve, awaited=self.awaited.total(account.name, now))
+
+    def awaited_reserve(
+        self, account: Account, ticket: int | None = None
+    ) -> QuotaReserve:
+        """Return what a stream in progress must leave to those that came before it.
+
+        Parameters
+        ----------
+        account : Account
+            Account to charge.
+        ticket : int or None
+            Ticket of the stream; None if it has just arrived.
+        """
+        return QuotaReserve(0.0, awaited=self.awaited.before(account.name, ticket))
+
+    def _rank_reserve(
+        self, account: Account, cost: float, rank: int, now: float
+    ) -> QuotaReserve:
+        """Return what a request must leave to more urgent ones.
 
         The shortfall is only computed if the request does not fit otherwise.
         """
@@ -142,7 +211,7 @@
         if not wanted and urgent is None:
             return QuotaReserve(0.0)
         spending = self._spending(account.name)
-        expiring = self._expiring(spending, now)
+        expiring = self._expiring(account, state, now)
         urgent_per_s = 0.0
         if urgent is not None:
             urgent_per_s = urgent.per_s
@@ -189,12 +258,28 @@
         return list(limits) or [EffectiveLimit(now, self._rules.limit(account))]
 
     def _expiring(
-        self, spending: AccountSpending, now: float
+        self, account: Account, state: QuotaState, now: float
     ) -> list[tuple[float, float]]:
-        """Return pairs of delay in seconds and units that leave the window then."""
+        """Return pairs of delay in seconds and units that are free again then."""
         window_s = self._rules.window_s + STEP_S
+        spending = self._spending(account.name)
         spent = [*sorted(spending.prior), *spending.steps]
-        return [(max(0.0, time + window_s - now), units) for time, units in spent]
+        known = [(max(0.0, time + window_s - now), units) for time, units in spent]
+        unknown = self._unknown_expiring(account, state, now)
+        return sorted(known + unknown) if unknown else known
+
+    def _unknown_expiring(
+        self, account: Account, state: QuotaState, now: float
+    ) -> list[tuple[float, float]]:
+        """Return the same for the units that may have been spent before the start."""
+        if not state.unknown:
+            return []
+        unknown_s = self._unknown_s(now)
+        if self._has_snapshot(account):
+            return [(unknown_s, state.unknown)]
+        count = ceil(unknown_s / BIN_S)
+        units = state.unknown / count
+        return [(unknown_s * number / count, units) for number in range(1, count + 1)]
 
     def refund(
         self, account: Account, cost: float, *, charged_at: float, now: float
@@ -291,6 +376,7 @@
         """Drop the totals of a peer incarnation that has ended."""
         self._incarnations.discard(incarnation)
         self.urgent_demand.forget_peer(incarnation)
+        self.awaited.forget_peer(incarnation)
         for spending in self._spending_by_account.values():
             spending.spent_by_peer.pop(incarnation, None)
             spending.refused_by_peer.pop(incarnation, None)
@@ -379,18 +465,25 @@
 
     def _unknown_units(self, account: Account, limit: float, now: float) -> float:
         """Return the units that may have been spent before the start unnoticed."""
-        unknown_s = max(0.0, self._rules.window_s - (now - self._started_at))
+        unknown_s = self._unknown_s(now)
         if self._coverage is HistoryCoverage.COMPLETE or not unknown_s:
             return 0.0
+        if self._has_snapshot(account):
+            # All of the rest may have been spent since the snapshot was written.
+            return max(0.0, limit - self._spending(account.name).snapshot_units)
         units = limit - self._rules.bootstrap_units(account)
         if self._coverage is HistoryCoverage.PARTIAL:
-            snapshot_units = self._spending(account.name).snapshot_units
-            if snapshot_units:
-                # All of the rest may have been spent since the snapshot was written.
-                return max(0.0, limit - snapshot_units)
             units = HEAVY_SPENDING_SHARE * limit
         return units * unknown_s / self._rules.window_s
 
+    def _unknown_s(self, now: float) -> float:
+        """Return how much of the window lies before the start, in seconds."""
+        return max(0.0, self._rules.window_s - (now - self._started_at))
+
+    def _has_snapshot(self, account: Account) -> bool:
+        is_partial = self._coverage is HistoryCoverage.PARTIAL
+        return is_partial and self._spending(account.name).snapshot_units > 0
+
     def _spending(self, name: str) -> AccountSpending:
         spending = self._spending_by_account.get(name)
         if spending is None:
