Roll-outs: of targets with equally many bad answers, the least used is left out

A good version of three targets was completed 0.1 s after its period of 12 s, although its 54 answers at the start of the ramp held 2 bad ones, 1 at each of two targets.

The judgement leaves out the worst target. Among equally many bad answers the first by name was taken: the one that the ramp had sent most requests to (104 answers, 1 bad). What was left (23 answers on a usual route, 1 bad) spoke for the version 1.0 s after the minimum time of the ramp only; that and the old targets' last answers took too long.

Change: among equally many bad answers the target with fewer in all, hence with the larger share, is the worse one.

The new test failed before. Error rates of test_rollout_judgement.py hold. Ruled out: longer reserve for the drain, which would begin the ramp earlier and so cost exposure.

--- a/libs/rollout/src/berylwalk/rollout/_verdict.py
+++ b/libs/rollout/src/berylwalk/rollout/_verdict.py
@@ -201,9 +201,13 @@
         tallies_by_target[key.target] = tallies_by_target.get(key.target, Tally()).plus(
             tally
         )
-    worst = sorted(
-        tallies_by_target, key=lambda each: (-tallies_by_target[each].bad, each)
-    )
+
+    def rank(target: str) -> tuple[int, int, str]:
+        # Of as many bad answers, fewer in all are a larger share.
+        tally = tallies_by_target[target]
+        return -tally.bad, tally.answers, target
+
+    worst = sorted(tallies_by_target, key=rank)
     number = max(1, len(worst) // EXCLUDED_TARGETS_DIVISOR) if len(worst) > 1 else 0
     excluded = set(worst[:number])
     return {key: tally for key, tally in new.items() if key.target not in excluded}
--- a/libs/rollout/tests/test_rollout_judgement.py
+++ b/libs/rollout/tests/test_rollout_judgement.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from berylwalk.rollout import CrashCounts, NewVersionKey, OldVersionKey, Tally, judge
+from berylwalk.rollout._verdict import exclude_worst_targets
 
 TRIALS = 300
 ANSWERS = 150
@@ -92,6 +93,16 @@
         }
         assert judge(rows, {OldVersionKey(0, "r"): Tally(400, 4, 0)}).is_bad
 
+    def test_excluded_target_among_equally_many_bad_answers_has_the_fewest(self):
+        """The answers of the most used target must support a good version."""
+        most_used = NewVersionKey(0, "a", "r")
+        new = {
+            most_used: Tally(100, 0, 1),
+            NewVersionKey(0, "b", "r"): Tally(14, 0, 1),
+        }
+        assert list(exclude_worst_targets(new)) == [most_used]
+        assert judge(new, {OldVersionKey(0, "r"): Tally(400, 4, 0)}).is_clearly_good
+
     def test_three_crashed_targets_reject_the_version(self):
         """Unless targets of other versions crash as well."""
         new = {NewVersionKey(0, "t", "r"): Tally(20, 0, 0)}
