Roll-outs: the age of an order is told exactly, so that messages don't add to it

Two routers that told each other the age of an order every 0.05 s held it to be up to twice as old: it was rounded to tenths, also up, and each takes the largest age. The period of a roll-out seemed to end early, and its phases began early.

Change: the age is told unrounded. A float takes 9 bytes in a message whatever its value, and the age is left out where a message is compared with the last one, so that messages grow neither in size nor in number. A late message makes the age smaller, which is ignored.

--- a/libs/rollout/src/berylwalk/rollout/_messages.py
+++ b/libs/rollout/src/berylwalk/rollout/_messages.py
@@ -37,7 +37,8 @@
     order_revision : int
         Store revision of the order.
     age_s : float
-        For how long the order has been known, in seconds.
+        For how long the order has been known, in seconds; not rounded, as routers
+        take the largest and roundings would add up.
     number : int
         Number of the record; -1 if none is known.
     phase : str
--- a/libs/rollout/src/berylwalk/rollout/_rollouts.py
+++ b/libs/rollout/src/berylwalk/rollout/_rollouts.py
@@ -595,7 +595,7 @@
         return RolloutUpdate(
             progress.order.service,
             progress.order.revision,
-            round(progress.age_s(now), 1),
+            progress.age_s(now),
             -1 if record is None else record.number,
             "" if record is None else record.phase,
             progress.is_rejected,
