Test: a version under trial gets nothing before the orders are read

The test passes: orders and configuration come in one list, and without a configuration nothing is sent. With orders that are applied from the second list on (injected by hand) both of its cases fail.

--- a/libs/direct/tests/test_direct_feeds.py
+++ b/libs/direct/tests/test_direct_feeds.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from json import dumps
 from random import Random
 
 import pytest
@@ -181,6 +182,37 @@
         assert [step for step in steps if is_available_too_long(step)] == []
 
 
+class TestOrdersAtTheStart:
+    """A router starts while a version is under trial."""
+
+    @pytest.mark.parametrize("late_prefix", ["servers/", "op/"])
+    def test_version_under_trial_gets_nothing_before_the_orders_are_read(
+        self, late_prefix
+    ):
+        """The orders come with the configuration, without which nothing is sent."""
+
+        def fate(call):
+            return 0.6 if f"path-prefix={late_prefix}" in call.target else ANSWER_S
+
+        async def scenario(feeds):
+            store = feeds.store.store
+            store.put(b"op/config", configuration_value(1))
+            order = {"service": "s", "target": "v2", "period-s": 12.0}
+            store.put(b"op/rollout/s", dumps(order).encode())
+            store.put(b"servers/i-1", target_value(version="v1"))
+            store.put(b"servers/i-2", target_value(port=8407, version="v2"))
+            rollouts, allowed = feeds.context.rollouts, set()
+            while feeds.clock() < 3.0:
+                if feeds.version and len(feeds.targets.by_id) == 2:
+                    for version in ("v1", "v2"):
+                        is_allowed = rollouts.allows("s", version, 0.5, feeds.clock())
+                        allowed.add((version, is_allowed))
+                await until(feeds.clock() + 0.001)
+            return allowed
+
+        assert simulate(scenario, fate=fate) == {("v1", True), ("v2", False)}
+
+
 class TestIdleStore:
     """Number of store calls while nothing changes."""
 
