Reverted version gets nothing before its record is read, also if it is the only one listed

Callers of a service of which only targets of a reverted version were listed could get its answers from a router that had just started: without a record, the only version that it had seen counted as completed, and the records are read after the orders. Now that version waits for the first read of the records, for 2 s at most: nothing else may serve the service while the store is away. Found by reading; TestRecordsThatAreNotRead (first case) failed before. Ruled out: waiting without a bound.

--- a/libs/rollout/src/berylwalk/rollout/_rollouts.py
+++ b/libs/rollout/src/berylwalk/rollout/_rollouts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from math import isinf
 
 from berylwalk.affinity import parts_hash
 from berylwalk.rollout._budget import SPENT_SHARE, CanaryBudget, ExposureRules
@@ -47,6 +48,10 @@
 FIRST_UPDATES_S = 0.6
 """Time in which a router that starts in a restored store hears which version is in
 service: each of the others sends two messages."""
+FIRST_RECORDS_S = 2.0
+"""Time for which the only listed version of an order waits until the records are read
+for the first time: it may have been reverted. Nothing else may serve the service, so
+that an unavailable store must not hold it back for longer."""
 TOLD_ORDER_S = 3.0
 """Time for which an order that only another router knows is remembered."""
 
@@ -418,12 +423,21 @@
             case Phase.SHIFTING if not progress.is_rejected:
                 return 1.0
             case None:
-                # The record is not known yet. If no other version is left, the
-                # roll-out has been completed.
-                others = set(self.versions.known(progress.order.service))
-                return 0.0 if others - {progress.order.version} else 1.0
+                return self._share_without_record(progress, now)
         return 0.0
 
+    def _share_without_record(self, progress: Progress, now: float) -> float:
+        """Return the share of the new version while its record is not known.
+
+        If no other version is left and there is no record, the roll-out has been
+        completed.
+        """
+        known_for_s = now - progress.known_since
+        if isinf(self.record_age_s()) and known_for_s < FIRST_RECORDS_S:
+            return 0.0
+        others = set(self.versions.known(progress.order.service))
+        return 0.0 if others - {progress.order.version} else 1.0
+
     def count_send(self, service: str) -> None:
         """Count the first send of a request to a service."""
         progress = self._progress_by_service.get(service)
--- a/libs/rollout/tests/test_rollout_phases.py
+++ b/libs/rollout/tests/test_rollout_phases.py
@@ -3,15 +3,18 @@
 import pytest
 
 from berylwalk.rollout import (
+    ExposureRules,
     Order,
     Phase,
     PhaseInputs,
     Record,
+    Rollouts,
     Verdict,
     VersionRegistry,
     next_phase,
     ramp_start_s,
 )
+from berylwalk.rollout._rollouts import FIRST_RECORDS_S
 
 GOOD = Verdict(is_bad=False, answers=100, bad=1, expected_share=0.02, log_ratio=-10.0)
 INCONCLUSIVE = Verdict(
@@ -124,3 +127,35 @@
         assert list(registry.pending("s")) == []
         registry.record_version("s", "v2", 11)
         assert list(registry.pending("s")) == []
+
+
+class TestRecordsThatAreNotRead:
+    """A router has just started and lists one version only, which has an order."""
+
+    @staticmethod
+    def _started():
+        rollouts = Rollouts(ExposureRules(), router="r/1")
+        rollouts.record_age_s = lambda: float("inf")
+        rollouts.set_orders(
+            [Order(service="s", version="v2", period_s=12.0, revision=57)], 0.0
+        )
+        rollouts.versions.record_version("s", "v2", 60)
+        rollouts.versions.record_orders_known(70)
+        return rollouts
+
+    def test_version_that_was_reverted_gets_nothing_before_its_record_is_read(self):
+        rollouts = self._started()
+        assert not rollouts.allows("s", "v2", 0.0, 0.1)
+        record = Record("v2", 57, Phase.REVERTED, 3, 0.0, barred=["v2"])
+        rollouts.merge_record("s", record, 0.2)
+        rollouts.record_age_s = lambda: 0.0
+        assert not rollouts.allows("s", "v2", 0.0, 0.2)
+
+    def test_version_without_a_record_gets_requests_once_the_records_are_read(self):
+        rollouts = self._started()
+        rollouts.record_age_s = lambda: 0.0
+        assert rollouts.allows("s", "v2", 0.0, 0.2)
+
+    def test_version_gets_requests_if_the_records_stay_unread(self):
+        """The store may be away for long, and nothing else serves the service."""
+        assert self._started().allows("s", "v2", 0.0, FIRST_RECORDS_S)
