Test: streams of a version that returned after its removal from the history

The test passes: a router with the longer history stores the record before the first event. With a lookup that finds no record (injected by hand) it fails: the stream goes on at the other version, 200 instead of 503.

--- a/libs/direct/tests/test_direct_versions_that_left.py
+++ b/libs/direct/tests/test_direct_versions_that_left.py
@@ -1,5 +1,7 @@
 """Streams whose version has left, or is joined by another, while no router runs."""
 
+from json import dumps
+
 import pytest
 
 from test_direct_stream_versions import (
@@ -92,6 +94,27 @@
             assert resumed_at(fleet) == []
             assert reply.status == 503
 
+    async def test_stream_of_a_version_that_returned_does_not_join_another(
+        self, running, beside
+    ):
+        """It was removed from the history, which its router had not read again."""
+        both = listing(i_0="v1", i_1="v2")
+        async with running(CUT, GOES_ON, routes=STREAM, prepare=both) as fleet:
+            fleet.router._context.targets.by_id["i-1"].fixed_s = 9.0
+            versions = fleet.router._context.targets.versions
+            await fleet.until(lambda: versions.stored("s") == {"v1", "v2"})
+            shortened = dumps({"era": 0, "versions": ["v2"]}).encode()
+            fleet.platform.store.put(b"berylwalk/versions/s", shortened)
+            await fleet.call("/streaming/", request_id="first")
+            assert versions.stored("s") == {"v1", "v2"}
+            await stop_all_routers(fleet)
+            unlist(fleet, fleet.targets[0])
+            async with beside({"name": "edge-2", "is_first_start": False}) as (second,):
+                reply = await take_up(fleet, second)
+            assert fleet.platform.store.get(b"berylwalk/versions/s").value == shortened
+            assert resumed_at(fleet) == []
+            assert reply.status == 503
+
     async def test_stream_goes_on_if_the_second_version_comes_while_no_router_runs(
         self, running, beside
     ):
