Roll-out is not completed by a router that has not listed the others yet

Requests at the old version could be cut: a router that had just started and had not read the list of routers took itself for the only one, and wrote the completion of a shifting version once it had nothing at the old one itself. Now the routers count as alive only after the first list. Found by reading; test_router_that_has_not_listed_the_others_does_not_complete_alone failed before. test_direct_rollout_fleet -k completed: 12 passed. Not covered: a first list that lacks members, after a restore of the store.

--- a/libs/direct/src/berylwalk/direct/_rollout_coordinator.py
+++ b/libs/direct/src/berylwalk/direct/_rollout_coordinator.py
@@ -278,9 +278,11 @@
             for peer in peers.by_name.values()
             if peers.is_alive(peer, now)
         ]
-        all_alive = len(alive_incarnations) == len(peers.by_name)
         step = rollouts.next_phase(
-            progress, alive_incarnations, all_peers_alive=all_alive, now=now
+            progress,
+            alive_incarnations,
+            all_peers_alive=peers.all_alive(now),
+            now=now,
         )
         if step is None:
             return None
--- a/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_peer_table.py
@@ -102,6 +102,7 @@
         self._shares_at = float("-inf")
         self._weights_by_service: dict[str, _Weights] = {}
         self._ranks: dict[str, dict[str, float]] = {}
+        self._was_listed = False
 
     def is_direct(self, peer: Peer) -> bool:
         """Return whether messages are sent to a peer directly."""
@@ -179,6 +180,7 @@
             Whether the list may lack routers or later incarnations of them, so that
             none ends.
         """
+        self._was_listed = True
         listed_by_name = {
             peer.name: peer for peer in listed if peer.name != self._own_name
         }
@@ -345,6 +347,10 @@
         """Return the number of known routers, including this one."""
         return len(self.by_name) + 1
 
+    def all_alive(self, now: float) -> bool:
+        """Return whether all listed routers are alive; not before the first list."""
+        return self._was_listed and self.alive_count(now) == self.known_count()
+
     def alive_count(self, now: float) -> int:
         """Return the number of live routers, including this one."""
         return 1 + sum(self.is_alive(peer, now) for peer in self.by_name.values())
