--- a/libs/direct/src/berylwalk/direct/_speed_store.py
+++ b/libs/direct/src/berylwalk/direct/_speed_store.py
@@ -17,6 +17,9 @@
 SNAPSHOT_KEY = b"berylwalk/speeds"
 WRITE_INTERVAL_S = 4.0
 """Interval between two snapshots."""
+KEEP_UNLISTED_S = 60.0
+"""Time after the start for which speeds of targets that are not listed are kept, in
+seconds."""
 DECIMALS = 5
 """Decimal places of stored times, in seconds."""
 
@@ -58,6 +61,8 @@
         self._store = store
         self._store_health = store_health
         self._last_written: Speeds | None = None
+        self._restored_speeds: dict[str, TargetSpeed] = {}
+        self._started_at = context.clock()
         store.on_restored.add(self._on_restored)
 
     def _on_restored(self) -> None:
@@ -99,6 +104,7 @@
             for service, coefficients in speeds.start_models.items()
             if all(map(isfinite, coefficients))
         }
+        self._restored_speeds = possible
         context.targets.adopt(possible, start_models)
         context.log.process(
             "speeds-learned",
@@ -108,7 +114,7 @@
 
     async def _write(self) -> None:
         targets = self._context.targets
-        speeds_by_id = {
+        speeds_by_id = self._unlisted_speeds() | {
             target_id: _rounded(speed)
             for target_id, speed in targets.speeds_by_id().items()
             if speed.slot_s is not None
@@ -122,6 +128,17 @@
             if isinstance(written, Swapped) and self._store.era == era:
                 self._last_written = speeds
 
+    def _unlisted_speeds(self) -> dict[str, TargetSpeed]:
+        """Return the restored speeds of targets that may still be listed."""
+        context = self._context
+        if context.clock() - self._started_at >= KEEP_UNLISTED_S:
+            self._restored_speeds = {}
+        return {
+            incarnation_id: speed
+            for incarnation_id, speed in self._restored_speeds.items()
+            if incarnation_id not in context.targets.by_incarnation_id
+        }
+
 
 def _rounded(speed: TargetSpeed) -> TargetSpeed:
     return TargetSpeed(
--- a/libs/direct/tests/test_direct_snapshots_restored.py
+++ b/libs/direct/tests/test_direct_snapshots_restored.py
@@ -4,8 +4,10 @@
 
 import pytest
 from anyio import sleep
+from msgspec import json
 
-from berylwalk.dispatch import HistoryCoverage, QuotaRules
+from berylwalk.direct._speed_store import Speeds
+from berylwalk.dispatch import HistoryCoverage, QuotaRules, TargetSpeed
 from berylwalk.platform import OutcomeUnknown
 from direct_fleet import answers
 
@@ -60,6 +62,37 @@
         assert failed == [SPEEDS_KEY]
 
 
+class TestUnlistedTargets:
+    """A router starts while a target is not listed whose speed is stored."""
+
+    @staticmethod
+    def _store_speed(fleet):
+        speed = TargetSpeed(
+            fixed_s=None, slot_s=0.5, output_token_s=None, event_s=None, paused_share=0
+        )
+        speeds = Speeds({"absent": speed}, {})
+        fleet.platform.store.put(SPEEDS_KEY, json.encode(speeds))
+
+    @staticmethod
+    def _stored_ids(fleet):
+        snapshot = fleet.platform.store.get(SPEEDS_KEY)
+        return set(json.decode(snapshot.value, type=Speeds).targets)
+
+    async def test_its_speed_stays_in_the_snapshot(self, running, quick):
+        async with running(answers("ok"), prepare=self._store_speed) as fleet:
+            await fleet.call("/idempotent/")
+            await fleet.until(lambda: self._stored_ids(fleet) != {"absent"})
+            assert "absent" in self._stored_ids(fleet)
+
+    async def test_its_speed_is_dropped_if_it_does_not_return(
+        self, running, quick, monkeypatch
+    ):
+        monkeypatch.setattr("berylwalk.direct._speed_store.KEEP_UNLISTED_S", 0.2)
+        async with running(answers("ok"), prepare=self._store_speed) as fleet:
+            await fleet.call("/idempotent/")
+            await fleet.until(lambda: "absent" not in self._stored_ids(fleet))
+
+
 class TestSpending:
     """The id of the lease may be given to others after a restore."""
 
