Sound target that goes on after a silence gets requests before its backoff ends

Callers waited for a place or were refused while a sound target had room: each request that is given up in one silence counts as a connection failure, so that four of them put the target into a backoff of 3 s, also while it went on with the requests that were kept there. A target that failed while it was silent and has sent without a silence of 0.6 s for 0.6 s since is out of its backoff now. test_silent_target_that_goes_on_is_available_again failed before; those that send now and then, that have no request left and that refuse connections stay in it (tests beside it).

--- a/libs/direct/tests/test_direct_silent_targets.py
+++ b/libs/direct/tests/test_direct_silent_targets.py
@@ -140,6 +140,15 @@
             reply = await fleet.call("/idempotent/")
         assert (reply.status, reply.body) == (200, b"late")
 
+    async def test_request_that_must_not_be_repeated(self, running):
+        """It may have run at the silent target, though another is free."""
+        scripts = (answers_late("late"), answers("other"))
+        async with running(*scripts, routes=("non_idempotent",)) as fleet:
+            prefer_first(fleet)
+            reply = await fleet.call("/non_idempotent/")
+        assert reply.body == b"late"
+        assert fleet.targets[1].received == []
+
     async def test_plain_request_whose_second_target_falls_silent_too(self, running):
         async with running(answers_late("late"), answers_late("late")) as fleet:
             reply = await fleet.call("/idempotent/")
--- a/libs/dispatch/src/berylwalk/dispatch/_target.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_target.py
@@ -154,6 +154,8 @@
         Connection failures in a row.
     backoff_until : float
         End of the backoff, in seconds; no request is sent before.
+    silent_at : float
+        Time of the last failure if the target was silent then, in seconds; else inf.
     last_sent_at : float
         Time of the last request, in seconds.
     last_heard_at : float
@@ -204,6 +206,7 @@
     error_rate: float = 0.0
     consecutive_failures: int = 0
     backoff_until: float = float("-inf")
+    silent_at: float = float("inf")
     last_sent_at: float = float("-inf")
     last_heard_at: float = float("-inf")
     sending_since: float = float("-inf")
@@ -295,7 +298,7 @@
             return IneligibilityReason.DRAINING
         if self.is_replaced:
             return IneligibilityReason.REPLACED
-        if now < self.backoff_until:
+        if now < self.backoff_until and not self._has_gone_on(now):
             return IneligibilityReason.BACKOFF
         if self.is_silent(now):
             return IneligibilityReason.SILENT
@@ -304,6 +307,16 @@
             return IneligibilityReason.ERRORS
         return self.flow_control.ineligibility_reason(now)
 
+    def _has_gone_on(self, now: float) -> bool:
+        """Return whether the target has sent steadily since it failed by its silence.
+
+        Its requests that were given up meanwhile each extended the backoff.
+        """
+        if self.sending_since <= self.silent_at or self.is_silent(now):
+            return False
+        sent_last_at = self.last_heard_at if self.awaiting_since is None else now
+        return sent_last_at - self.sending_since > SILENCE_TIMEOUT_S
+
     def cache_load(self, now: float, work: Work | None = None) -> CacheLoad | None:
         """Return the use of the KV cache, with one more request if given.
 
@@ -486,6 +499,7 @@
 
     def note_unreachable(self, now: float) -> None:
         """Back off after a connection failure."""
+        self.silent_at = now if self.is_silent(now) else float("inf")
         self.consecutive_failures += 1
         pause_s = INITIAL_BACKOFF_S * 2 ** min(self.consecutive_failures - 1, 4)
         self.backoff_until = max(self.backoff_until, now + min(pause_s, MAX_BACKOFF_S))
--- a/libs/dispatch/tests/test_dispatch_targets.py
+++ b/libs/dispatch/tests/test_dispatch_targets.py
@@ -85,6 +85,48 @@
         assert pauses[0] < 0.5
         assert pauses[-1] <= 3.0
 
+    @staticmethod
+    def _given_up_in_a_silence(*, kept=1):
+        """Return a target with four requests given up, and others that are kept."""
+        target = table(entry("a")).by_id["a"]
+        for _ in range(4 + kept):
+            target.note_sent(Work(), NOW)
+        for _ in range(4):
+            target.note_unreachable(NOW + 1.1)
+            target.note_finished(Work(), had_first_event=False)
+        return target
+
+    def test_silent_target_that_goes_on_is_available_again(self):
+        """Requests that were given up in one silence extended its backoff to 3 s."""
+        target = self._given_up_in_a_silence()
+        for step in range(6):
+            target.note_heard(NOW + 1.5 + step / 10)
+        assert not target.is_available(NOW + 2.0)
+        target.note_heard(NOW + 2.1)
+        assert target.is_available(NOW + 2.2)
+
+    def test_silent_target_that_sends_now_and_then_stays_in_its_backoff(self):
+        target = self._given_up_in_a_silence()
+        target.note_heard(NOW + 1.5)
+        target.note_heard(NOW + 2.8)
+        assert not target.is_available(NOW + 2.9)
+        assert not target.is_available(NOW + 3.7)
+
+    def test_silent_target_without_requests_stays_in_its_backoff(self):
+        """Nothing tells whether it goes on."""
+        target = self._given_up_in_a_silence(kept=0)
+        assert not target.is_available(NOW + 4.0)
+        assert target.is_available(NOW + 4.2)
+
+    def test_target_that_refuses_connections_stays_in_its_backoff(self):
+        """Though it goes on with its open requests."""
+        target = self._given_up_in_a_silence()
+        for step in range(20):
+            target.note_heard(NOW + 1.5 + step / 10)
+        target.note_unreachable(NOW + 3.4)
+        target.note_heard(NOW + 3.5)
+        assert not target.is_available(NOW + 5.0)
+
     def test_failing_target_gets_probes_only(self):
         """A reachable target with many errors receives few requests."""
         targets = table(entry("a"))
