--- a/libs/direct/tests/test_direct_restored_members.py
+++ b/libs/direct/tests/test_direct_restored_members.py
@@ -23,6 +23,8 @@
 AWAY_S = 0.3
 REENTERED_S = 2.3
 """Time after the restore within which every router has heard of it."""
+LISTED_WITHIN_S = 1.1
+"""Time within which a router that knows no other one lists those that enter."""
 ENDED_WITHIN_S = 12.0
 """Time after the restore within which a member that does not enter again has ended."""
 
@@ -231,6 +233,26 @@
         assert simulate(scenario) == ([], "life-3")
 
 
+class TestRouterThatStartsAfterwards:
+    """The list lacks the others, which enter again one by one."""
+
+    def test_router_that_enters_again_is_known_soon(self):
+        """Until then this one takes the whole rate of each target."""
+
+        async def scenario(member):
+            store = member.store.store
+            copy = store.take_copy()
+            member.put_peer()
+            store.restore(copy, member.clock())
+            await until(REENTERED_S)
+            assert member.peers.known_count() == 1
+            member.put_peer()
+            await sleep(LISTED_WITHIN_S)
+            return member.known_incarnation()
+
+        assert simulate(scenario) == "life-2"
+
+
 class TestMemberThatTheCopyBringsBack:
     """A router that had ended."""
 
