Spending of a router that is back is counted from its last total

Accounts could be refused with 429 for a whole window by the other routers when one came back after it had been out of reach for longer than its lease (a suspension, say): its totals had been forgotten, and those of a router that started later than the counting one were taken to be all new, so that all that it had spent since its start counted once more. Of a router that started earlier, what it had spent meanwhile was left out. The last totals of 64 former peers are kept, and one that is back goes on from them. test_peer_that_is_back_is_counted_from_its_last_total failed before in both cases (453,000 units counted instead of 3,000; none). test_dispatch_quota, _quota_reserve and _allowances pass; no play was run.

--- a/libs/dispatch/src/berylwalk/dispatch/_quotas.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_quotas.py
@@ -1,6 +1,8 @@
 """Quotas of client accounts, enforced jointly by all routers."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
 from itertools import accumulate
 from types import MappingProxyType
 
@@ -39,6 +41,16 @@
 MAX_URGENT_RESERVE_SHARE = 0.8
 """Upper bound of the rate reserved for the most urgent rank, as a share of the quota:
 if that rank alone requests more than the quota, the others still get something."""
+MAX_FORMER_PEERS = 64
+"""Peers that ended whose totals are remembered; the least recent are dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class _PeerTotals:
+    """Last totals of a peer, in units by account."""
+
+    spent: dict[str, float] = field(default_factory=dict)
+    refused: dict[str, float] = field(default_factory=dict)
 
 
 class QuotaTracker:
@@ -62,6 +74,7 @@
         self._started_at = started_at
         self._spending_by_account: dict[str, AccountSpending] = {}
         self._incarnations: set[str] = set()
+        self._former_totals: OrderedDict[str, _PeerTotals] = OrderedDict()
         self._coverage = HistoryCoverage.NONE
         self._accounts_by_name: dict[str, Account] = {}
         self._share = 1.0
@@ -269,6 +282,8 @@
             Current time in seconds.
         """
         is_first = incarnation not in self._incarnations
+        if is_first and self._recall_peer(incarnation):
+            is_first = False
         self._incarnations.add(incarnation)
         for name, total in spent_by_account.items():
             spending = self._spending(name)
@@ -288,12 +303,33 @@
             spending.refused_by_peer[incarnation] = total
 
     def forget_peer(self, incarnation: str) -> None:
-        """Drop the totals of a peer incarnation that has ended."""
+        """Drop a peer incarnation that has ended.
+
+        Its totals are remembered: it may only have been out of reach, and what was
+        counted must not be counted again when it is back.
+        """
+        is_known = incarnation in self._incarnations
         self._incarnations.discard(incarnation)
         self.urgent_demand.forget_peer(incarnation)
-        for spending in self._spending_by_account.values():
-            spending.spent_by_peer.pop(incarnation, None)
-            spending.refused_by_peer.pop(incarnation, None)
+        totals = _PeerTotals()
+        for name, spending in self._spending_by_account.items():
+            totals.spent[name] = spending.spent_by_peer.pop(incarnation, 0.0)
+            totals.refused[name] = spending.refused_by_peer.pop(incarnation, 0.0)
+        if is_known:
+            self._former_totals[incarnation] = totals
+            if len(self._former_totals) > MAX_FORMER_PEERS:
+                self._former_totals.popitem(last=False)
+
+    def _recall_peer(self, incarnation: str) -> bool:
+        """Go on with the totals of a peer that is back; returns whether it is known."""
+        totals = self._former_totals.pop(incarnation, None)
+        if totals is None:
+            return False
+        for name, units in totals.spent.items():
+            self._spending(name).spent_by_peer[incarnation] = units
+        for name, units in totals.refused.items():
+            self._spending(name).refused_by_peer[incarnation] = units
+        return True
 
     def spent_by_bin(self, now: float) -> dict[str, list[float]]:
         """Return the spending history of the window, for routers that start.
--- a/libs/dispatch/tests/test_dispatch_allowances.py
+++ b/libs/dispatch/tests/test_dispatch_allowances.py
@@ -298,6 +298,22 @@
         router.record_peer_totals("p/1", {"a": 1e9 + ALLOWANCE}, is_new=False, now=0.1)
         assert router.take(ACCOUNT, 2000.0, 0, 0.1) > 0
 
+    @pytest.mark.parametrize("is_new", [False, True])
+    def test_peer_that_is_back_is_counted_from_its_last_total(self, is_new):
+        """It was out of reach; nothing counts twice, nor is anything left out."""
+
+        def hear(spent, now):
+            totals = {ACCOUNT.name: spent}
+            router.record_peer_totals("b", totals, is_new=is_new, now=now)
+
+        router = tracker()
+        router.set_accounts([ACCOUNT], -100.0)
+        hear(0.0, -90.0)
+        hear(50 * ALLOWANCE, -50.0)
+        router.forget_peer("b")
+        hear(50 * ALLOWANCE + 3000.0, 0.0)
+        assert sum(router.spent_by_bin(0.0)[ACCOUNT.name]) == 3000.0
+
     def test_new_account_in_peer_totals_counts_entirely(self):
         """An account that is missing from earlier totals has spent all of it since."""
         router = tracker()
