--- a/libs/admission/tests/test_admission_limits.py
+++ b/libs/admission/tests/test_admission_limits.py
@@ -105,6 +105,19 @@
         assert not detector.slow
         assert detector.slowdown == 1.0
 
+    def test_target_that_is_slow_at_the_start_is_detected_after_a_recovery(self):
+        """An agent that has just started takes the first gaps for normal."""
+        detector = StragglerDetector()
+        for _ in range(200):
+            detector.observe(4, 0.03)
+        assert not detector.slow
+        for _ in range(200):
+            detector.observe(4, 0.01)
+        assert not detector.slow
+        for _ in range(60):
+            detector.observe(4, 0.03)
+        assert detector.slow
+
     def test_larger_batch_is_not_slow(self):
         """Token gaps are compared with the baseline of their own batch size."""
         detector = StragglerDetector()
--- a/libs/dispatch/tests/test_dispatch_allowances.py
+++ b/libs/dispatch/tests/test_dispatch_allowances.py
@@ -128,6 +128,16 @@
         router.restore({}, HistoryCoverage.COMPLETE, 0.05)
         assert spend_all(router, 0.05) >= 0.95 * ALLOWANCE
 
+    @pytest.mark.parametrize(
+        "coverage", [HistoryCoverage.COMPLETE, HistoryCoverage.PARTIAL]
+    )
+    def test_sum_in_a_history_that_is_no_number_counts_nothing(self, coverage):
+        router = tracker(started_at=0.0)
+        router.set_accounts([ACCOUNT], 0.0)
+        router.restore({ACCOUNT.name: [float("nan"), 7.0]}, coverage, 0.0)
+        assert sum(router.spent_by_bin(0.0)[ACCOUNT.name]) == 7.0
+        assert 0 < spend_all(router, 0.0) <= BOUND
+
     @pytest.mark.parametrize(
         "coverage", [HistoryCoverage.COMPLETE, HistoryCoverage.PARTIAL]
     )
