Agent: a response that ends with its connection is whole only if its target outlives it

Callers saw: when the process of a target was ended by SIGKILL, or by SIGTERM without a handler, in the midst of responses without a length or chunks, the part that had arrived came with 200, framed as whole, through agent and router.

Cause: the kernel closes the connections of a process that ends with FIN. ResponseConnection takes FIN for the end of such a response, the agent ends its chunks, the router ends its own.

Change: parts pass at once. The agent tells the end of such a response only after a response of the target to a health check that was sent after the close, within 1 s; without it, the response is broken. Health checks use one connection where the target keeps it: its end, or a refused connection, changes the number of the process, so that a process that replaces it at the same address confirms nothing. A model's stream with its end marker doesn't wait. The requests over httpcore move to a module of their own, which the pool and the single connection share.

Evidence: tests/processes/test_processes_cut_responses.py, real processes, 48 calls at once (events and plain; closed, chunked, length; 8 each).

Ruled out: a new connection for each check as the only evidence: an agent that was suspended meets the process that replaced the one that ended.

--- a/libs/agent/src/berylwalk/agent/_daemon.py
+++ b/libs/agent/src/berylwalk/agent/_daemon.py
@@ -14,7 +14,7 @@
 from berylwalk.agent._dispatch import Dispatcher
 from berylwalk.agent._dispatch_observer import DispatchObserver
 from berylwalk.agent._events import DrainRequested, TargetChanged, TiersChanged
-from berylwalk.agent._health import TargetHealth
+from berylwalk.agent._health import TargetHealth, health_url
 from berylwalk.agent._machine import AgentMachine
 from berylwalk.agent._orders import ORDERS_PATH, OrderCaller, OrdersEndpoint
 from berylwalk.agent._paths import DISPATCH_PATH, by_path
@@ -22,6 +22,7 @@
 from berylwalk.agent._settings_responder import SettingsResponder
 from berylwalk.agent._shell import AgentShell
 from berylwalk.agent._startup import machine_config
+from berylwalk.agent._target_probe import TargetProbe
 from berylwalk.model import Finding
 from berylwalk.orders import FencingGate
 from berylwalk.process import (
@@ -33,7 +34,7 @@
 )
 from berylwalk.settings import AgentSettings, SettingsReplica
 from berylwalk.telemetry import AgentMetrics, ops_application
-from berylwalk.transport import HttpServer
+from berylwalk.transport import HttpServer, KeptConnection
 
 DRAIN_LINGER_S = 1.0
 """Time for which routers are still served after the last request ended, in seconds."""
@@ -70,6 +71,7 @@
         self._shell = AgentShell(machine)
         self._observer = DispatchObserver(self._metrics, self._tracing, machine)
         self._datagrams = DatagramCounter(self._metrics, self._connections.endpoint)
+        self._probe = self._new_probe()
         self._health = self._new_health()
         self._replica = SettingsReplica(time.monotonic(), node_id=settings.node.id)
         self._puller = SettingsPuller(
@@ -139,6 +141,7 @@
             if self._task_group is not None:
                 self._task_group.cancel_scope.cancel()
             await self._sync_server.close()
+            await self._probe.close()
             await self._connections.close()
         await self._exit_stack.aclose()
         self._tracing.close()
@@ -154,11 +157,15 @@
             findings.append(Finding("settings", "a newer version is not pulled yet"))
         return findings
 
+    def _new_probe(self) -> TargetProbe:
+        target = self._settings.target
+        url = health_url(target.url, has_models=bool(target.models))
+        return TargetProbe(partial(KeptConnection.from_config, url))
+
     def _new_health(self) -> TargetHealth:
         target = self._settings.target
         return TargetHealth(
-            self._connections.http,
-            target.url,
+            self._probe,
             models=target.models,
             services=target.services,
             on_change=self._on_target_change,
@@ -173,6 +180,7 @@
             connections.key,
             settings.target.url,
             self._observer,
+            self._probe,
             on_refused_connection=self._health.mark_unreachable,
         )
         orders = OrderCaller(connections.http, settings.target.url)
--- a/libs/agent/src/berylwalk/agent/_dispatch.py
+++ b/libs/agent/src/berylwalk/agent/_dispatch.py
@@ -21,6 +21,7 @@
 )
 from berylwalk.agent._response_meter import ResponseMeter
 from berylwalk.agent._shell import AgentShell
+from berylwalk.agent._target_probe import TargetProbe
 from berylwalk.model import Refusal, RefusalReason
 from berylwalk.platform import parse_target_headers
 from berylwalk.transport import (
@@ -74,6 +75,8 @@
         Base URL of the target.
     observer : DispatchObserver
         Records the outcomes of grants.
+    probe : TargetProbe
+        Shows whether the target has outlived the end of a connection.
     on_refused_connection : callable
         Called when the target refuses a connection.
     clock : callable
@@ -87,6 +90,7 @@
         key: FleetKey,
         target_url: str,
         observer: DispatchObserver,
+        probe: TargetProbe,
         *,
         on_refused_connection: Callable[[], None],
         clock: Callable[[], float] = monotonic,
@@ -96,6 +100,7 @@
         self._key = key
         self._target_url = target_url.rstrip("/")
         self._observer = observer
+        self._probe = probe
         self._on_refused_connection = on_refused_connection
         self._clock = clock
 
@@ -162,6 +167,7 @@
         grant = call.grant
         is_model = grant.resource.startswith(MODEL_PREFIX)
         sent_at = self._clock()
+        call.process_number = self._probe.current_process()
         stream = await self._client.open_stream(
             grant.method,
             self._target_url + grant.path,
@@ -208,9 +214,24 @@
         if not meter.is_complete:
             logging.warning("stream of %s has no end marker", call.grant.request_id)
             return DispatchEnd.BROKEN
+        if not await self._is_end_certain(call, stream, meter):
+            logging.warning(
+                "response of %s ended with its connection, and its target has not "
+                "responded since",
+                call.grant.request_id,
+            )
+            return DispatchEnd.BROKEN
         progress.finish(0 if meter.is_stream else meter.reported_tokens)
         return DispatchEnd.COMPLETE
 
+    async def _is_end_certain(
+        self, call: DispatchedCall, stream: HttpStream, meter: ResponseMeter
+    ) -> bool:
+        """Return whether the body is whole, although only its connection ended it."""
+        if not stream.ended_by_close or meter.has_end_marker:
+            return True
+        return await self._probe.confirms(call.process_number)
+
     def _report_signals(self, stream: HttpStream, sent_at: float) -> None:
         headers = [
             (name.encode("latin-1"), value.encode("latin-1"))
--- a/libs/agent/src/berylwalk/agent/_dispatch_observer.py
+++ b/libs/agent/src/berylwalk/agent/_dispatch_observer.py
@@ -30,6 +30,8 @@
         Span of the request.
     started_at : float
         Monotonic time of the dispatch, in seconds.
+    process_number : int
+        Process of the target when the request was sent.
     status : int
         HTTP status of the target; 0 before the response.
     tokens : int
@@ -41,6 +43,7 @@
     grant: Grant
     span: TraceSpan
     started_at: float
+    process_number: int = 0
     status: int = 0
     tokens: int = 0
     caller_gone: bool = False
--- a/libs/agent/src/berylwalk/agent/_health.py
+++ b/libs/agent/src/berylwalk/agent/_health.py
@@ -5,7 +5,8 @@
 import msgspec
 from anyio import sleep
 
-from berylwalk.transport import HttpClient, HttpResponse, RequestFailed, SendState
+from berylwalk.agent._target_probe import TargetProbe
+from berylwalk.transport import HttpResponse, RequestFailed, SendState
 
 MODELS_PATH = "/v1/models"
 SERVICE_PATH = "/healthz"
@@ -30,10 +31,8 @@
 
     Parameters
     ----------
-    client : HttpClient
-        Connections to the target.
-    url : str
-        Base URL of the target.
+    probe : TargetProbe
+        Health requests to the target.
     models, services : tuple of str
         Models and services of the target according to the settings.
     on_change : callable
@@ -49,15 +48,13 @@
 
     def __init__(
         self,
-        client: HttpClient,
-        url: str,
+        probe: TargetProbe,
         *,
         models: tuple[str, ...],
         services: tuple[str, ...],
         on_change: Callable[[], None],
     ) -> None:
-        self._client = client
-        self._url = url.rstrip("/") + (MODELS_PATH if models else SERVICE_PATH)
+        self._probe = probe
         self._models = models
         self._services = services
         self._on_change = on_change
@@ -73,9 +70,7 @@
 
     async def poll(self) -> None:
         """Poll the target once."""
-        response = await self._client.request(
-            "GET", self._url, read_timeout_s=POLL_TIMEOUT_S
-        )
+        response = await self._probe.request(POLL_TIMEOUT_S)
         if isinstance(response, RequestFailed):
             self._handle_failure(response)
         else:
@@ -108,6 +103,19 @@
         self._on_change()
 
 
+def health_url(url: str, *, has_models: bool) -> str:
+    """Return the URL of the health check of a target.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the target.
+    has_models : bool
+        Whether it serves models.
+    """
+    return url.rstrip("/") + (MODELS_PATH if has_models else SERVICE_PATH)
+
+
 def _model_names(body: bytes) -> tuple[str, ...]:
     try:
         models = msgspec.json.decode(body, type=_Models)
--- a/libs/agent/src/berylwalk/agent/_response_meter.py
+++ b/libs/agent/src/berylwalk/agent/_response_meter.py
@@ -38,9 +38,12 @@
     @property
     def is_complete(self) -> bool:
         """Whether the response is complete if its body ends here."""
-        if not self._needs_marker:
-            return True
-        return self._tail.rstrip().endswith(STREAM_ENDS)
+        return self.has_end_marker or not self._needs_marker
+
+    @property
+    def has_end_marker(self) -> bool:
+        """Whether the body so far says itself that it ends here."""
+        return self._needs_marker and self._tail.rstrip().endswith(STREAM_ENDS)
 
     @property
     def reported_tokens(self) -> int:
--- a/libs/transport/src/berylwalk/transport/__init__.py
+++ b/libs/transport/src/berylwalk/transport/__init__.py
@@ -29,6 +29,7 @@
     SendState,
 )
 from berylwalk.transport._http_server import HttpLimits, HttpServer
+from berylwalk.transport._kept_connection import KeptConnection
 from berylwalk.transport._response_stream import HttpStream, StreamBrokenError
 from berylwalk.transport._sync import (
     SyncClient,
@@ -51,6 +52,7 @@
     "HttpResponse",
     "HttpServer",
     "HttpStream",
+    "KeptConnection",
     "Message",
     "Receive",
     "RequestFailed",
--- a/libs/transport/src/berylwalk/transport/_http_client.py
+++ b/libs/transport/src/berylwalk/transport/_http_client.py
@@ -9,12 +9,13 @@
 import httpcore
 
 from berylwalk.transport._asgi import Header
+from berylwalk.transport._http_exchange import exchange, new_request
 from berylwalk.transport._http_results import (
     HttpResponse,
     RequestFailed,
     SendState,
 )
-from berylwalk.transport._request_head import host_header, request_head
+from berylwalk.transport._request_head import request_head
 from berylwalk.transport._response_connection import ResponseConnection, format_error
 from berylwalk.transport._response_stream import HttpStream
 
@@ -182,18 +183,16 @@
         """
         if self._pool is None:
             return RequestFailed(SendState.NOT_SENT, "client is not started")
-        request = self._request(method, url, headers, body, read_timeout_s)
-        response = await _send(self._pool, request)
-        if isinstance(response, RequestFailed):
-            return response
-        try:
-            content = await response.aread()
-        except _NETWORK_ERRORS as error:
-            return RequestFailed(SendState.OUTCOME_UNKNOWN, format_error(error))
-        finally:
-            with anyio.CancelScope(shield=True):
-                await response.aclose()
-        return HttpResponse(response.status, _decode(response.headers), content)
+        timeout_s = self._read_timeout_s if read_timeout_s is None else read_timeout_s
+        request = new_request(
+            method,
+            url,
+            headers=headers,
+            body=body,
+            connect_timeout_s=self._connect_timeout_s,
+            read_timeout_s=timeout_s,
+        )
+        return await exchange(self._pool, request)
 
     async def _connect(self, url: httpcore.URL) -> ResponseConnection | RequestFailed:
         host = url.host.decode("ascii")
@@ -207,43 +206,6 @@
             return RequestFailed(SendState.NOT_SENT, format_error(error))
         return connection
 
-    def _request(
-        self,
-        method: str,
-        url: str,
-        headers: Iterable[Header],
-        body: bytes,
-        read_timeout_s: float | None,
-    ) -> httpcore.Request:
-        parsed_url = httpcore.URL(url)
-        timeouts = {
-            "connect": self._connect_timeout_s,
-            "pool": self._connect_timeout_s,
-            "read": self._read_timeout_s if read_timeout_s is None else read_timeout_s,
-        }
-        return httpcore.Request(
-            method,
-            parsed_url,
-            headers=_complete_headers(parsed_url, headers, body),
-            content=body,
-            extensions={"timeout": timeouts},
-        )
-
-
-# Raised only before the first byte of the request is written.
-_NOT_SENT_ERRORS = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-    httpcore.UnsupportedProtocol,
-)
-
-_NETWORK_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
-
 
 async def _exchange_heads(
     connection: ResponseConnection, head: bytes, body: bytes, timeout_s: float | None
@@ -265,31 +227,3 @@
         return None
     connection.close()
     return RequestFailed(SendState.OUTCOME_UNKNOWN, connection.failure)
-
-
-async def _send(
-    sender: httpcore.AsyncConnectionInterface, request: httpcore.Request
-) -> httpcore.Response | RequestFailed:
-    try:
-        return await sender.handle_async_request(request)
-    except _NOT_SENT_ERRORS as error:
-        return RequestFailed(SendState.NOT_SENT, format_error(error))
-    except _NETWORK_ERRORS as error:
-        return RequestFailed(SendState.OUTCOME_UNKNOWN, format_error(error))
-
-
-def _complete_headers(
-    url: httpcore.URL, headers: Iterable[Header], body: bytes
-) -> list[Header]:
-    return [
-        (b"host", host_header(url)),
-        (b"content-length", str(len(body)).encode()),
-        *headers,
-    ]
-
-
-def _decode(headers: Iterable[Header]) -> dict[str, str]:
-    return {
-        name.decode("latin-1").lower(): value.decode("latin-1")
-        for name, value in headers
-    }
--- a/libs/transport/src/berylwalk/transport/_response_connection.py
+++ b/libs/transport/src/berylwalk/transport/_response_connection.py
@@ -40,6 +40,9 @@
         Values by lower-case name.
     complete : bool
         Whether the complete response was received.
+    ended_by_close : bool
+        Whether only the end of the connection shows that the response is complete.
+        The kernel ends the connections of a process that is killed in the same way.
     failure : str
         Reason why the response cannot be completed, or empty.
     """
@@ -48,6 +51,7 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.complete = False
+        self.ended_by_close = False
         self.failure = ""
         self._parser = httptools.HttpResponseParser(self)
         self._head_bytes = 0
@@ -85,8 +89,9 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the data; the connection is closed by `close`."""
-        if self.status and self._ends_with_connection():
+        if self.status and not self.complete and self._ends_with_connection():
             self.complete = True
+            self.ended_by_close = True
         self._fail("connection closed before the end of the body")
         self._deliver()
         return True
--- a/libs/transport/src/berylwalk/transport/_response_stream.py
+++ b/libs/transport/src/berylwalk/transport/_response_stream.py
@@ -52,6 +52,15 @@
         self._coalesce_s = coalesce_s
         self._pacer = Pacer(coalesce_s)
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether only the end of the connection shows that the body is complete.
+
+        A response without a length or chunks ends so, and the kernel ends the
+        connections of a process that is killed in the same way.
+        """
+        return self._connection.ended_by_close
+
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive, without content decoding."""
         connection = self._connection
--- a/tests/fuzz/faults.py
+++ b/tests/fuzz/faults.py
@@ -8,6 +8,7 @@
 IDEMPOTENCY = "tests/fuzz/test_fuzz_idempotency.py"
 AGENT_MACHINE = "libs/agent/tests/test_agent_machine.py"
 AGENT_DAEMON = "libs/agent/tests/test_agent_daemon.py"
+AGENT_PROBE = "libs/agent/tests/test_agent_target_probe.py"
 TRANSPORT_HTTP = "libs/transport/tests/test_transport_http.py"
 ROUTER_MACHINE = "libs/router/tests/test_router_machine.py"
 
@@ -347,6 +348,26 @@
         (Edit("agent/_dispatch", "if not meter.is_complete:", "if False:"),),
         f"{AGENT_DAEMON}::TestDispatch::test_broken_stream_is_aborted",
     ),
+    Fault(
+        "a target that does not respond confirms the end of its response",
+        COMPLETE,
+        (Edit("agent/_target_probe", "return False", "return True"),),
+        f"{AGENT_PROBE}::TestEndedTarget"
+        "::test_target_that_does_not_respond_confirms_nothing",
+    ),
+    Fault(
+        "another process confirms the end of a response",
+        COMPLETE,
+        (
+            Edit(
+                "agent/_target_probe",
+                "return self._answers_last and self._process_number == process_number",
+                "return self._answers_last",
+            ),
+        ),
+        f"{AGENT_PROBE}::TestEndedTarget"
+        "::test_process_that_replaces_it_confirms_nothing",
+    ),
     Fault(
         "a grant does not wait for its key",
         KEY,
--- /dev/null
+++ b/tests/processes/test_processes_cut_responses.py
@@ -0,0 +1,182 @@
+"""Targets that are killed in the midst of responses."""
+
+import os
+import signal
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from hashlib import sha256
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from urllib.parse import urlsplit
+
+import pytest
+
+from berylwalk.localfleet import (
+    FleetSpec,
+    LocalFleet,
+    RouterSpec,
+    ServiceSpec,
+    agent_name,
+)
+from closing_target import BODY, PARTS, PAUSE_S
+
+TOKEN = "parkovisko-test-token"
+SERVICE = "closing-1"
+TARGET = f"{SERVICE}-target"
+ROUTER = "entry-1"
+TREE = f"""
+[tier urgent]
+rank = 0
+deadline_s = 60
+
+[/]
+tier = urgent
+
+[/parkovisko]
+credential_sha256 = {sha256(TOKEN.encode()).hexdigest()}
+
+[/parkovisko/signs]
+tier = urgent
+idempotent = false
+"""
+SPEC = FleetSpec(
+    routers=(RouterSpec(ROUTER, "kosice-a"),),
+    targets=(ServiceSpec(SERVICE, "kosice-a"),),
+    settings_tree=TREE,
+    overrides={"admission": {"min_limit": "60", "initial_limit": "60"}},
+)
+SUBNET_OFFSET = 1
+KINDS = ("events", "plain")
+FRAMINGS = ("closed", "chunked", "length")
+CALLS = 8
+"""Calls of each framing and kind."""
+HALF_S = len(PARTS) * PAUSE_S / 2
+SERVED_S = 3.0
+"""Time after which a connection to a target that was started has answered polls."""
+CALL_TIMEOUT_S = 20.0
+
+
+class ClosingFleet(LocalFleet):
+    """A fleet whose target is `closing_target`."""
+
+    def start_target(self, target):
+        """Start the target, or restart it after it exited."""
+        path = Path(__file__).with_name("closing_target.py")
+        address = urlsplit(self.target_url(target.vm_id))
+        arguments = (str(path), address.hostname, str(address.port))
+        if TARGET in self.processes_by_name:
+            self.target.start()
+            return
+        self._start(TARGET, arguments)
+
+    @property
+    def target(self):
+        """The process of the target."""
+        return self.processes_by_name[TARGET]
+
+    @property
+    def agent(self):
+        """The process of the target's agent."""
+        return self.processes_by_name[agent_name(SERVICE)]
+
+    def restart_target(self):
+        """Start the target again and wait until it listens."""
+        self.start_target(SPEC.targets[0])
+        address = urlsplit(self.target_url(SERVICE))
+        deadline = time.monotonic() + CALL_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                socket.create_connection((address.hostname, address.port)).close()
+            except ConnectionRefusedError:
+                time.sleep(0.01)
+            else:
+                return
+
+    def call(self, framing, kind):
+        """Return the body of a response that looks complete, else None."""
+        address = urlsplit(self.caller_urls()[0])
+        connection = HTTPConnection(
+            address.hostname, address.port, timeout=CALL_TIMEOUT_S
+        )
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        try:
+            connection.request("POST", _path(framing, kind), b"x", headers)
+            response = connection.getresponse()
+            body = response.read()
+        except (OSError, HTTPException):
+            return None
+        finally:
+            connection.close()
+        return body if response.status == 200 else None
+
+
+def _path(framing, kind):
+    return f"/services/signs/{framing}/{kind}"
+
+
+@pytest.fixture(scope="module")
+def closing_fleet():
+    """Start the fleet."""
+    fleet = ClosingFleet.from_spec(SPEC, subnet_offset=SUBNET_OFFSET)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.close()
+
+
+@pytest.fixture
+def calls(closing_fleet):
+    """Yield a function that starts calls of each framing and kind, in threads."""
+    closing_fleet.wait_ready()
+    with ThreadPoolExecutor(CALLS * len(FRAMINGS) * len(KINDS)) as threads:
+
+        def start(call, framings=FRAMINGS):
+            return {
+                (framing, kind, number): threads.submit(call, framing, kind)
+                for framing in framings
+                for kind in KINDS
+                for number in range(CALLS)
+            }
+
+        yield start
+
+
+def bodies(started):
+    """Wait for calls; return the bodies that look complete, by call."""
+    results = {call: future.result() for call, future in started.items()}
+    return {call: body for call, body in results.items() if body is not None}
+
+
+class TestLivingTarget:
+    def test_all_responses_arrive_whole(self, closing_fleet, calls):
+        """The end of a response without a length is confirmed by the target."""
+        started = calls(closing_fleet.call)
+        assert bodies(started) == dict.fromkeys(started, BODY)
+
+
+class TestEndedTarget:
+    @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+    def test_no_cut_response_looks_complete(self, closing_fleet, calls, number):
+        """The kernel closes the connections of a killed process in the usual way."""
+        started = calls(closing_fleet.call)
+        time.sleep(HALF_S)
+        os.kill(closing_fleet.target.pid, number)
+        closing_fleet.target.wait_for_exit()
+        complete = bodies(started)
+        closing_fleet.restart_target()
+        assert complete == {}
+
+    def test_another_process_at_its_address_confirms_nothing(
+        self, closing_fleet, calls
+    ):
+        """A suspended agent sees the end when another process listens already."""
+        time.sleep(SERVED_S)
+        started = calls(closing_fleet.call)
+        time.sleep(HALF_S)
+        closing_fleet.agent.freeze()
+        closing_fleet.target.kill()
+        closing_fleet.restart_target()
+        closing_fleet.agent.thaw()
+        assert bodies(started) == {}
