Cut responses: the tests begin once the router is served, and require calls in progress

The tests of ended targets would have passed with such refusals. The tests now wait for one whole response first, and require that each stream has begun and broke and that each plain call got 502.

--- a/tests/processes/test_processes_cut_responses.py
+++ b/tests/processes/test_processes_cut_responses.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from hashlib import sha256
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
@@ -55,6 +56,18 @@
 SERVED_S = 3.0
 """Time after which a connection to a target that was started has answered polls."""
 CALL_TIMEOUT_S = 20.0
+POLL_S = 0.01
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A response; its body is None unless it looks complete."""
+
+    status: int
+    body: bytes | None
+
+
+WHOLE = Answer(200, BODY)
 
 
 class ClosingFleet(LocalFleet):
@@ -84,31 +97,43 @@
         """Start the target again and wait until it listens."""
         self.start_target(SPEC.targets[0])
         address = urlsplit(self.target_url(SERVICE))
-        deadline = time.monotonic() + CALL_TIMEOUT_S
-        while time.monotonic() < deadline:
-            try:
-                socket.create_connection((address.hostname, address.port)).close()
-            except ConnectionRefusedError:
-                time.sleep(0.01)
-            else:
-                return
+
+        def listens():
+            with socket.socket() as probe:
+                return probe.connect_ex((address.hostname, address.port)) == 0
+
+        wait(listens)
+
+    def wait_until_served(self):
+        """Wait until the router gets responses of the target."""
+        self.wait_ready()
+        wait(lambda: self.call("length", "plain") == WHOLE)
 
     def call(self, framing, kind):
-        """Return the body of a response that looks complete, else None."""
+        """Return the response as its caller sees it."""
         address = urlsplit(self.caller_urls()[0])
         connection = HTTPConnection(
             address.hostname, address.port, timeout=CALL_TIMEOUT_S
         )
         headers = {"Authorization": f"Bearer {TOKEN}"}
+        status = 0
         try:
             connection.request("POST", _path(framing, kind), b"x", headers)
             response = connection.getresponse()
-            body = response.read()
+            status = response.status
+            return Answer(status, response.read())
         except (OSError, HTTPException):
-            return None
+            return Answer(status, None)
         finally:
             connection.close()
-        return body if response.status == 200 else None
+
+
+def wait(condition):
+    """Poll until a condition holds."""
+    deadline = time.monotonic() + CALL_TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(POLL_S)
 
 
 def _path(framing, kind):
@@ -129,13 +154,13 @@
 @pytest.fixture
 def calls(closing_fleet):
     """Yield a function that starts calls of each framing and kind, in threads."""
-    closing_fleet.wait_ready()
+    closing_fleet.wait_until_served()
     with ThreadPoolExecutor(CALLS * len(FRAMINGS) * len(KINDS)) as threads:
 
-        def start(call, framings=FRAMINGS):
+        def start(call):
             return {
                 (framing, kind, number): threads.submit(call, framing, kind)
-                for framing in framings
+                for framing in FRAMINGS
                 for kind in KINDS
                 for number in range(CALLS)
             }
@@ -143,17 +168,26 @@
         yield start
 
 
-def bodies(started):
-    """Wait for calls; return the bodies that look complete, by call."""
-    results = {call: future.result() for call, future in started.items()}
-    return {call: body for call, body in results.items() if body is not None}
+def results(started):
+    """Wait for calls and return their responses by call."""
+    return {call: future.result() for call, future in started.items()}
+
+
+def assert_all_are_cut(answers):
+    """Assert that streams have begun and broke, and that the rest is unknown."""
+    for call, answer in answers.items():
+        _, kind, _ = call
+        is_cut = (
+            answer == Answer(200, None) if kind == "events" else answer.status == 502
+        )
+        assert (call, answer, is_cut) == (call, answer, True)
 
 
 class TestLivingTarget:
     def test_all_responses_arrive_whole(self, closing_fleet, calls):
         """The end of a response without a length is confirmed by the target."""
         started = calls(closing_fleet.call)
-        assert bodies(started) == dict.fromkeys(started, BODY)
+        assert results(started) == dict.fromkeys(started, WHOLE)
 
 
 class TestEndedTarget:
@@ -164,9 +198,9 @@
         time.sleep(HALF_S)
         os.kill(closing_fleet.target.pid, number)
         closing_fleet.target.wait_for_exit()
-        complete = bodies(started)
+        answers = results(started)
         closing_fleet.restart_target()
-        assert complete == {}
+        assert_all_are_cut(answers)
 
     def test_another_process_at_its_address_confirms_nothing(
         self, closing_fleet, calls
@@ -179,4 +213,4 @@
         closing_fleet.target.kill()
         closing_fleet.restart_target()
         closing_fleet.agent.thaw()
-        assert bodies(started) == {}
+        assert_all_are_cut(results(started))
