HTTP/1.0: responses without chunks, reset when they or the process end early

Callers saw: callers of HTTP/1.0 got responses without a length in chunks, which HTTP/1.0 doesn't have: chunk sizes in the body. An aborted response, and one whose router was killed, ended with FIN, which is the end of the body for such a caller.

Cause: uvicorn sends chunks for any version; its transport closes in the usual way, as does the kernel for a killed process.

Change: CloseDelimitedSender sends such a response as it is.

Limit: a reset may discard bytes that the caller hasn't read, also the error event.

--- a/libs/transport/src/berylwalk/transport/_http_protocol.py
+++ b/libs/transport/src/berylwalk/transport/_http_protocol.py
@@ -16,8 +16,11 @@
     Send,
 )
 from berylwalk.transport._chunk_sender import ChunkSender
+from berylwalk.transport._close_delimited_sender import CloseDelimitedSender
 
 ABORT_EXTENSION = "berylwalk.abort"
+WITHOUT_CHUNKS = "1.0"
+"""HTTP version whose callers know no chunks."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -190,8 +193,14 @@
 
     async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
         try:
-            await application(scope, receive, ChunkSender(send.__self__))
+            await application(scope, receive, _sender(scope, send))
         except AbortConnection:
             scope["extensions"][ABORT_EXTENSION]["call"]()
 
     return wrapped
+
+
+def _sender(scope: Scope, send: Send) -> Send:
+    if scope["http_version"] == WITHOUT_CHUNKS:
+        return CloseDelimitedSender(send.__self__)
+    return ChunkSender(send.__self__)
--- a/libs/transport/tests/test_transport_http.py
+++ b/libs/transport/tests/test_transport_http.py
@@ -582,6 +582,111 @@
         run(main, use_uvloop)
 
 
+class TestHttp10:
+    """HTTP/1.0 has no chunks, so that the end of the connection ends the body."""
+
+    REQUEST = b"GET / HTTP/1.0\r\nhost: x\r\n\r\n"
+
+    async def call(self, server, *, pause_s=0.0):
+        """Return the head, the body and whether the connection was reset."""
+        received = b""
+        async with await anyio.connect_tcp(*server.address) as stream:
+            await stream.send(self.REQUEST)
+            is_reset = False
+            try:
+                while True:
+                    received += await stream.receive()
+                    await anyio.sleep(pause_s)
+            except anyio.EndOfStream:
+                pass
+            except anyio.BrokenResourceError:
+                is_reset = True
+        head, _, body = received.partition(b"\r\n\r\n")
+        return head.lower(), body, is_reset
+
+    def test_whole_body_is_sent_without_chunks(self, use_uvloop):
+        async def main():
+            async with serving(numbers) as (server, _, _):
+                head, body, is_reset = await self.call(server)
+                assert b"transfer-encoding" not in head
+                assert (body, is_reset) == (NUMBERS, False)
+
+        run(main, use_uvloop)
+
+    def test_body_with_a_length_is_sent_as_it_is(self, use_uvloop):
+        async def document(scope, receive, send):
+            await send_json(send, 200, [1, 2])
+
+        async def main():
+            async with serving(document) as (server, _, _):
+                head, body, is_reset = await self.call(server)
+                assert b"content-length: 5" in head
+                assert (body, is_reset) == (b"[1,2]", False)
+
+        run(main, use_uvloop)
+
+    def test_aborted_response_is_reset(self, use_uvloop):
+        async def main():
+            async with serving(abort_after_chunk) as (server, _, _):
+                _, _, is_reset = await self.call(server)
+                assert is_reset
+
+        run(main, use_uvloop)
+
+    def test_response_of_a_failed_application_is_reset(self, use_uvloop):
+        async def failing(scope, receive, send):
+            await send_start(send, 200)
+            await send_chunk(send, b"partial")
+            raise RuntimeError
+
+        async def main():
+            async with serving(failing) as (server, _, _):
+                _, _, is_reset = await self.call(server)
+                assert is_reset
+
+        run(main, use_uvloop)
+
+    def test_slow_reader_gets_the_whole_body(self, use_uvloop):
+        """The server holds the end until the kernel holds all bytes."""
+        chunk = b"x" * 65536
+
+        async def many(scope, receive, send):
+            await send_start(send, 200)
+            for _ in range(CHUNKS):
+                await send_chunk(send, chunk)
+            await send_end(send, b"end")
+
+        async def main():
+            async with serving(many) as (server, _, _):
+                _, body, is_reset = await self.call(server, pause_s=0.002)
+                assert not is_reset
+                assert len(body) == CHUNKS * len(chunk) + len(b"end")
+
+        run(main, use_uvloop)
+
+    def test_reader_that_leaves_ends_the_request(self, use_uvloop):
+        chunk = b"x" * 65536
+        ended = []
+
+        async def many(scope, receive, send):
+            await send_start(send, 200)
+            for _ in range(CHUNKS):
+                await send_chunk(send, chunk)
+            await send_end(send)
+            ended.append(True)
+
+        async def main():
+            async with serving(many) as (server, _, _):
+                stream = await anyio.connect_tcp(*server.address)
+                await stream.send(self.REQUEST)
+                await stream.receive(1)
+                await stream.aclose()
+                while not ended:
+                    await anyio.sleep(0.01)
+
+        run(main, use_uvloop)
+
+
 class TestRequestHead:
     @pytest.mark.parametrize(
         "header",
--- a/tests/processes/test_processes_cut_responses.py
+++ b/tests/processes/test_processes_cut_responses.py
@@ -1,4 +1,4 @@
-"""Targets that are killed in the midst of responses."""
+"""Targets and routers that are killed in the midst of responses."""
 
 import os
 import signal
@@ -57,6 +57,7 @@
 """Time after which a connection to a target that was started has answered polls."""
 CALL_TIMEOUT_S = 20.0
 POLL_S = 0.01
+RESPONSE_END = b"\r\n\r\n"
 
 
 @dataclass(frozen=True)
@@ -127,6 +128,23 @@
         finally:
             connection.close()
 
+    def call_http10(self, framing, kind):
+        """Return what an HTTP/1.0 caller gets, and whether it was reset."""
+        address = urlsplit(self.caller_urls()[0])
+        received = b""
+        with socket.create_connection((address.hostname, address.port)) as connection:
+            connection.settimeout(CALL_TIMEOUT_S)
+            connection.sendall(
+                f"POST {_path(framing, kind)} HTTP/1.0\r\nHost: h\r\n"
+                f"Authorization: Bearer {TOKEN}\r\nContent-Length: 1\r\n\r\nx".encode()
+            )
+            try:
+                while part := connection.recv(65536):
+                    received += part
+            except ConnectionResetError:
+                return received, True
+        return received, False
+
 
 def wait(condition):
     """Poll until a condition holds."""
@@ -214,3 +232,27 @@
         closing_fleet.restart_target()
         closing_fleet.agent.thaw()
         assert_all_are_cut(results(started))
+
+
+class TestHttp10Callers:
+    def test_whole_stream_has_no_chunks(self, closing_fleet, calls):
+        """HTTP/1.0 has no chunks; the connection ends with the body."""
+        answers = results(calls(closing_fleet.call_http10))
+        for call, (received, is_reset) in answers.items():
+            head, _, body = received.partition(RESPONSE_END)
+            assert (call, body, is_reset) == (call, BODY, False)
+            assert b"transfer-encoding" not in head.lower()
+
+    def test_killed_router_resets_its_connections(self, closing_fleet, calls):
+        """The end of the connection would look like the end of the stream."""
+        started = calls(closing_fleet.call_http10)
+        time.sleep(HALF_S)
+        closing_fleet.processes_by_name[ROUTER].kill()
+        answers = results(started)
+        closing_fleet.start_router(ROUTER)
+        for (framing, kind, number), (received, is_reset) in answers.items():
+            # A plain response is buffered by the router, so nothing has arrived.
+            is_cut = (
+                is_reset and PARTS[0] in received if kind == "events" else not received
+            )
+            assert (framing, kind, number, is_cut) == (framing, kind, number, True)
