Cut heads: a test that no response begins, and that the outcome is unknown

A report of other operators: a target that stops in the midst of the head of its response and closes, and callers that get 200 with an empty or short body, framed as whole. Nothing is changed in the product; the report is not seen here.

--- a/tests/processes/closing_target.py
+++ b/tests/processes/closing_target.py
@@ -2,9 +2,12 @@
 
 It runs as a process of its own; arguments: host and port. A path ``/.../FRAMING/KIND``
 selects the framing (``length``, ``chunked`` or ``closed``) and the kind of the response
-(``events`` or ``plain``).
+(``events`` or ``plain``). A query ``END=BYTES`` ends the response in its head, after
+this number of bytes, by ``close``, ``half-close`` or ``reset``.
 """
 
+import socket
+import struct
 import sys
 from asyncio import IncompleteReadError, run, sleep, start_server
 
@@ -20,10 +23,30 @@
 HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def head_of(framing, kind):
+    """Return the head of a response."""
+    lines = ["HTTP/1.1 200 OK", f"Content-Type: {CONTENT_TYPES[kind]}"]
+    return "\r\n".join([*lines, FRAMINGS[framing], "", ""]).encode()
+
+
+async def cut_head(head, end, reader, writer):
+    """Send a part of a head and end the connection."""
+    writer.write(head)
+    await writer.drain()
+    if end == "half-close":
+        writer.write_eof()
+        await reader.read()
+    elif end == "reset":
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 async def respond(framing, kind, writer):
     """Send the parts one by one."""
-    lines = ["HTTP/1.1 200 OK", f"Content-Type: {CONTENT_TYPES[kind]}"]
-    writer.write("\r\n".join([*lines, FRAMINGS[framing], "", ""]).encode())
+    writer.write(head_of(framing, kind))
     for part in PARTS:
         is_chunk = framing == "chunked"
         writer.write(b"%x\r\n%s\r\n" % (len(part), part) if is_chunk else part)
@@ -45,7 +68,13 @@
             if path == "/healthz":
                 writer.write(HEALTHY)
                 continue
+            path, _, cut = path.partition("?")
             framing, kind = path.split("/")[-2:]
+            if cut:
+                end, size = cut.split("=")
+                part = head_of(framing, kind)[: int(size)]
+                await cut_head(part, end, reader, writer)
+                return
             await respond(framing, kind, writer)
             if framing == "closed":
                 return
--- a/tests/processes/test_processes_cut_responses.py
+++ b/tests/processes/test_processes_cut_responses.py
@@ -20,7 +20,7 @@
     ServiceSpec,
     agent_name,
 )
-from closing_target import BODY, PARTS, PAUSE_S
+from closing_target import BODY, PARTS, PAUSE_S, head_of
 
 TOKEN = "parkovisko-test-token"
 SERVICE = "closing-1"
@@ -110,7 +110,7 @@
         self.wait_ready()
         wait(lambda: self.call("length", "plain") == WHOLE)
 
-    def call(self, framing, kind):
+    def call(self, framing, kind, query=""):
         """Return the response as its caller sees it."""
         address = urlsplit(self.caller_urls()[0])
         connection = HTTPConnection(
@@ -119,7 +119,7 @@
         headers = {"Authorization": f"Bearer {TOKEN}"}
         status = 0
         try:
-            connection.request("POST", _path(framing, kind), b"x", headers)
+            connection.request("POST", _path(framing, kind) + query, b"x", headers)
             response = connection.getresponse()
             status = response.status
             return Answer(status, response.read())
@@ -234,6 +234,31 @@
         assert_all_are_cut(results(started))
 
 
+class TestCutHeads:
+    @pytest.mark.parametrize("end", ["close", "half-close", "reset"])
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    def test_no_response_begins(self, closing_fleet, framing, end):
+        """The target has got the request, so the outcome is unknown."""
+        closing_fleet.wait_until_served()
+        cuts = [
+            (kind, size)
+            for kind in KINDS
+            for size in range(len(head_of(framing, kind)))
+        ]
+
+        def call(cut):
+            kind, size = cut
+            return closing_fleet.call(framing, kind, f"?{end}={size}")
+
+        with ThreadPoolExecutor(CALLS) as threads:
+            answers = list(threads.map(call, cuts))
+        seen = [
+            (cut, answer.status, answer.body is not None)
+            for cut, answer in zip(cuts, answers, strict=True)
+        ]
+        assert seen == [(cut, 502, True) for cut in cuts]
+
+
 class TestHttp10Callers:
     def test_whole_stream_has_no_chunks(self, closing_fleet, calls):
         """HTTP/1.0 has no chunks; the connection ends with the body."""
