Roll-outs: a version is not accepted by leaving out its worst quarter of targets

Change: what a version has to show before it takes all requests counts with one target left out at most. The test that rejects a version is as before. A usual route without any answer of the new version now speaks for nothing, as the design says, and a version of one target is accepted by its answers only: it was by none.

--- a/libs/rollout/src/berylwalk/rollout/_verdict.py
+++ b/libs/rollout/src/berylwalk/rollout/_verdict.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from math import log, sqrt
 from typing import TypeVar
@@ -34,6 +34,8 @@
 EXCLUDED_TARGETS_DIVISOR = 4
 """One of as many targets of the new version, the worst ones, is excluded: a target may
 be bad where the version is not. Of two or more targets at least one is."""
+MAX_TARGETS_EXCLUDED_FROM_ACCEPTANCE = 1
+"""Targets that are excluded at most where a version is to take all requests."""
 MIN_TARGETS = 2
 """Targets that a version must have answers from before these can reject it."""
 TESTED_EPOCHS = 8
@@ -128,12 +130,31 @@
     considered = exclude_worst_targets(new)
     if len({key.target for key in new}) < MIN_TARGETS:
         considered = {}
+    rejection = _rejection(considered, old)
+    if rejection is not None:
+        return rejection
+    seen = _sum(new.values())
+    crashes_too_often = (
+        crash_counts.new >= MIN_CRASHES
+        and crash_counts.new > CRASH_FACTOR * crash_counts.old
+    )
+    return Verdict(
+        is_bad=crashes_too_often,
+        answers=seen.answers,
+        bad=seen.bad,
+        expected_share=expected_bad_share(old, _answers_by_epoch(new), ""),
+        log_ratio=_acceptance_log_ratio(new, old),
+    )
+
+
+def _rejection(
+    considered: Mapping[NewVersionKey, Tally], old: Mapping[OldVersionKey, Tally]
+) -> Verdict | None:
+    """Return the result of the first test that rejects the version; None if none."""
     routes = sorted({key.route for key in considered})
     starts = sorted({key.epoch for key in considered})[-TESTED_EPOCHS:]
     tests = max(1, len(KINDS_TESTED) * (len(routes) + 1) * len(starts))
     threshold = log(tests / ERROR_RATE)
-    common_routes = {"", *_common_routes(old)}
-    worst = float("-inf")
     for kind in KINDS_TESTED:
         new_of_kind, old_of_kind = _of_kind(considered, kind), _of_kind(old, kind)
         for route in ("", *routes):
@@ -143,33 +164,51 @@
                     for key, tally in new_of_kind.items()
                     if key.epoch >= start and route in ("", key.route)
                 }
-                seen = _sum(tested.values())
-                expected = expected_bad_share(
-                    old_of_kind, _answers_by_epoch(tested), route
-                )
-                log_ratio = _log_ratio(seen, expected)
-                if start == starts[0] and route in common_routes:
-                    worst = max(worst, log_ratio)
-                if log_ratio >= threshold:
-                    return Verdict(
-                        is_bad=True,
-                        answers=seen.answers,
-                        bad=seen.bad,
-                        expected_share=expected,
-                        route=route,
-                        log_ratio=log_ratio,
-                    )
-    seen = _sum(new.values())
-    crashes_too_often = (
-        crash_counts.new >= MIN_CRASHES
-        and crash_counts.new > CRASH_FACTOR * crash_counts.old
+                verdict = _compare(tested, old_of_kind, route)
+                if verdict.log_ratio >= threshold:
+                    return replace(verdict, is_bad=True)
+    return None
+
+
+def _acceptance_log_ratio(
+    new: Mapping[NewVersionKey, Tally], old: Mapping[OldVersionKey, Tally]
+) -> float:
+    """Return the largest log-likelihood ratio of all and of each common route.
+
+    One target at most is excluded. Among many targets with few answers each, the worst
+    quarter has most of the bad answers of a bad version.
+    """
+    accepted = exclude_worst_targets(new, most=MAX_TARGETS_EXCLUDED_FROM_ACCEPTANCE)
+    return max(
+        _compare(
+            {
+                key: tally
+                for key, tally in _of_kind(accepted, kind).items()
+                if route in ("", key.route)
+            },
+            _of_kind(old, kind),
+            route,
+        ).log_ratio
+        for kind in KINDS_TESTED
+        for route in ("", *sorted(_common_routes(old)))
     )
+
+
+def _compare(
+    tested: Mapping[NewVersionKey, Tally],
+    old: Mapping[OldVersionKey, Tally],
+    route: str,
+) -> Verdict:
+    """Compare answers of a version on a route, or on all, with those of the others."""
+    seen = _sum(tested.values())
+    expected = expected_bad_share(old, _answers_by_epoch(tested), route)
     return Verdict(
-        is_bad=crashes_too_often,
+        is_bad=False,
         answers=seen.answers,
         bad=seen.bad,
-        expected_share=expected_bad_share(old, _answers_by_epoch(new), ""),
-        log_ratio=worst,
+        expected_share=expected,
+        route=route,
+        log_ratio=_log_ratio(seen, expected),
     )
 
 
@@ -193,9 +232,17 @@
 
 
 def exclude_worst_targets(
-    new: Mapping[NewVersionKey, Tally],
+    new: Mapping[NewVersionKey, Tally], *, most: int | None = None
 ) -> dict[NewVersionKey, Tally]:
-    """Return the tallies without those of the worst targets."""
+    """Return the tallies without those of the worst targets.
+
+    Parameters
+    ----------
+    new : mapping of NewVersionKey to Tally
+        Answers of the new version.
+    most : int or None
+        Maximum number of targets that are excluded; None for no maximum.
+    """
     tallies_by_target: dict[str, Tally] = {}
     for key, tally in new.items():
         tallies_by_target[key.target] = tallies_by_target.get(key.target, Tally()).plus(
@@ -209,7 +256,7 @@
 
     worst = sorted(tallies_by_target, key=rank)
     number = max(1, len(worst) // EXCLUDED_TARGETS_DIVISOR) if len(worst) > 1 else 0
-    excluded = set(worst[:number])
+    excluded = set(worst[: number if most is None else min(number, most)])
     return {key: tally for key, tally in new.items() if key.target not in excluded}
 
 
--- a/libs/rollout/tests/test_rollout_judgement.py
+++ b/libs/rollout/tests/test_rollout_judgement.py
@@ -103,6 +103,33 @@
         assert list(exclude_worst_targets(new)) == [most_used]
         assert judge(new, {OldVersionKey(0, "r"): Tally(400, 4, 0)}).is_clearly_good
 
+    def few_answers(self, bad_targets, bad):
+        """Return the tallies of 16 targets with 5 answers each."""
+        return {
+            NewVersionKey(0, f"t{number:02}", "r"): Tally(
+                5, 0, bad if number < bad_targets else 0
+            )
+            for number in range(16)
+        }
+
+    def test_worst_targets_do_not_hide_that_a_version_is_slow_at_many(self):
+        """The worst quarter may have all its bad answers."""
+        old = {OldVersionKey(0, "r"): Tally(400, 4, 0)}
+        verdict = judge(self.few_answers(4, 2), old)
+        assert not verdict.is_bad
+        assert not verdict.is_clearly_good
+
+    def test_one_bad_target_does_not_hide_that_a_version_is_good(self):
+        """It is excluded from the acceptance, too."""
+        old = {OldVersionKey(0, "r"): Tally(400, 4, 0)}
+        assert judge(self.few_answers(1, 5), old).is_clearly_good
+
+    def test_version_with_one_target_that_fails_is_not_accepted(self):
+        """It isn't rejected either by the answers of one target."""
+        new = {NewVersionKey(0, "t", "r"): Tally(40, 40, 0)}
+        verdict = judge(new, {OldVersionKey(0, "r"): Tally(400, 4, 0)})
+        assert not verdict.is_clearly_good
+
     def test_three_crashed_targets_reject_the_version(self):
         """Unless targets of other versions crash as well."""
         new = {NewVersionKey(0, "t", "r"): Tally(20, 0, 0)}
