A continuation that ends with its connection before its first event counts as broken again

Callers of resumable streams got a part as whole: a target that goes on with a stream sends a head without a length and closes, its process lives. Cause: since the end of such a response is proved, a continuation may have no event left, and the proof shows only that the process lives, not that the handler had nothing to send. The same for streams that callers take up: 200 with an empty body, framed as whole.

Change: without an event, such an end is broken whatever the proof shows, as before the proof was built; another target goes on, or the caller sees a cut stream. What it costs: a stream that is cut after its last event, and whose next target has nothing left and no framing, stays cut.

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -10,7 +10,6 @@
 from berylwalk.dispatch import NO_SIGNALS, AttemptEnd, TargetSignals
 from berylwalk.forwarding import EventSplitter, Headers, ResponseEnd, header_value
 from berylwalk.platform import (
-    NO_EVENT,
     REQUEST_ID_HEADER,
     is_not_executed,
     parse_target_headers,
@@ -290,12 +289,11 @@
     def _is_truncated(self) -> bool:
         """Return whether a response that ended with its connection is incomplete.
 
-        Only a stream that is continued may have no event left.
+        One that ends after its head may be that of a handler that failed in a process
+        that goes on. So may a continuation, also of a stream that has no event left.
         """
         if self._splitter is not None:
-            is_begun = self._response_writer.last_event_id > NO_EVENT
-            is_empty = self.events == 0 and not is_begun
-            return is_empty or self._splitter.has_partial_event
+            return self.events == 0 or self._splitter.has_partial_event
         return self.is_success and self._body_bytes == 0
 
     def record_buffered_answer(self) -> None:
