A target that can't be reached after the end of a response no longer counts as ended

A connection that timed out, or that this VM couldn't open, was taken for the end of the target's process: the request was accused of ending it, and quarantined after a few such cases, while its target went on. Only a refused connection shows that no process listens.

Change: TargetPool.connect tells refused from unreachable; the proof of an unreachable target is unknown. The response still counts as broken, its request is not accused.

--- a/libs/direct/src/berylwalk/direct/_end_proof.py
+++ b/libs/direct/src/berylwalk/direct/_end_proof.py
@@ -11,7 +11,12 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.dispatch import Target
-from berylwalk.forwarding import Headers, ResponseEnd, TargetConnection
+from berylwalk.forwarding import (
+    ConnectFailure,
+    Headers,
+    ResponseEnd,
+    TargetConnection,
+)
 from berylwalk.platform import is_from_target, state_request
 
 STATE_TIMEOUT_S = 0.3
@@ -30,10 +35,17 @@
     connections after a process that ends would have closed its sockets."""
 
     ENDED = "ended"
-    """It accepts no connection, or another process responds at its address."""
+    """It refuses connections, or another process responds at its address."""
 
     UNKNOWN = "unknown"
-    """The time did not suffice."""
+    """The time did not suffice, or the target could not be reached."""
+
+
+PROOF_BY_FAILURE = {
+    ConnectFailure.REFUSED: EndProof.ENDED,
+    ConnectFailure.UNREACHABLE: EndProof.UNKNOWN,
+}
+"""What it shows of a target if no connection to it is opened."""
 
 
 class _StateCollector:
@@ -90,9 +102,9 @@
         # An idle connection may seem open although its other end is gone.
         while True:
             opened_at = clock()
-            connection = await context.pool.open(entry)
-            if connection is None:
-                return EndProof.ENDED
+            connection = await context.pool.connect(entry)
+            if isinstance(connection, ConnectFailure):
+                return PROOF_BY_FAILURE[connection]
             response = await _ask(context, target, connection)
             if response.status:
                 return _judge(target, response)
--- a/libs/forwarding/src/berylwalk/forwarding/__init__.py
+++ b/libs/forwarding/src/berylwalk/forwarding/__init__.py
@@ -24,7 +24,7 @@
     ResponseSink,
     TargetConnection,
 )
-from berylwalk.forwarding._target_pool import TargetPool
+from berylwalk.forwarding._target_pool import ConnectFailure, TargetPool
 from berylwalk.forwarding._traffic import TrafficCounter
 
 __all__ = [
@@ -33,6 +33,7 @@
     "CallerBuffers",
     "CallerConnection",
     "CallerRequest",
+    "ConnectFailure",
     "ConnectionEnding",
     "ConnectionLimits",
     "Event",
--- a/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
@@ -3,6 +3,7 @@
 from asyncio import AbstractEventLoop
 from collections.abc import Callable, Container
 from contextlib import suppress
+from enum import StrEnum
 from socket import IPPROTO_TCP
 from typing import Protocol
 
@@ -19,6 +20,17 @@
 """Timeout of opening a connection; a request that hits it was certainly not sent."""
 
 
+class ConnectFailure(StrEnum):
+    """Why no connection to a target was opened."""
+
+    REFUSED = "refused"
+    """No process listens at its address."""
+
+    UNREACHABLE = "unreachable"
+    """It didn't respond in time, or the network or this VM prevented it; the state of
+    the target is unknown."""
+
+
 class Address(Protocol):
     """Address of one incarnation of a target."""
 
@@ -77,6 +89,11 @@
 
     async def open(self, address: Address) -> TargetConnection | None:
         """Open a connection; returns None if that fails or times out."""
+        connection = await self.connect(address)
+        return None if isinstance(connection, ConnectFailure) else connection
+
+    async def connect(self, address: Address) -> TargetConnection | ConnectFailure:
+        """Open a connection; returns why there is none if that fails or times out."""
 
         def build() -> TargetConnection:
             return TargetConnection(
@@ -91,15 +108,17 @@
                 transport, connection = await self._loop.create_connection(
                     build, address.host, address.port
                 )
+            except ConnectionRefusedError:
+                return ConnectFailure.REFUSED
             except OSError:
-                return None
+                return ConnectFailure.UNREACHABLE
             self._on_opened()
             connected = transport.get_extra_info("socket")
             connection.use_socket(connected)
             with suppress(OSError):
                 connected.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
             return connection
-        return None
+        return ConnectFailure.UNREACHABLE
 
     def idle_count(self) -> int:
         """Return the number of idle connections."""
