A target that begins a stream again and ends before the caller's last event counts as broken

Callers of resumable streams got a part as whole: the second target sends events from the first one on, which are dropped as repeated, and ends, with a last chunk or its connection, before it reaches what the caller has. Cause: the framing alone was taken for the end, though the ids show that the run lacks even what another run had sent. Found by reading, in review.

Change: EventOrder.is_behind; such an end breaks the attempt, which is continued or cut.

Evidence: four tests of test_direct_continued_ends failed before (2 of 20 events, and 0 of 18, told as whole; chunks and close); with test_direct_event_order 41 passed.

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -274,6 +274,8 @@
         if self._splitter is not None:
             if self._splitter.has_partial_event:
                 self._finish(AttemptEnd.BROKEN, "stream ends with a partial event")
+            elif self._response_writer.event_order.is_behind:
+                self._finish(AttemptEnd.BROKEN, "stream ends before the caller's last")
             else:
                 if self.last_event_at is not None:
                     self._report_output(self.last_event_at)
--- a/libs/direct/src/berylwalk/direct/_event_order.py
+++ b/libs/direct/src/berylwalk/direct/_event_order.py
@@ -11,7 +11,8 @@
 
 An event without a number as its id has no place that can be checked: from a target that
 may repeat it, it ends the attempt. An event whose id goes back is dropped and counted,
-since the caller can't get it in order any more.
+since the caller can't get it in order any more. A target that begins again and ends
+before the caller's last event has not sent a whole stream, however it framed that.
 """
 
 from berylwalk.forwarding import Event
@@ -55,6 +56,11 @@
         self._ends_without_id = False
         self._may_repeat = False
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a target that began again has not reached the caller's last event."""
+        return self.repeated_events > 0 and self._highest_id < self.last_event_id
+
     def begin_attempt(self, *, is_continuation: bool) -> None:
         """Begin the events of another target.
 
--- a/libs/direct/tests/test_direct_continued_ends.py
+++ b/libs/direct/tests/test_direct_continued_ends.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from direct_fleet import EVENTS, event, head, streams
+from direct_fleet import CHUNKED, EVENTS, chunk, event, head, streams
 
 pytestmark = pytest.mark.anyio
 LAST = 20
@@ -49,3 +49,42 @@
         assert len(fleet.targets[0].received) == 1
         assert reply.is_complete
         assert reply.body == b"".join(map(event, range(3, LAST + 1)))
+
+
+def begins_again(*, framed):
+    """Return a script that begins again, and ends before what the caller has."""
+
+    async def script(request, writer):
+        writer.write(head(request, kind=EVENTS, more=CHUNKED if framed else ""))
+        writer.write(chunk(event(1)) + b"0\r\n\r\n" if framed else event(1))
+        await writer.drain()
+        if not framed:
+            raise ConnectionResetError
+
+    return script
+
+
+@pytest.mark.parametrize("framed", [True, False], ids=["chunked", "closed"])
+class TestRepeatedEvents:
+    """Targets that begin a stream again and end it before its caller's last event."""
+
+    async def test_stream_looks_whole_before_its_last_event(self, running, framed):
+        """A third target has the rest."""
+        again = begins_again(framed=framed)
+        scripts = streams(1, LAST, until=2), again, streams(1, LAST)
+        async with running(*scripts, routes=("streaming",), prepare=resumable) as fleet:
+            prefer_in_order(fleet)
+            reply = await fleet.call("/streaming/x")
+        assert [len(each.received) for each in fleet.targets][:2] == [1, 1]
+        assert reply.is_complete
+        assert reply.body == b"".join(map(event, range(1, LAST + 1)))
+
+    async def test_stream_that_its_caller_takes_up_looks_whole(self, running, framed):
+        """Its caller has got two events in another response."""
+        scripts = begins_again(framed=framed), streams(1, LAST)
+        async with running(*scripts, routes=("streaming",), prepare=resumable) as fleet:
+            prefer_in_order(fleet)
+            reply = await fleet.call("/streaming/x", Last_Event_Id="2")
+        assert len(fleet.targets[0].received) == 1
+        assert reply.is_complete
+        assert reply.body == b"".join(map(event, range(3, LAST + 1)))
