The time that the proof of an end takes is no longer counted as time of the target

A target that tells no state, and ends its responses with their connection, seemed 0.3 s slower than it is: the router learned 0.309 s for responses of a few milliseconds, by which it places, gives up and judges versions. Cause: the time of an attempt was read after the proof.

Change: Attempt.proof_s is left out of the times that are learned and compared.

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -65,6 +65,8 @@
     end_proof : EndProof or None
         Whether the target outlived an end of its connection that completes the
         response; None if that was not asked.
+    proof_s : float
+        How long the proof took, in seconds; no part of the response's time.
     target_unreachable : bool
         Whether the attempt was abandoned because the target is unreachable.
     target_ended : bool
@@ -117,6 +119,7 @@
         self.detail = ""
         self.response_end: ResponseEnd | None = None
         self.end_proof: EndProof | None = None
+        self.proof_s = 0.0
         self.target_unreachable = False
         self.target_ended = False
         self.is_paused = False
--- a/libs/direct/src/berylwalk/direct/_attempt_feedback.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_feedback.py
@@ -142,11 +142,11 @@
     def _record_timing(self, target: Target, attempt: Attempt, sent_at: float) -> None:
         if not attempt.is_stream:
             attempt.record_buffered_answer()
-            target.note_slot_time(self.elapsed_s(sent_at))
+            target.note_slot_time(self.elapsed_s(sent_at + attempt.proof_s))
             return
         started_at = attempt.first_event_at
         if started_at is None or attempt.was_paused:
             return
-        target.note_slot_time(self.elapsed_s(started_at))
+        target.note_slot_time(self.elapsed_s(started_at + attempt.proof_s))
         longest_s = self._admitted.route.longest_pause_s
         target.note_paused(attempt.longest_pause_s > longest_s > 0)
--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -164,7 +164,7 @@
         def on_first_event() -> None:
             if attempt.is_stream:
                 self._record_stream(target)
-            taken_s = self._attempt_feedback.elapsed_s(sent_at)
+            taken_s = self._attempt_feedback.elapsed_s(sent_at + attempt.proof_s)
             target.note_first_event(work, estimate, taken_s)
             progress.note_first_event(attempt, self._context.clock())
             if estimate.total_s > 0:
@@ -277,6 +277,7 @@
             now = clock()
             if attempt.awaits_proof:
                 proof = await prove_end(self._context, target, deadline - now)
+                attempt.proof_s = clock() - now
                 attempt.note_proof(proof)
             elif now >= deadline:
                 attempt.abandon(AttemptEnd.SILENT, "timeout")
@@ -382,7 +383,7 @@
         context, admitted = self._context, self._admitted
         self._attempt_feedback.record(target, attempt, sent_at)
         if self._version_observer is not None:
-            elapsed_s = self._attempt_feedback.elapsed_s(sent_at)
+            elapsed_s = self._attempt_feedback.elapsed_s(sent_at + attempt.proof_s)
             self._version_observer.record(attempt, elapsed_s, self._tokens_per_event())
         if attempt.end is not None:
             self._attempts.note(attempt.end)
