--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -10,7 +10,6 @@
 from berylwalk.dispatch import NO_SIGNALS, AttemptEnd, TargetSignals
 from berylwalk.forwarding import EventSplitter, Headers, ResponseEnd, header_value
 from berylwalk.platform import (
-    NO_EVENT,
     REQUEST_ID_HEADER,
     is_not_executed,
     parse_target_headers,
@@ -66,6 +65,8 @@
     end_proof : EndProof or None
         Whether the target outlived an end of its connection that completes the
         response; None if that was not asked.
+    proof_s : float
+        How long the proof took, in seconds; no part of the response's time.
     target_unreachable : bool
         Whether the attempt was abandoned because the target is unreachable.
     target_ended : bool
@@ -118,6 +119,7 @@
         self.detail = ""
         self.response_end: ResponseEnd | None = None
         self.end_proof: EndProof | None = None
+        self.proof_s = 0.0
         self.target_unreachable = False
         self.target_ended = False
         self.is_paused = False
@@ -275,6 +277,8 @@
         if self._splitter is not None:
             if self._splitter.has_partial_event:
                 self._finish(AttemptEnd.BROKEN, "stream ends with a partial event")
+            elif self._response_writer.event_order.is_behind:
+                self._finish(AttemptEnd.BROKEN, "stream ends before the caller's last")
             else:
                 if self.last_event_at is not None:
                     self._report_output(self.last_event_at)
@@ -290,12 +294,11 @@
     def _is_truncated(self) -> bool:
         """Return whether a response that ended with its connection is incomplete.
 
-        Only a stream that is continued may have no event left.
+        One that ends after its head may be that of a handler that failed in a process
+        that goes on. So may a continuation, also of a stream that has no event left.
         """
         if self._splitter is not None:
-            is_begun = self._response_writer.last_event_id > NO_EVENT
-            is_empty = self.events == 0 and not is_begun
-            return is_empty or self._splitter.has_partial_event
+            return self.events == 0 or self._splitter.has_partial_event
         return self.is_success and self._body_bytes == 0
 
     def record_buffered_answer(self) -> None:
