Proof of an end: a connection that the end of the process closes shows nothing

A target that closes connections without a response, and that takes more than 0.1 s to end, counted as going on: its end closed the connection that was opened last (review). Now it has to accept another one after that. test_close_by_the_end_of_a_process_counts_as_going_on failed before. What is left is a process that takes longer than 0.3 s to close its sockets.

--- a/libs/direct/src/berylwalk/direct/_end_proof.py
+++ b/libs/direct/src/berylwalk/direct/_end_proof.py
@@ -108,12 +108,26 @@
             response = await _ask(context, target, connection)
             if response.status:
                 return _judge(target, response)
-            if not response.done.is_set() or opened_at >= ended_by:
+            if not response.done.is_set():
                 return EndProof.OUTLIVED
+            if opened_at >= ended_by:
+                return await _prove_by_connection(context, target)
             await sleep(ended_by - clock())
     return EndProof.UNKNOWN
 
 
+async def _prove_by_connection(context: RouterContext, target: Target) -> EndProof:
+    """Return whether a target that closes connections accepts another one.
+
+    The end of its process may have closed the last one.
+    """
+    connection = await context.pool.connect(target.entry)
+    if isinstance(connection, ConnectFailure):
+        return PROOF_BY_FAILURE[connection]
+    connection.close()
+    return EndProof.OUTLIVED
+
+
 async def _ask(
     context: RouterContext, target: Target, connection: TargetConnection
 ) -> _StateCollector:
--- a/libs/direct/tests/test_direct_end_proof_faults.py
+++ b/libs/direct/tests/test_direct_end_proof_faults.py
@@ -1,5 +1,6 @@
 """Proofs of an end of targets that can't be reached."""
 
+from asyncio import start_server
 from contextlib import asynccontextmanager, suppress
 from socket import SO_REUSEADDR, SOL_SOCKET, socket
 
@@ -50,6 +51,31 @@
                 each.close()
 
 
+@asynccontextmanager
+async def ending_late(port):
+    """Accept and close connections; the listener ends with the second one."""
+    accepted = []
+
+    async def on_connection(reader, writer):
+        accepted.append(writer)
+        if len(accepted) > 1:
+            server.close()
+        writer.close()
+
+    server = await start_server(on_connection, HOST, port)
+    async with server:
+        yield
+
+
+class TestEndingLate:
+    """Targets that take a while to end."""
+
+    async def test_close_by_the_end_of_a_process_counts_as_going_on(self, running):
+        """A connection that is closed without a response may be closed by the end."""
+        async with asked(running, by=ending_late) as ask:
+            assert await ask() is EndProof.ENDED
+
+
 class TestUnreachable:
     """Targets of which nothing tells whether they ended."""
 
