No proof is asked for a response that ended while it was not read

It counts as broken whatever its target shows, since a target may end what remains unread; the log said that its target outlived it (review).

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -250,7 +250,10 @@
             self.target_ended = not self.ended_unread
             self._finish(AttemptEnd.BROKEN, "closed before the end of the response")
         elif end is ResponseEnd.AT_CLOSE and not self._is_refused:
-            self._signal_end()
+            if self.ended_unread:
+                self._finish(AttemptEnd.BROKEN, "closed while it was not read")
+            else:
+                self._signal_end()
         elif end not in (ResponseEnd.COMPLETE, ResponseEnd.AT_CLOSE):
             self._finish(AttemptEnd.BROKEN, f"{end}: {detail}")
         else:
@@ -267,10 +270,10 @@
         if self.end is not None:
             return
         self.end_proof = proof
-        if proof is EndProof.OUTLIVED and not self.ended_unread:
+        if proof is EndProof.OUTLIVED:
             self._complete()
             return
-        self.target_ended = proof is EndProof.ENDED and not self.ended_unread
+        self.target_ended = proof is EndProof.ENDED
         self._finish(AttemptEnd.BROKEN, f"closed without a length, target {proof}")
 
     def _complete(self) -> None:
