Logs of a stop: when a request was read, what is dropped, and what is unsent at the end

The log could not tell a request that was read on a kept connection seconds after SIGTERM from one of before, a process that was killed from one that ended by itself, nor what was dropped unserved. request-ended: connection_requests, read_after_stop_ms; stopped: dropped_requests, connections, unsent_bytes; a last line exiting. The stop's times are one value in the router's context (GracefulStop). No change of what is served.

--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -11,6 +11,7 @@
     AccountUsage,
     ConfigurationState,
     Dispatcher,
+    GracefulStop,
     IdleTimeout,
     PeerTable,
     QuotaTracker,
@@ -101,6 +102,8 @@
         Bytes on the link of the VM.
     vm_capacity : VmCapacity
         Judges how much of the VM is used.
+    stop : GracefulStop or None
+        The stop under way; None if none was requested.
     open_requests : int
         Requests of callers that are not answered yet.
     on_placed : callable
@@ -143,6 +146,7 @@
     request_bodies: RequestBodies = field(default_factory=RequestBodies)
     traffic: TrafficCounter = field(default_factory=TrafficCounter)
     vm_capacity: VmCapacity = field(default_factory=lambda: VmCapacity(""))
+    stop: GracefulStop | None = None
     open_requests: int = 0
     on_placed: Callable[[Target], None] = lambda _: None
     on_signals_changed: Callable[[], None] = lambda: None
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -37,6 +37,7 @@
     CallerLimits,
     ConfigurationState,
     Dispatcher,
+    GracefulStop,
     IdleTimeout,
     PeerTable,
     QuotaTracker,
@@ -72,8 +73,6 @@
 STOP_ACCEPT_S = 3.0
 """How long new requests are accepted after a stop request: the load balancer takes two
 health checks, one second apart, to stop sending them."""
-KILL_MARGIN_S = 0.35
-"""How long before the platform's kill the process exits by itself."""
 
 
 class DirectRouter:
@@ -128,7 +127,6 @@
         context.rollouts.on_orders_changed = self._rollout_coordinator.wake
         self._exchanges_by_connection: dict[CallerConnection, Exchange] = {}
         self._tasks: TaskGroup | None = None
-        self._stopping_since: float | None = None
         self._buffers = CallerBuffers(
             context.response_buffers,
             context.request_bodies,
@@ -319,27 +317,35 @@
 
     async def _stop(self) -> None:
         context = self._context
-        now = context.clock()
-        self._stopping_since = now
+        stop = GracefulStop.from_grace(
+            context.clock(), grace_s=context.settings.stop_grace_s
+        )
+        context.stop = stop
         context.log.process(
             "stopping", open_requests=len(self._exchanges_by_connection)
         )
         self._callers.announce_closing()
-        exit_at = now + context.settings.stop_grace_s - KILL_MARGIN_S
         await sleep(STOP_ACCEPT_S)
         self._callers.close()
-        while context.clock() < exit_at:
+        while context.clock() < stop.exit_at:
             self._callers.close_idle()
             if not self._callers.connections:
                 break
             await sleep(0.05)
-        context.log.process("stopped", cut_requests=len(self._exchanges_by_connection))
-        self._callers.end_input()
+        context.log.process(
+            "stopped",
+            cut_requests=len(self._exchanges_by_connection),
+            dropped_requests=self._callers.end_input(),
+            connections=len(self._callers.connections),
+            unsent_bytes=self._callers.unsent_bytes,
+        )
         for exchange in list(self._exchanges_by_connection.values()):
             exchange.end_at_stop()
         await self._peering.leave()
         # Flush responses that are still buffered.
         await sleep(0.05)
+        context.log.process("exiting", unsent_bytes=self._callers.unsent_bytes)
+        context.log.flush()
 
     def log_reload(self) -> None:
         """Log that the settings file has changed.
@@ -467,7 +473,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the router reports itself as ready to the load balancer."""
-        if self._stopping_since is not None or self._context.vm_capacity.is_unready:
+        if self._context.stop is not None or self._context.vm_capacity.is_unready:
             return False
         context = self._context
         age_s = context.configuration.age_s(context.clock())
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -99,7 +99,7 @@
         self._trial_permits = trial_permits
         self._scope = CancelScope()
         self._quota_scope = CancelScope()
-        self._log = ExchangeLog(context, request.arrived_at)
+        self._log = ExchangeLog(context, request.arrived_at, request.served_before)
         self._cancel_reason = CALLER_LEFT
         self._lifecycle: RequestLifecycle | None = None
 
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -44,10 +44,13 @@
         Shared state of the router, with its log and metrics.
     arrived_at : float
         When the request arrived.
+    served_before : int
+        Requests that were answered before on its connection.
     """
 
     context: RouterContext
     arrived_at: float
+    served_before: int = 0
     attempts: list[dict[str, object]] = field(default_factory=list)
     waited_s: float = 0.0
     quota_wait_s: float = 0.0
@@ -428,8 +431,17 @@
             version=0 if state.current is None else state.current.version,
             version_age_ms=_ms(min(state.age_s(now), MAX_AGE_S)),
             total_ms=_ms(now - self.arrived_at),
+            connection_requests=self.served_before,
+            **self._stop_fields(),
         )
 
+    def _stop_fields(self) -> dict[str, object]:
+        """Return how long the stop had been under way when the request was read."""
+        stop = self.context.stop
+        if stop is None:
+            return {}
+        return {"read_after_stop_ms": _ms(stop.elapsed_s(self.arrived_at))}
+
 
 def _prefix_fields(admitted: Admitted) -> dict[str, object]:
     """Return the fields about the shared prefix of the prompt."""
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -158,11 +158,24 @@
             if connection.is_open and not connection.is_busy:
                 connection.close()
 
-    def end_input(self) -> None:
-        """Drop requests that wait, and refuse those not received to their end."""
+    def end_input(self) -> int:
+        """Drop requests that wait, and refuse those not received to their end.
+
+        Returns
+        -------
+        int
+            Requests that were dropped.
+        """
+        dropped = 0
         for connection in list(self.connections):
-            connection.drop_waiting()
+            dropped += connection.drop_waiting()
             connection.refuse_partial()
+        return dropped
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the write buffers that callers have not read."""
+        return sum(connection.unsent_bytes for connection in self.connections)
 
     def sweep(self) -> int:
         """Close connections that exceed the idle or header timeout.
--- a/libs/direct/tests/test_direct_lingering.py
+++ b/libs/direct/tests/test_direct_lingering.py
@@ -6,7 +6,7 @@
 import pytest
 from anyio import fail_after, sleep
 
-from berylwalk.direct._daemon import KILL_MARGIN_S
+from berylwalk.dispatch._graceful_stop import KILL_MARGIN_S
 from direct_fleet import TEST_TIMEOUT_S, answers, read_reply
 
 pytestmark = pytest.mark.anyio
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -205,7 +205,7 @@
             writer.write(fleet.encoded("/idempotent/"))
             await fleet.until(lambda: fleet.targets[0].received)
             fleet.stop()
-            await fleet.until(lambda: fleet.router._stopping_since is not None)
+            await fleet.until(lambda: fleet.router._context.stop is not None)
             assert await readiness(fleet) == 503
             reply = await read_reply(reader)
             late = await fleet.call("/idempotent/")
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -29,6 +29,7 @@
     FlowControlSignal,
     FlowControlUpdate,
 )
+from berylwalk.dispatch._graceful_stop import GracefulStop
 from berylwalk.dispatch._idle_timeout import IdleTimeout
 from berylwalk.dispatch._monitored_targets import (
     MonitoredLife,
@@ -114,6 +115,7 @@
     "FlowControl",
     "FlowControlSignal",
     "FlowControlUpdate",
+    "GracefulStop",
     "HistoryCoverage",
     "IdleTimeout",
     "IneligibilityReason",
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -450,13 +450,20 @@
             return True
         return False
 
-    def drop_waiting(self) -> None:
+    def drop_waiting(self) -> int:
         """Drop requests that wait for the response to the one before.
 
         That response says that the connection is closed, if `closing` is set.
+
+        Returns
+        -------
+        int
+            Requests that were dropped.
         """
+        dropped = len(self._queue)
         self._reader.release(sum(len(request.body) for request in self._queue))
         self._queue.clear()
+        return dropped
 
     def refuse_partial(self) -> None:
         """Refuse a request that is not received to its end, after those before it.
@@ -496,6 +503,7 @@
             return
         if self._queue:
             self._active = self._queue.popleft()
+            self._active.served_before = self.served
             self._serve(self, self._active)
             return
         if self._error_status is not None:
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_requests.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_requests.py
@@ -39,6 +39,8 @@
         Whether the caller keeps the connection open.
     http_1_0 : bool
         Whether the caller speaks HTTP/1.0.
+    served_before : int
+        Requests that were answered before on its connection.
     """
 
     method: bytes
@@ -50,6 +52,7 @@
     keep_alive: bool
     http_1_0: bool = False
     read_delay_s: float = 0.0
+    served_before: int = 0
 
     @property
     def is_head(self) -> bool:
