--- /dev/null
+++ b/libs/direct/tests/test_direct_requests_while_stopping.py
@@ -0,0 +1,192 @@
+"""Callers that go on using their connections after a router was asked to stop.
+
+The router is a process, so that its end closes connections as the kernel does it.
+"""
+
+from contextlib import asynccontextmanager
+from signal import SIGTERM
+
+import pytest
+from anyio import Event, fail_after, sleep
+
+from berylwalk.standins import serving
+from direct_fleet import (
+    CHUNKED,
+    EVENTS,
+    STORE,
+    TEST_TIMEOUT_S,
+    Fleet,
+    ScriptedTarget,
+    chunk,
+    event,
+    get,
+    head,
+    read_reply,
+)
+from direct_processes import Routers
+
+pytestmark = pytest.mark.anyio
+ACCEPTED_S = 3.0
+"""Time after SIGTERM in which a load balancer may still send requests."""
+FIRST = "/streaming/first"
+LONG = "/streaming/long"
+PLAIN = "/non_idempotent/"
+
+
+class StoppingRouter:
+    """A router process with a target whose streams last as long as they are told."""
+
+    def __init__(self, fleet, routers):
+        self.fleet = fleet
+        self.target = None
+        self._process = routers.processes[0]
+        self.may_end = Event()
+        self.begun = Event()
+
+    async def respond(self, request, writer):
+        """Send a plain response at once, or a stream that waits for its end."""
+        if "/streaming/" not in request.path:
+            writer.write(head(request, length=2) + b"ok")
+            return
+        writer.write(head(request, kind=EVENTS, more=CHUNKED) + chunk(event(1)))
+        await writer.drain()
+        if request.path == LONG:
+            await sleep(TEST_TIMEOUT_S)
+        self.begun.set()
+        await self.may_end.wait()
+        writer.write(b"0\r\n\r\n")
+
+    async def stop_beside_a_stream(self):
+        """Begin a stream, stop the router, and end the stream once it takes no more.
+
+        Returns
+        -------
+        tuple
+            Reader and writer of the stream's connection.
+        """
+        reader, writer = await self.fleet.connect()
+        writer.write(self.fleet.encoded(FIRST))
+        await self.begun.wait()
+        self._process.send_signal(SIGTERM)
+        await sleep(ACCEPTED_S)
+        while await self._listens():
+            await sleep(0.05)
+        self.may_end.set()
+        reply = await read_reply(reader)
+        assert reply.is_complete
+        assert "connection" not in reply.headers
+        return reader, writer
+
+    async def _listens(self):
+        try:
+            _, writer = await self.fleet.connect()
+        except ConnectionError:
+            return False
+        writer.close()
+        return True
+
+    def arrivals(self, path):
+        """Return how many requests with a path have reached the target."""
+        return sum(each.path == path for each in self.target.received)
+
+    async def until_gone(self):
+        """Wait until the process has ended."""
+        with fail_after(TEST_TIMEOUT_S):
+            while self._process.poll() is None:
+                await sleep(0.01)
+        assert self._process.returncode == 0
+
+
+@pytest.fixture
+def stopping_router(make_settings, free_port, tmp_path):
+    """Return a context manager that runs a router process and a target."""
+
+    @asynccontextmanager
+    async def run(grace_s):
+        settings = make_settings()
+        fleet = Fleet(settings)
+        fleet.route("streaming", **{"timeout-ms": 60_000})
+        fleet.route("non_idempotent", **{"timeout-ms": 1_000})
+        async with serving(fleet.platform.handle, *STORE, fleet.platform.run):
+            fleet.put_configuration()
+            bounds = {"grace-s": grace_s, "quota-window-s": 1}
+            routers = Routers.from_settings([settings], tmp_path, bounds=bounds)
+            running = StoppingRouter(fleet, routers)
+            target = ScriptedTarget("i-0", free_port(), running.respond)
+            running.target = target
+            await target.start()
+            fleet.put_target(target)
+            try:
+                with fail_after(TEST_TIMEOUT_S):
+                    await until_served(fleet, routers)
+                    yield running
+            finally:
+                routers.close()
+                await target.close()
+
+    return run
+
+
+async def until_served(fleet, routers):
+    """Wait until the router serves requests and reports itself as ready."""
+    address = fleet.settings.readiness_address
+    status = None
+    while status != 200:
+        routers.check()
+        try:
+            await get(address.host, address.port, "/readyz")
+            status = (await fleet.call(PLAIN)).status
+        except (ConnectionError, EOFError):
+            pass
+        await sleep(0.05)
+
+
+class TestKeptConnection:
+    """A connection on which a stream ends after the router takes no new connections.
+
+    The head of the stream could not announce that the connection is closed.
+    """
+
+    async def test_stream_that_can_not_end_before_the_process_is_begun(
+        self, stopping_router
+    ):
+        """It would be cut; its caller is told that it has not run, and to return."""
+        async with stopping_router(grace_s=6.0) as running:
+            reader, writer = await running.stop_beside_a_stream()
+            writer.write(running.fleet.encoded(LONG))
+            reply = await read_reply(reader)
+            assert await reader.read() == b""
+            await running.until_gone()
+            writer.close()
+        assert (reply.status, running.arrivals(LONG)) == (503, 0)
+        assert reply.headers["connection"] == "close"
+        assert float(reply.headers["retry-after"]) > 0
+
+    async def test_request_that_ends_before_the_process_is_refused(
+        self, stopping_router
+    ):
+        """Its time limit is over before."""
+        async with stopping_router(grace_s=6.0) as running:
+            reader, writer = await running.stop_beside_a_stream()
+            writer.write(running.fleet.encoded(PLAIN))
+            reply = await read_reply(reader)
+            assert await reader.read() == b""
+            await running.until_gone()
+            writer.close()
+        assert (reply.status, reply.body) == (200, b"ok")
+        assert reply.headers["connection"] == "close"
+
+    async def test_stream_that_was_sent_ahead_is_begun(self, stopping_router):
+        """It was read while the stream before was under way."""
+        async with stopping_router(grace_s=6.0) as running:
+            reader, writer = await running.fleet.connect()
+            writer.write(running.fleet.encoded(FIRST) + running.fleet.encoded(LONG))
+            await running.begun.wait()
+            running._process.send_signal(SIGTERM)
+            await sleep(ACCEPTED_S + 0.2)
+            running.may_end.set()
+            first, second = await read_reply(reader), await read_reply(reader)
+            await running.until_gone()
+            writer.close()
+        assert first.is_complete
+        assert (second.status, running.arrivals(LONG)) == (503, 0)
