A router that stops begins only requests that can end before the process does

Callers saw streams cut 7.7 s after SIGTERM to their router, with their target at work (cut-router-stopped). Cause: the head of a stream that began before SIGTERM doesn't say that its connection closes; when it ends later than 3 s after SIGTERM, the next request of the connection was admitted with its whole time limit, as nothing that admits or places a request knew that the process stops.

Now one statement of what time is left (GracefulStop) is asked before a request that no target has is sent to one: after admission, while it waits for a place or the quota, and when it gets a place. With a time limit that ends before the process it is served, otherwise only within 3 s of the stop and if it isn't expected to take longer than there is; else it gets 503 and comes back elsewhere after 0.1 s. A connection is kept for 0.1 s after its response, so that a request that is sent at once is answered and doesn't cross the close. The stop counts from the earliest time of the signal, what is unsent gets 0.2 s, and the entry among the members is removed beside that.

Ruled out: ending each connection with its stream (its caller's next request crosses the close).

--- a/libs/cli/src/berylwalk/cli/_request_timeline.py
+++ b/libs/cli/src/berylwalk/cli/_request_timeline.py
@@ -37,6 +37,8 @@
     "its answer any longer",
     "router-stopped": "the router exited at the end of its time to stop; with 503 it "
     "has not run",
+    "router-stopping": "the router was asked to stop, and the request could not be "
+    "expected to end before the process; it has not run",
     "vm-limit": "the VM of the router had little left, and others were more urgent; "
     "it has not run",
     "no-place": "no target had a free place within the time that it may wait; "
--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -157,6 +157,10 @@
         _no_stored_stream
     )
 
+    def may_begin(self, deadline: float, now: float, *, run_s: float = 0.0) -> bool:
+        """Return whether a stop lets a request begin; see `GracefulStop.may_begin`."""
+        return self.stop is None or self.stop.may_begin(deadline, now, run_s=run_s)
+
     def note_suspension(self) -> None:
         """Keep a suspension of the VM from counting as silence of targets.
 
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -7,7 +7,7 @@
 from typing import Self
 from uuid import uuid4
 
-from anyio import create_task_group, sleep
+from anyio import create_task_group, move_on_after, sleep
 from anyio.abc import TaskGroup
 
 from berylwalk.direct._configuration_feed import ConfigurationFeed
@@ -68,11 +68,12 @@
 READY_MAX_AGE_S = 3.0
 """Age of the configuration above which the router reports itself as not ready."""
 SWEEP_INTERVAL_S = 0.25
+FLUSH_CHECK_S = 0.05
 LOOP_PAUSE_S = 1.0
 """Time after which a loop that has failed is begun again, in seconds."""
-STOP_ACCEPT_S = 3.0
-"""How long new requests are accepted after a stop request: the load balancer takes two
-health checks, one second apart, to stop sending them."""
+MAX_NOTICE_S = 0.5
+"""Longest time that a busy event loop may have taken to notice a stop request, in
+seconds."""
 
 
 class DirectRouter:
@@ -318,14 +319,14 @@
     async def _stop(self) -> None:
         context = self._context
         stop = GracefulStop.from_grace(
-            context.clock(), grace_s=context.settings.stop_grace_s
+            self._stop_requested_at(), grace_s=context.settings.stop_grace_s
         )
         context.stop = stop
         context.log.process(
             "stopping", open_requests=len(self._exchanges_by_connection)
         )
         self._callers.announce_closing()
-        await sleep(STOP_ACCEPT_S)
+        await sleep(stop.accept_until - context.clock())
         self._callers.close()
         while context.clock() < stop.exit_at:
             self._callers.close_idle()
@@ -341,12 +342,29 @@
         )
         for exchange in list(self._exchanges_by_connection.values()):
             exchange.end_at_stop()
-        await self._peering.leave()
-        # Flush responses that are still buffered.
-        await sleep(0.05)
+        left_s = max(2 * FLUSH_CHECK_S, stop.flushed_by - context.clock())
+        with move_on_after(left_s):
+            async with create_task_group() as tasks:
+                tasks.start_soon(self._flush)
+                tasks.start_soon(self._peering.leave)
         context.log.process("exiting", unsent_bytes=self._callers.unsent_bytes)
         context.log.flush()
 
+    def _stop_requested_at(self) -> float:
+        """Return the earliest time at which a signal read now can have arrived."""
+        now = self._context.clock()
+        ready_since = _ready_since(get_running_loop(), self._context.clock)
+        if ready_since is None:
+            return now
+        # The signal is read in the pass of the event loop after the one that got it.
+        return max(ready_since(1), now - MAX_NOTICE_S)
+
+    async def _flush(self) -> None:
+        """Let requests that were ended respond, and wait until that is sent."""
+        await sleep(FLUSH_CHECK_S)
+        while self._callers.unsent_bytes:
+            await sleep(FLUSH_CHECK_S)
+
     def log_reload(self) -> None:
         """Log that the settings file has changed.
 
--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -17,6 +17,7 @@
 from berylwalk.direct._stream_binding import find_stream_version
 from berylwalk.direct._takeover import Takeover, TakeoverSearch
 from berylwalk.dispatch import (
+    ELSEWHERE_DELAY_S,
     SHORT_RETURN_S,
     AttemptEnd,
     Attempts,
@@ -46,6 +47,8 @@
 """Reason of a response that was ended because its caller reads too slowly."""
 ROUTER_STOPPED = "router-stopped"
 """Reason of a response that was ended because the process exits."""
+ROUTER_STOPPING = "router-stopping"
+"""Reason of a refusal because the request can't end before the process does."""
 VM_LIMIT = "vm-limit"
 """Reason of a refusal that spares the VM of the router."""
 STATUS_OUTCOME_UNKNOWN = 502
@@ -303,6 +306,10 @@
             if target is None:
                 self._fail(AttemptEnd.NOT_SENT, self._unplaced_reason())
                 return
+            if self._is_too_late_to_begin():
+                self._release(target)
+                self._fail(AttemptEnd.NOT_SENT, ROUTER_STOPPING)
+                return
             attempt = await self._send(target, takeover)
             takeover = self._attempt_runner.takeover
             if self._response_writer.started and self._stream_version is None:
@@ -351,6 +358,25 @@
         self._log.record_deadlines(deadlines.send_by, first_arrived_at)
         return deadlines
 
+    def _is_too_late_to_begin(self) -> bool:
+        """Return whether the request can't end before a stop under way does.
+
+        One that a target may have run goes on.
+        """
+        context, admitted = self._context, self._admitted
+        if context.stop is None or self._attempts.may_have_run:
+            return False
+        now = context.clock()
+        work = admitted.parsed_headers.work
+        run_s = context.dispatcher.idle_run_s(admitted.service, work, now)
+        return not context.may_begin(admitted.deadline, now, run_s=run_s)
+
+    def _release(self, target: Target) -> None:
+        """Give back a place at a target that the request was not sent to."""
+        context, admitted = self._context, self._admitted
+        target.note_finished(admitted.parsed_headers.work, had_first_event=False)
+        context.dispatcher.dispatch_queued(admitted.service, context.clock())
+
     async def _send(self, target: Target, takeover: Takeover | None) -> Attempt:
         had_sent = self._has_sent
         # An attempt that is cancelled may have been sent.
@@ -399,6 +425,8 @@
 
     def _unplaced_reason(self) -> str:
         """Return the reason why the request got no target."""
+        if self._is_too_late_to_begin():
+            return ROUTER_STOPPING
         if self._is_newly_quarantined():
             return quarantine_reason(self._verdict().blocked_by)
         version = self._stream_version
@@ -469,10 +497,7 @@
             await self._wait_for_placement(placed, pending, deadlines)
         except BaseException:
             if not context.dispatcher.cancel(pending) and granted:
-                granted[0].note_finished(
-                    admitted.parsed_headers.work, had_first_event=False
-                )
-                context.dispatcher.dispatch_queued(admitted.service, context.clock())
+                self._release(granted[0])
             raise
         self._log.record_wait(admitted, context.clock() - started_at)
         if granted:
@@ -487,7 +512,7 @@
         """Wait for a placement for as long as one may arrive in time."""
         clock = self._context.clock
         while not placed.is_set():
-            if self._is_newly_quarantined():
+            if self._is_newly_quarantined() or self._is_too_late_to_begin():
                 return
             now = clock()
             wait_until = self._wait_deadline(pending, deadlines, now)
@@ -652,6 +677,8 @@
         blocked_by = self._verdict().blocked_by
         if blocked_by:
             return self._context.quarantine.retry_after_s(blocked_by, now)
+        if reason in (ROUTER_STOPPING, ROUTER_STOPPED):
+            return ELSEWHERE_DELAY_S
         in_time_s = self._send_by - now if self._has_time_order else SHORT_RETURN_S
         return retry_after_s(
             admitted.deadline - now,
--- a/libs/direct/src/berylwalk/direct/_listeners.py
+++ b/libs/direct/src/berylwalk/direct/_listeners.py
@@ -14,6 +14,9 @@
 )
 
 BACKLOG = 1024
+NEXT_REQUEST_S = 0.1
+"""Time in which the next request of a caller that sends without a pause arrives, in
+seconds."""
 
 Serve = Callable[[CallerConnection, CallerRequest], None]
 
@@ -153,9 +156,14 @@
             connection.closing = True
 
     def close_idle(self) -> None:
-        """Close connections without a request in progress, once they are flushed."""
+        """Close connections without a request in progress, once they are flushed.
+
+        One whose response has just ended is kept for a moment: a request that its
+        caller sends at once is read and answered, instead of crossing the close.
+        """
+        now = self._clock()
         for connection in list(self.connections):
-            if connection.is_open and not connection.is_busy:
+            if connection.is_open and connection.idle_s(now) > NEXT_REQUEST_S:
                 connection.close()
 
     def end_input(self) -> int:
--- a/libs/direct/src/berylwalk/direct/_quota_wait.py
+++ b/libs/direct/src/berylwalk/direct/_quota_wait.py
@@ -63,6 +63,8 @@
         while now < wait_until:
             await sleep(min(CHECK_INTERVAL_S, wait_until - now))
             now = context.clock()
+            if not context.may_begin(awaiting.deadline, now):
+                return refusal
             delay_s = quotas.take_awaited(account, awaiting.cost, ticket, now)
             state = quotas.state(account, now)
             charge = Charge(account.name, awaiting.route, awaiting.cost, state, at=now)
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -63,7 +63,11 @@
 from berylwalk.dispatch._request_queue import PendingRequest, RequestQueue
 from berylwalk.dispatch._request_rates import RatesByService, RequestRates
 from berylwalk.dispatch._requested_backoff import RequestedBackoff
-from berylwalk.dispatch._retry_after import SHORT_RETURN_S, retry_after_s
+from berylwalk.dispatch._retry_after import (
+    ELSEWHERE_DELAY_S,
+    SHORT_RETURN_S,
+    retry_after_s,
+)
 from berylwalk.dispatch._retry_budget import (
     RetryBudgetState,
     RetryHistory,
@@ -93,6 +97,7 @@
 from berylwalk.dispatch._vm_capacity import RouterPressure, VmCapacity, VmResource
 
 __all__ = [
+    "ELSEWHERE_DELAY_S",
     "MAX_FULL_MESH_PEERS",
     "NO_SIGNALS",
     "SHORT_RETURN_S",
--- a/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_dispatcher.py
@@ -12,6 +12,7 @@
     PlacementRequest,
     choose_target,
     idle_starts_s,
+    mean_token_s,
     targets_too_late,
 )
 from berylwalk.dispatch._prefix_cache_index import PrefixCacheIndex
@@ -172,6 +173,14 @@
         starts_s = idle_starts_s(self._targets.of_service(service), work, now)
         return median(starts_s) if starts_s else 0.0
 
+    def idle_run_s(self, service: str, work: Work, now: float) -> float:
+        """Return the typical time to the last token at idle targets, in seconds.
+
+        Parameters are those of `idle_start_s`.
+        """
+        token_s = mean_token_s(self._targets.of_service(service))
+        return self.idle_start_s(service, work, now) + work.output_tokens * token_s
+
     def _candidates(self, pending: PendingRequest, now: float) -> Sequence[Target]:
         """Return the targets whose version the request may use."""
         service, rollouts = pending.service, self._rollouts
--- a/libs/dispatch/src/berylwalk/dispatch/_retry_after.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_retry_after.py
@@ -20,6 +20,8 @@
 MAX_DELAY_AFTER_BACKOFF_S = 1.2
 """Maximum delay after targets have announced when they accept requests again: there is
 room then, and the returns are only spread."""
+ELSEWHERE_DELAY_S = 0.1
+"""Delay of a retry that another router can serve at once, in seconds."""
 SHORT_RETURN_S = 1.2
 """Time within which refused callers return in a fleet of few routers, in seconds."""
 MAX_REMAINING_SHARE = 1 / 3
--- a/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_caller_connection.py
@@ -244,6 +244,10 @@
             or bool(self._queue)
         )
 
+    def idle_s(self, now: float) -> float:
+        """Return the seconds since the last response was written; 0 while busy."""
+        return 0.0 if self.is_busy else now - self._idle_since
+
     @property
     def is_writable(self) -> bool:
         """Whether the write buffer has room."""
