Direct router: the steps of a stop in a module of their own

_daemon.py lost them to _graceful_end.py; nothing else changes. Tests of stops, lingering connections, slow readers, the platform and the layout: passed.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -7,7 +7,7 @@
 from typing import Self
 from uuid import uuid4
 
-from anyio import create_task_group, move_on_after, sleep
+from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
 
 from berylwalk.direct._configuration_feed import ConfigurationFeed
@@ -16,6 +16,7 @@
 from berylwalk.direct._elapsed_time import elapsed_clock
 from berylwalk.direct._exchange import SLOW_READER, Exchange, TrialPermits
 from berylwalk.direct._gauges import refresh_gauges
+from berylwalk.direct._graceful_end import GracefulEnd
 from berylwalk.direct._listeners import Listener
 from berylwalk.direct._measured_loop import MeasuredLoop
 from berylwalk.direct._metrics import RouterMetrics
@@ -37,7 +38,6 @@
     CallerLimits,
     ConfigurationState,
     Dispatcher,
-    GracefulStop,
     IdleTimeout,
     PeerTable,
     QuotaTracker,
@@ -68,7 +68,6 @@
 READY_MAX_AGE_S = 3.0
 """Age of the configuration above which the router reports itself as not ready."""
 SWEEP_INTERVAL_S = 0.25
-FLUSH_CHECK_S = 0.05
 LOOP_PAUSE_S = 1.0
 """Time after which a loop that has failed is begun again, in seconds."""
 MAX_NOTICE_S = 0.5
@@ -150,6 +149,12 @@
                 link_bytes_per_s=settings.limits.link_bytes_per_s,
             ),
         )
+        self._graceful_end = GracefulEnd(
+            context,
+            self._callers,
+            open_exchanges=self._exchanges_by_connection.values,
+            leave=self._peering.leave,
+        )
         self._vm_meter = VmMeter(
             context,
             caller_connections=lambda: len(self._callers.connections),
@@ -286,7 +291,7 @@
                 first_start=self._context.settings.is_first_start,
             )
             await anext(stops)
-            await self._stop()
+            await self._graceful_end.run(self._stop_requested_at())
             tasks.cancel_scope.cancel()
 
     async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
@@ -316,40 +321,6 @@
         self._report_feed.close()
         self._context.pool.close()
 
-    async def _stop(self) -> None:
-        context = self._context
-        stop = GracefulStop.from_grace(
-            self._stop_requested_at(), grace_s=context.settings.stop_grace_s
-        )
-        context.stop = stop
-        context.log.process(
-            "stopping", open_requests=len(self._exchanges_by_connection)
-        )
-        self._callers.announce_closing()
-        await sleep(stop.accept_until - context.clock())
-        self._callers.close()
-        while context.clock() < stop.exit_at:
-            self._callers.close_idle()
-            if not self._callers.connections:
-                break
-            await sleep(0.05)
-        context.log.process(
-            "stopped",
-            cut_requests=len(self._exchanges_by_connection),
-            dropped_requests=self._callers.end_input(),
-            connections=len(self._callers.connections),
-            unsent_bytes=self._callers.unsent_bytes,
-        )
-        for exchange in list(self._exchanges_by_connection.values()):
-            exchange.end_at_stop()
-        left_s = max(2 * FLUSH_CHECK_S, stop.flushed_by - context.clock())
-        with move_on_after(left_s):
-            async with create_task_group() as tasks:
-                tasks.start_soon(self._flush)
-                tasks.start_soon(self._peering.leave)
-        context.log.process("exiting", unsent_bytes=self._callers.unsent_bytes)
-        context.log.flush()
-
     def _stop_requested_at(self) -> float:
         """Return the earliest time at which a signal read now can have arrived."""
         now = self._context.clock()
@@ -359,12 +330,6 @@
         # The signal is read in the pass of the event loop after the one that got it.
         return max(ready_since(1), now - MAX_NOTICE_S)
 
-    async def _flush(self) -> None:
-        """Let requests that were ended respond, and wait until that is sent."""
-        await sleep(FLUSH_CHECK_S)
-        while self._callers.unsent_bytes:
-            await sleep(FLUSH_CHECK_S)
-
     def log_reload(self) -> None:
         """Log that the settings file has changed.
 
