--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -2,16 +2,26 @@
 
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
-from math import isfinite, isinf
+from math import isinf
 
-from berylwalk.direct._admission import Admitted, Charge, Refusal
+from berylwalk.direct._admission import Admitted, Refusal
 from berylwalk.direct._attempt import Attempt
 from berylwalk.direct._context import RouterContext
+from berylwalk.direct._log_fields import (
+    cache_fields,
+    charge_fields,
+    dropped_events,
+    known_ms,
+    ms,
+    prefix_fields,
+    refused_charge_fields,
+    reported_in_flight,
+    signal_fields,
+)
 from berylwalk.direct._stream_lookup import VersionSource
 from berylwalk.dispatch import (
     FirstEventEstimate,
     PendingRequest,
-    QuotaReserve,
     RetryBudgetState,
     Target,
     TargetSignals,
@@ -127,14 +137,14 @@
             output_tokens=admitted.parsed_headers.work.output_tokens,
             ahead_tokens=estimate.ahead_tokens,
             own_tokens=estimate.own_tokens,
-            expected_ms=_ms(estimate.total_s),
-            reading_ms=_ms(estimate.prefill_s),
-            slot_wait_ms=_ms(estimate.slot_wait_s),
+            expected_ms=ms(estimate.total_s),
+            reading_ms=ms(estimate.prefill_s),
+            slot_wait_ms=ms(estimate.slot_wait_s),
             in_flight=target.in_flight,
             peer_in_flight=target.peer_in_flight,
-            reported_in_flight=_reported_in_flight(target),
-            token_ms=_known_ms(target.output_token_s),
-            **_cache_fields(target, self.context.clock()),
+            reported_in_flight=reported_in_flight(target),
+            token_ms=known_ms(target.output_token_s),
+            **cache_fields(target, self.context.clock()),
             paused_share=round(target.paused_share, 3),
             error_share=round(target.error_rate, 3),
             **self._urgency_fields(admitted, self.context.clock()),
@@ -160,7 +170,7 @@
             version=version,
             source=source,
             listed_versions=sorted(listed),
-            took_ms=_ms(self.context.clock() - self.arrived_at),
+            took_ms=ms(self.context.clock() - self.arrived_at),
         )
 
     def record_attempt(
@@ -189,7 +199,7 @@
             self.first_event_at = attempt.first_event_at
         first_event_ms = None
         if attempt.first_event_at is not None:
-            first_event_ms = _ms(attempt.first_event_at - sent_at)
+            first_event_ms = ms(attempt.first_event_at - sent_at)
         self.attempts.append(
             {
                 "target": target.entry.target_id,
@@ -197,16 +207,16 @@
                 "detail": attempt.detail,
                 "response_end": attempt.response_end,
                 **({"end_proof": attempt.end_proof} if attempt.end_proof else {}),
-                "sent_ms": _ms(sent_at - self.arrived_at),
+                "sent_ms": ms(sent_at - self.arrived_at),
                 "time_limit_ms": time_limit_ms,
                 "first_event_ms": first_event_ms,
-                "longest_pause_ms": _ms(attempt.longest_pause_s),
+                "longest_pause_ms": ms(attempt.longest_pause_s),
                 "events": attempt.events,
-                "took_ms": _ms(self.context.clock() - sent_at),
-                **_dropped_events(attempt),
+                "took_ms": ms(self.context.clock() - sent_at),
+                **dropped_events(attempt),
                 **({"caller_unread": True} if attempt.was_paused else {}),
                 **({"kept": attempt.kept_reason} if attempt.kept_reason else {}),
-                **_signal_fields(attempt.signals),
+                **signal_fields(attempt.signals),
             }
         )
 
@@ -222,7 +232,7 @@
             "target-statement",
             admitted.request_id,
             target=target.entry.target_id,
-            **_signal_fields(signals),
+            **signal_fields(signals),
         )
 
     def log_retried(
@@ -267,7 +277,7 @@
             refusal.request_id,
             status=refusal.status,
             reason=refusal.reason,
-            **_refused_charge_fields(refusal.charge),
+            **refused_charge_fields(refusal.charge),
             **self._awaiting_fields(refusal.awaiting),
             **self._quarantine_fields(refusal.blocked_by),
         )
@@ -299,7 +309,7 @@
             target=target.entry.target_id,
             identity=admitted.identity.hex(),
             accused=[each.hex() for each in accused],
-            **_cache_fields(target, now),
+            **cache_fields(target, now),
         )
 
     def log_cleared(
@@ -325,7 +335,7 @@
             "ended": self.context.quarantine.crashed_incarnations(identity),
         }
         if blame is not None:
-            fields["blamed_ms_ago"] = _ms(self.context.clock() - blame.since)
+            fields["blamed_ms_ago"] = ms(self.context.clock() - blame.since)
             fields["trials"] = blame.trials
         return fields
 
@@ -337,7 +347,7 @@
         first_event_ms = None
         if self.first_event_at is not None:
             first_event_s = self.first_event_at - self.arrived_at
-            first_event_ms = _ms(first_event_s)
+            first_event_ms = ms(first_event_s)
             metrics.first_event_s.labels(kind, rank).observe(first_event_s)
         if self.first_asked_at is not None:
             outcome = self._return_outcome(admitted, status, self.first_asked_at)
@@ -355,15 +365,15 @@
             service=admitted.service,
             prompt_tokens=admitted.parsed_headers.work.prompt_tokens,
             output_tokens=admitted.parsed_headers.work.output_tokens,
-            **_prefix_fields(admitted),
+            **prefix_fields(admitted),
             **self._taken_up_fields(admitted),
-            **_charge_fields(admitted.charge),
-            objective_ms=_ms(admitted.route.objective_s),
-            longest_pause_allowed_ms=_ms(admitted.route.longest_pause_s),
-            read_delay_ms=_ms(admitted.request.read_delay_s),
+            **charge_fields(admitted.charge),
+            objective_ms=ms(admitted.route.objective_s),
+            longest_pause_allowed_ms=ms(admitted.route.longest_pause_s),
+            read_delay_ms=ms(admitted.request.read_delay_s),
             http_1_0=admitted.request.http_1_0,
-            limit_ms=_ms(admitted.deadline - admitted.request.arrived_at),
-            waited_ms=_ms(self.waited_s),
+            limit_ms=ms(admitted.deadline - admitted.request.arrived_at),
+            waited_ms=ms(self.waited_s),
             first_asked_ms_ago=self._first_asked_ms_ago(self.arrived_at),
             first_event_ms=first_event_ms,
             attempts=self.attempts,
@@ -379,7 +389,7 @@
         return {
             "resumes": resumes,
             "stream_version": self.stream_version,
-            "quota_wait_ms": _ms(self.quota_wait_s),
+            "quota_wait_ms": ms(self.quota_wait_s),
         }
 
     def _awaiting_fields(self, awaiting: Admitted | None) -> dict[str, object]:
@@ -393,7 +403,7 @@
             admitted.account_name,
         )
         return {
-            "send_by_ms": None if isinf(self.send_by) else _ms(self.send_by - now),
+            "send_by_ms": None if isinf(self.send_by) else ms(self.send_by - now),
             "first_asked_ms_ago": self._first_asked_ms_ago(now),
             "account_places": round(usage.usage(service, account, now), 2),
             "over_share": usage.is_over_share(service, account, now),
@@ -401,12 +411,12 @@
 
     def _disconnect_fields(self) -> dict[str, object]:
         delay_s = self.disconnect_delay_s
-        return {} if delay_s is None else {"disconnect_delay_ms": _ms(delay_s)}
+        return {} if delay_s is None else {"disconnect_delay_ms": ms(delay_s)}
 
     def _first_asked_ms_ago(self, now: float) -> float | None:
         if self.first_asked_at is None:
             return None
-        return _ms(now - self.first_asked_at)
+        return ms(now - self.first_asked_at)
 
     def _return_outcome(
         self, admitted: Admitted, status: int, first_asked_at: float
@@ -429,8 +439,8 @@
             request_id,
             **fields,
             version=0 if state.current is None else state.current.version,
-            version_age_ms=_ms(min(state.age_s(now), MAX_AGE_S)),
-            total_ms=_ms(now - self.arrived_at),
+            version_age_ms=ms(min(state.age_s(now), MAX_AGE_S)),
+            total_ms=ms(now - self.arrived_at),
             connection_requests=self.served_before,
             **self._stop_fields(),
         )
@@ -440,103 +450,4 @@
         stop = self.context.stop
         if stop is None:
             return {}
-        return {"read_after_stop_ms": _ms(stop.elapsed_s(self.arrived_at))}
-
-
-def _prefix_fields(admitted: Admitted) -> dict[str, object]:
-    """Return the fields about the shared prefix of the prompt."""
-    if admitted.parsed_headers.prefix_problem:
-        return {"prefix_problem": admitted.parsed_headers.prefix_problem}
-    prefix = admitted.parsed_headers.work.shared_prefix
-    if prefix is None:
-        return {}
-    return {"shared_prefix": f"{prefix.key:08x}", "shared_tokens": prefix.tokens}
-
-
-def _refused_charge_fields(charge: Charge | None) -> dict[str, object]:
-    """Return the fields about a request that was rejected for its quota."""
-    if charge is None:
-        return {}
-    return {
-        "account": charge.account_name,
-        "route": charge.route.name,
-        "kind": charge.route.kind,
-        "priority": charge.route.priority,
-        **_charge_fields(charge),
-        **_reserve_fields(charge.reserve),
-    }
-
-
-def _reserve_fields(reserve: QuotaReserve | None) -> dict[str, object]:
-    """Return the fields about the units kept for more urgent requests."""
-    if reserve is None:
-        return {}
-    is_known = isfinite(reserve.shortfall)
-    return {
-        "kept": round(reserve.units),
-        "kept_at_most": round(reserve.wanted),
-        "shortfall": round(reserve.shortfall) if is_known else None,
-        "urgent_per_s": round(reserve.urgent_per_s),
-        "awaited": round(reserve.awaited),
-    }
-
-
-def _charge_fields(charge: Charge | None) -> dict[str, object]:
-    """Return the fields about the cost of a request and its account's quota."""
-    if charge is None:
-        return {}
-    return {
-        "cost": round(charge.cost),
-        "limit": round(charge.state.limit),
-        "unknown": round(charge.state.unknown),
-        "counted": round(charge.state.counted),
-        "share": round(charge.state.share, 3),
-    }
-
-
-def _dropped_events(attempt: Attempt) -> dict[str, int]:
-    """Return how many events were not passed on, for the log; only counts above 0."""
-    counts = {
-        "repeated_events": attempt.repeated_events,
-        "misplaced_events": attempt.misplaced_events,
-    }
-    return {name: count for name, count in counts.items() if count}
-
-
-def _signal_fields(signals: TargetSignals) -> dict[str, object]:
-    """Return the fields about a target's signals; empty for most responses."""
-    if signals.is_empty:
-        return {}
-    fields: dict[str, object] = {
-        "limit_per_s": signals.limit_per_s,
-        "is_leaving": signals.is_leaving,
-        "rest_ms": _known_ms(signals.retry_after_s),
-    }
-    if signals.problem:
-        fields["statement_problem"] = signals.problem
-    return fields
-
-
-def _cache_fields(target: Target, now: float) -> dict[str, object]:
-    """Return the fields about the expected use of the KV cache of a target."""
-    load = target.cache_load(now)
-    if load is None:
-        return {}
-    return {
-        "cache_expected": round(load.expected_tokens),
-        "cache_bound": round(load.bound_tokens),
-        "cache_capacity": round(load.capacity_tokens),
-    }
-
-
-def _known_ms(seconds: float | None) -> float | None:
-    return None if seconds is None else _ms(seconds)
-
-
-def _ms(seconds: float) -> float:
-    return round(seconds * 1000, 1)
-
-
-def _reported_in_flight(target: Target) -> int | None:
-    """Return the load by the target's last report, or None without one."""
-    return None if target.report is None else target.total_in_flight
+        return {"read_after_stop_ms": ms(stop.elapsed_s(self.arrived_at))}
