--- a/libs/direct/tests/test_direct_rollout_fleet.py
+++ b/libs/direct/tests/test_direct_rollout_fleet.py
@@ -152,6 +152,14 @@
         results = random_simulation(2015, is_bad=True, faults=MINOR_FAULTS).simulate()
         assert violations(results, is_bad=True) == []
 
+    def test_good_version_is_completed_late_among_restores(self):
+        """The store comes back from older copies all along."""
+        simulation = random_simulation(11, is_bad=False, faults=(), period_s=20.0)
+        simulation.faults = TestRestores.FAULTS
+        results = simulation.simulate()
+        assert violations(results, is_bad=False) == []
+        assert completed_in_time(simulation)
+
 
 class FullBudgetPerRouter(Defect):
     """Each router uses the whole exposure budget."""
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -37,7 +37,7 @@
 from berylwalk.rollout import ExposureRules, Rollouts
 from berylwalk.standins.memory import InMemoryKeyValue
 from virtual_play import DOMAINS, SimulatedFleet
-from virtual_time import VirtualLoop
+from virtual_time import VirtualLoop, seeded_ids
 
 GRACE_S = 3.0
 """Grace period after a fault of a router."""
@@ -345,7 +345,8 @@
         """Run the simulation and return its results."""
         # Seed the retry delays of store calls.
         random.seed(self.seed)
-        with Runner(loop_factory=lambda: VirtualLoop(None)) as runner:
+        runner = Runner(loop_factory=lambda: VirtualLoop(None))
+        with seeded_ids(self.seed), runner:
             return runner.run(self._main())
 
     async def _main(self):
--- a/libs/direct/tests/virtual_rollout.py
+++ b/libs/direct/tests/virtual_rollout.py
@@ -39,6 +39,7 @@
 )
 from berylwalk.forwarding import TrafficCounter
 from berylwalk.platform import (
+    Callbacks,
     Changes,
     Conflict,
     EventKind,
@@ -54,7 +55,7 @@
 from berylwalk.quarantine import Quarantine
 from berylwalk.rollout import AnswerKind, ExposureRules, Rollouts
 from virtual_play import DOMAINS, SimulatedFleet
-from virtual_time import VirtualLoop
+from virtual_time import VirtualLoop, seeded_ids
 
 SERVICE = "s"
 OLD, NEW = "v1", "v2"
@@ -173,14 +174,14 @@
         self._name = name
         self._knows_era = False
         self.era = 0
-        self.on_restored = set()
+        self.on_restored = Callbacks()
 
     def note_era(self, era):
         """Note the era of an answer, or one that another router has told."""
         is_restored = self._knows_era and era > self.era
         self.era, self._knows_era = max(self.era, era), True
         if is_restored:
-            for callback in list(self.on_restored):
+            for callback in self.on_restored:
                 callback()
 
     def __getattr__(self, call):
@@ -585,7 +586,8 @@
     def simulate(self):
         """Run the simulation and return its results."""
         random.seed(self.seed)
-        with Runner(loop_factory=lambda: VirtualLoop(None)) as runner:
+        runner = Runner(loop_factory=lambda: VirtualLoop(None))
+        with seeded_ids(self.seed), runner:
             return runner.run(self._main())
 
     async def _main(self):
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -43,6 +43,7 @@
 from statement_rules import FaultLog
 from stating_targets import SERVICE, SignallingTarget, SimulatedLoop
 from virtual_play import SimulatedFleet
+from virtual_time import seeded_ids
 
 SWEEP_INTERVAL_S = 0.25
 LIMIT_S = 8.0
@@ -332,7 +333,8 @@
     def simulate(self):
         """Run the simulation and return its results."""
         random.seed(self.seed)
-        with Runner(loop_factory=self.make_loop) as runner:
+        runner = Runner(loop_factory=self.make_loop)
+        with seeded_ids(self.seed), runner:
             return runner.run(self._main())
 
     def make_loop(self):
--- a/libs/direct/tests/virtual_time.py
+++ b/libs/direct/tests/virtual_time.py
@@ -4,7 +4,11 @@
 """
 
 from asyncio import SelectorEventLoop
+from contextlib import contextmanager
+from random import Random
 from selectors import DefaultSelector
+from unittest.mock import patch
+from uuid import UUID
 
 
 class JumpingSelector(DefaultSelector):
@@ -93,3 +97,13 @@
 
     def resume_reading(self):
         """Do nothing, since responses are small."""
+
+
+@contextmanager
+def seeded_ids(seed):
+    """Derive the ids of the routers from a seed: who reads for others goes by them."""
+    ids = Random(f"ids {seed}")
+    with patch(
+        "berylwalk.direct._peering.uuid4", lambda: UUID(int=ids.getrandbits(128))
+    ):
+        yield
--- a/libs/direct/tests/virtual_version_changes.py
+++ b/libs/direct/tests/virtual_version_changes.py
@@ -8,8 +8,6 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 from random import Random
-from unittest.mock import patch
-from uuid import UUID
 
 from anyio import create_task_group, sleep
 from msgspec.json import decode
@@ -220,14 +218,6 @@
         for target in self.targets:
             target.version, target.cut_share = "v1", 0.0
 
-    def simulate(self):
-        """Run the simulation and return its results."""
-        ids = Random(f"ids {self.seed}")
-        with patch(
-            "berylwalk.direct._peering.uuid4", lambda: UUID(int=ids.getrandbits(128))
-        ):
-            return super().simulate()
-
     def make_target(self, number, *, run_s, slots):
         """Return a target."""
         return VersionedTarget(self, number, run_s=run_s, slots=slots)
--- a/libs/standins/src/berylwalk/standins/memory.py
+++ b/libs/standins/src/berylwalk/standins/memory.py
@@ -8,6 +8,7 @@
 from berylwalk.platform import (
     ABSENT_REVISION,
     NO_LEASE,
+    Callbacks,
     Conflict,
     EventKind,
     KeyValue,
@@ -63,7 +64,7 @@
         Number of received calls; a watch counts as one.
     era : int
         Era of the store in the last response.
-    on_restored : set of callable
+    on_restored : Callbacks
         Called when a response tells a later era than one before it.
     """
 
@@ -74,7 +75,7 @@
         self.lose_writes = 0
         self.calls = 0
         self.era = 0
-        self.on_restored: set[Callable[[], None]] = set()
+        self.on_restored = Callbacks()
         self._clock = clock
         self._changed = Event()
         self._store = RevisionStore(on_change=self._wake_watches)
@@ -198,7 +199,7 @@
         if self.era == self._store.era:
             return
         self.era = self._store.era
-        for callback in list(self.on_restored):
+        for callback in self.on_restored:
             callback()
 
     def _is_earlier(self, revision: int) -> bool:
