A stop counts from its signal also while the event loop is busy

The time of a stop was taken one pass of the event loop too late: by as long as the loop was busy when SIGTERM came, up to 0.5 s, requests that are sent later than 3 s after it were begun as if they were not, and the end of the process was planned later. It was not seen at callers. Cause: one pass reads the signal's byte, the next one runs the handler, and the third resumes the task that waits; the loop kept the ages of two passes.

The check of the kept passes compares three entries in place of two.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -327,8 +327,9 @@
         ready_since = _ready_since(get_running_loop(), self._context.clock)
         if ready_since is None:
             return now
-        # The signal is read in the pass of the event loop after the one that got it.
-        return max(ready_since(1), now - MAX_NOTICE_S)
+        # One pass of the event loop reads the signal, the next one handles it, and the
+        # third one resumes this task.
+        return max(ready_since(2), now - MAX_NOTICE_S)
 
     def log_reload(self) -> None:
         """Log that the settings file has changed.
--- a/libs/direct/src/berylwalk/direct/_measured_loop.py
+++ b/libs/direct/src/berylwalk/direct/_measured_loop.py
@@ -11,6 +11,8 @@
 
 MIN_WAIT_S = 0.001
 """A shorter call has found input that was there already."""
+KEPT_PASSES = 3
+"""Passes of the loop whose input has a known age: this one and those before."""
 
 
 class _WaitingSelector(DefaultSelector):
@@ -22,14 +24,14 @@
         Time for which it waited, in seconds.
     ready_since : deque of float
         Earliest times at which what it reported can have become ready: in its last call
-        and in the one before.
+        and in those before.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.waited_s = 0.0
         self._returned_at = monotonic()
-        self.ready_since = deque([self._returned_at] * 2, maxlen=2)
+        self.ready_since = deque([self._returned_at] * KEPT_PASSES, maxlen=KEPT_PASSES)
 
     def select(self, timeout: float | None = None) -> list[tuple[SelectorKey, int]]:
         """Wait for events, and count the time."""
@@ -75,6 +77,6 @@
         ----------
         passes_ago : int
             In which pass of the loop it was reported: 0 for this one, 1 for the one
-            before.
+            before, and so on, below `KEPT_PASSES`.
         """
         return monotonic() - self._waiting.ready_since[passes_ago]
--- a/libs/direct/tests/test_direct_read_delay.py
+++ b/libs/direct/tests/test_direct_read_delay.py
@@ -6,9 +6,10 @@
 import socket
 import time
 from selectors import EVENT_READ
+from signal import SIGUSR1, raise_signal
 
 import pytest
-from anyio import sleep
+from anyio import create_task_group, open_signal_receiver, sleep
 
 from berylwalk.direct import _measured_loop
 from berylwalk.direct._measured_loop import MeasuredLoop
@@ -96,6 +97,29 @@
             assert f'input_delay_seconds_count{{input="{read}"}} 1.0' in exported
 
 
+class TestStopRequest:
+    """The time from which a stop counts."""
+
+    async def test_signal_that_waits_for_a_busy_loop(self, running):
+        """The platform counts the grace from the signal."""
+        async with running() as fleet:
+            clock = fleet.router._context.clock
+            signalled_at = None
+
+            async def be_busy():
+                nonlocal signalled_at
+                signalled_at = clock()
+                raise_signal(SIGUSR1)
+                time.sleep(BUSY_S)
+
+            with open_signal_receiver(SIGUSR1) as signals:
+                async with create_task_group() as tasks:
+                    tasks.start_soon(be_busy)
+                    await anext(signals)
+                    requested_at = fleet.router._stop_requested_at()
+        assert requested_at <= signalled_at
+
+
 class TestMeasuredDelay:
     """The delay that the event loop measures."""
 
@@ -119,5 +143,5 @@
         monkeypatch.setattr(_measured_loop.DefaultSelector, "select", select)
         now += busy_s
         selector.select(5.0)
-        assert list(selector.ready_since) == [ready_since, 0.0]
+        assert list(selector.ready_since) == [ready_since, 0.0, 0.0]
         selector.close()
