A router whose grace is over when it is asked to stop ends in order

The process failed with ValueError (exit code 1, connections reset) when the time for new requests was over as soon as its stop began: with a grace of 0.3 s in the settings file, which is shorter than the margin before the kill, or of less than 0.85 s when a busy loop reads the signal late. Cause: anyio's sleep takes no negative time.

--- a/libs/direct/src/berylwalk/direct/_graceful_end.py
+++ b/libs/direct/src/berylwalk/direct/_graceful_end.py
@@ -58,7 +58,7 @@
         context.stop = stop
         context.log.process("stopping", open_requests=len(self._open_exchanges()))
         self._callers.announce_closing()
-        await sleep(stop.accept_until - context.clock())
+        await sleep(max(0.0, stop.accept_until - context.clock()))
         self._callers.close()
         await self._close_idle(stop)
         self._end_requests()
--- a/libs/direct/tests/test_direct_requests_while_stopping.py
+++ b/libs/direct/tests/test_direct_requests_while_stopping.py
@@ -67,7 +67,7 @@
         reader, writer = await self.fleet.connect()
         writer.write(self.fleet.encoded(FIRST))
         await self.begun.wait()
-        self._process.send_signal(SIGTERM)
+        self.stop()
         await sleep(ACCEPTED_S)
         while await self._listens():
             await sleep(0.05)
@@ -89,6 +89,10 @@
         """Return how many requests with a path have reached the target."""
         return sum(each.path == path for each in self.target.received)
 
+    def stop(self):
+        """Ask the process to stop."""
+        self._process.send_signal(SIGTERM)
+
     async def until_gone(self):
         """Wait until the process has ended."""
         with fail_after(TEST_TIMEOUT_S):
@@ -180,7 +184,7 @@
             reader, writer = await running.fleet.connect()
             writer.write(running.fleet.encoded(FIRST) + running.fleet.encoded(LONG))
             await running.begun.wait()
-            running._process.send_signal(SIGTERM)
+            running.stop()
             await sleep(ACCEPTED_S + 0.2)
             running.may_end.set()
             first, second = await read_reply(reader), await read_reply(reader)
@@ -188,3 +192,12 @@
             writer.close()
         assert first.is_complete
         assert (second.status, running.arrivals(LONG)) == (503, 0)
+
+
+class TestGraceShorterThanItsMargin:
+    """A grace that is over as soon as the stop is requested."""
+
+    async def test_process_fails(self, stopping_router):
+        async with stopping_router(grace_s=0.3) as running:
+            running.stop()
+            await running.until_gone()
