A stopping router refuses what it can't begin before it asks the store or the rollout

Callers that took up a stream on a kept connection later than 3 s after SIGTERM, while the store was silent, got 503 with a Retry-After of 0.7 s and 0.9 s in place of 0.1 s, after the bound of the store's calls. Cause: the stop was asked only once the request had a place; before that the version of its stream was looked up, and its failure was the reason of the refusal. By the code, trial permits, canary requests and sends that a target had granted were taken as well, and the last two are not given back when a place is released.

The stop is now asked first, and again when the request has a place, as time has passed.

--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -251,6 +251,9 @@
 
     async def run(self) -> None:
         """Drive the request; a trial that was not sent does not use up its permits."""
+        if self._is_too_late_to_begin():
+            self._fail(AttemptEnd.NOT_SENT, ROUTER_STOPPING)
+            return
         trial_of = self._admitted.verdict.trial_of
         if not trial_of:
             await self._run()
--- a/libs/direct/tests/test_direct_requests_while_stopping.py
+++ b/libs/direct/tests/test_direct_requests_while_stopping.py
@@ -9,6 +9,7 @@
 import pytest
 from anyio import Event, fail_after, sleep
 
+from berylwalk.dispatch import ELSEWHERE_DELAY_S
 from berylwalk.standins import serving
 from direct_fleet import (
     CHUNKED,
@@ -31,6 +32,9 @@
 FIRST = "/streaming/first"
 LONG = "/streaming/long"
 PLAIN = "/non_idempotent/"
+TAKEN_UP = "/resumable/"
+SILENT_MS = 60_000.0
+"""Delay of calls to a store that does not answer, in milliseconds."""
 
 
 class StoppingRouter:
@@ -111,6 +115,8 @@
         fleet = Fleet(settings)
         fleet.route("streaming", **{"timeout-ms": 60_000})
         fleet.route("non_idempotent", **{"timeout-ms": 1_000})
+        resumable = {"path-prefix": TAKEN_UP, "timeout-ms": 60_000}
+        fleet.route("streaming", name="resumable", resumable=True, **resumable)
         async with serving(fleet.platform.handle, *STORE, fleet.platform.run):
             fleet.put_configuration()
             bounds = {"grace-s": grace_s, "quota-window-s": 1}
@@ -193,6 +199,19 @@
         assert first.is_complete
         assert (second.status, running.arrivals(LONG)) == (503, 0)
 
+    async def test_stream_that_is_taken_up_waits_for_the_store(self, stopping_router):
+        """Another router can begin it at once, whatever the store tells this one."""
+        async with stopping_router(grace_s=6.0) as running:
+            reader, writer = await running.stop_beside_a_stream()
+            running.fleet.platform.faults.delay_ms = SILENT_MS
+            writer.write(running.fleet.encoded(TAKEN_UP, Last_Event_Id="3"))
+            reply = await read_reply(reader)
+            running.fleet.platform.faults.delay_ms = 0.0
+            await running.until_gone()
+            writer.close()
+        assert (reply.status, running.arrivals(TAKEN_UP)) == (503, 0)
+        assert float(reply.headers["retry-after"]) == ELSEWHERE_DELAY_S
+
 
 class TestGraceShorterThanItsMargin:
     """A grace that is over as soon as the stop is requested."""
