A stopping router asks for no retry that it would not send

Callers whose request was refused by its target later than 3 s after SIGTERM got 503 with a Retry-After of 1.1 s and 0.9 s in place of 0.1 s, and the reason retry-budget. Cause: the shared budget was asked before the stop; by the code, a retry that it granted was then not sent, since the stop is asked again when the retry has a place, and its entry is not given back.

Requests that a target may have run are retried as before: the stop does not hold them up.

--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -447,6 +447,8 @@
             return f"attempt-{attempt.end}"
         if attempt.is_paused:
             return SLOW_READER
+        if self._is_too_late_to_begin():
+            return ROUTER_STOPPING
         is_unused_trial = self._admitted.is_trial and attempt.end is AttemptEnd.NOT_SENT
         verdict = self._verdict()
         if verdict.blocked_by and not is_unused_trial:
--- a/libs/direct/tests/test_direct_requests_while_stopping.py
+++ b/libs/direct/tests/test_direct_requests_while_stopping.py
@@ -33,6 +33,7 @@
 LONG = "/streaming/long"
 PLAIN = "/non_idempotent/"
 TAKEN_UP = "/resumable/"
+REFUSED = "/idempotent/refused"
 SILENT_MS = 60_000.0
 """Delay of calls to a store that does not answer, in milliseconds."""
 
@@ -48,7 +49,13 @@
         self.begun = Event()
 
     async def respond(self, request, writer):
-        """Send a plain response at once, or a stream that waits for its end."""
+        """Respond at once, or wait for `may_end` to refuse or to end a stream."""
+        if request.path == REFUSED:
+            self.begun.set()
+            await self.may_end.wait()
+            more = "Not-Executed: 1\r\n"
+            writer.write(head(request, status="503 Full", length=0, more=more))
+            return
         if "/streaming/" not in request.path:
             writer.write(head(request, length=2) + b"ok")
             return
@@ -115,6 +122,7 @@
         fleet = Fleet(settings)
         fleet.route("streaming", **{"timeout-ms": 60_000})
         fleet.route("non_idempotent", **{"timeout-ms": 1_000})
+        fleet.route("idempotent", **{"timeout-ms": 60_000})
         resumable = {"path-prefix": TAKEN_UP, "timeout-ms": 60_000}
         fleet.route("streaming", name="resumable", resumable=True, **resumable)
         async with serving(fleet.platform.handle, *STORE, fleet.platform.run):
@@ -213,6 +221,25 @@
         assert float(reply.headers["retry-after"]) == ELSEWHERE_DELAY_S
 
 
+class TestRetry:
+    """A request that its target refuses when it is too late to begin it elsewhere."""
+
+    async def test_retry_that_is_not_sent_asks_the_budget(self, stopping_router):
+        """The budget is shared with the routers that go on."""
+        async with stopping_router(grace_s=6.0) as running:
+            reader, writer = await running.fleet.connect()
+            writer.write(running.fleet.encoded(REFUSED))
+            await running.begun.wait()
+            running.stop()
+            await sleep(ACCEPTED_S + 0.2)
+            running.may_end.set()
+            reply = await read_reply(reader)
+            await running.until_gone()
+            writer.close()
+        assert (reply.status, running.arrivals(REFUSED)) == (503, 1)
+        assert float(reply.headers["retry-after"]) == ELSEWHERE_DELAY_S
+
+
 class TestGraceShorterThanItsMargin:
     """A grace that is over as soon as the stop is requested."""
 
