--- a/libs/direct/tests/test_direct_quota_wait.py
+++ b/libs/direct/tests/test_direct_quota_wait.py
@@ -4,7 +4,7 @@
 from anyio import create_task_group, fail_after
 
 from berylwalk.direct import _quota_wait
-from berylwalk.dispatch import HistoryCoverage, QuotaRules
+from berylwalk.dispatch import GracefulStop, HistoryCoverage, QuotaRules
 from direct_fleet import event, read_reply, streams
 
 pytestmark = pytest.mark.anyio
@@ -69,6 +69,25 @@
         assert (reply.status, reply.is_complete) == (200, True)
         assert reply.body == REST
 
+    async def test_stream_of_a_router_that_stops_is_not_charged(self, spent):
+        """It is refused while it waits, as it can't end before the process does."""
+        async with spent() as fleet:
+            spend_all(fleet, units_by_bin={SOON: 500, LATE: LIMIT - 500})
+            context = fleet.router._context
+            async with create_task_group() as tasks:
+
+                async def take_up():
+                    reply = await fleet.call("/streaming/", **TAKE_UP)
+                    assert reply.status == 429
+
+                tasks.start_soon(take_up)
+                await fleet.until(lambda: awaited(fleet.router))
+                now = context.clock()
+                context.stop = GracefulStop(requested_at=now - 4.0, exit_at=now + 4.0)
+            assert context.quotas.spent_by_account() == {}
+            assert awaited(fleet.router) == 0
+            assert fleet.targets[0].received == []
+
     async def test_charge_counts_as_usual(self, spent):
         """The quota is charged once, when the units are free."""
         async with spent() as fleet:
--- a/libs/direct/tests/test_direct_requests_while_stopping.py
+++ b/libs/direct/tests/test_direct_requests_while_stopping.py
@@ -1,15 +1,16 @@
 """Callers that go on using their connections after a router was asked to stop.
 
-The router is a process, so that its end closes connections as the kernel does it.
+The router is a process where its end matters, so that connections are closed as the
+kernel does it.
 """
 
 from contextlib import asynccontextmanager
 from signal import SIGTERM
 
 import pytest
-from anyio import Event, fail_after, sleep
+from anyio import Event, create_task_group, fail_after, sleep
 
-from berylwalk.dispatch import ELSEWHERE_DELAY_S
+from berylwalk.dispatch import ELSEWHERE_DELAY_S, GracefulStop
 from berylwalk.standins import serving
 from direct_fleet import (
     CHUNKED,
@@ -32,6 +33,10 @@
 FIRST = "/streaming/first"
 LONG = "/streaming/long"
 PLAIN = "/non_idempotent/"
+CALLS = 20
+"""Requests of which the target has places for a part."""
+REFUSED_S = 1.0
+"""Time in which requests that wait learn that the router stops, in seconds."""
 TAKEN_UP = "/resumable/"
 REFUSED = "/idempotent/refused"
 SILENT_MS = 60_000.0
@@ -221,6 +226,46 @@
         assert float(reply.headers["retry-after"]) == ELSEWHERE_DELAY_S
 
 
+class TestWaitForPlace:
+    """Requests that wait for a place when it becomes too late to begin them."""
+
+    @pytest.mark.parametrize("is_freed_at_once", [True, False])
+    async def test_request_is_begun_or_keeps_its_place(self, running, is_freed_at_once):
+        """Places that are freed meanwhile are refused to it, and given back."""
+        may_end = Event()
+
+        async def waits(request, writer):
+            await may_end.wait()
+            writer.write(head(request, length=2) + b"ok")
+
+        def unhurried(fleet):
+            fleet.routes[0]["goal-ms"] = 8_000
+
+        async with running(waits, prepare=unhurried) as fleet:
+            context, statuses = fleet.router._context, []
+            (target,) = context.targets.by_id.values()
+            arrived = fleet.targets[0].received
+
+            async def call():
+                statuses.append((await fleet.call("/idempotent/")).status)
+
+            async with create_task_group() as tasks:
+                for _ in range(CALLS):
+                    tasks.start_soon(call)
+                await fleet.until(lambda: context.open_requests == CALLS)
+                await fleet.until(lambda: len(arrived) == target.in_flight)
+                begun = len(arrived)
+                now = context.clock()
+                context.stop = GracefulStop(requested_at=now - 4.0, exit_at=now + 4.0)
+                if not is_freed_at_once:
+                    with fail_after(REFUSED_S):
+                        await fleet.until(lambda: len(statuses) == CALLS - begun)
+                may_end.set()
+        assert 0 < len(arrived) == begun < CALLS
+        assert sorted(statuses) == [200] * begun + [503] * (CALLS - begun)
+        assert (target.in_flight, target.waiting_tokens) == (0, 0)
+
+
 class TestRetry:
     """A request that its target refuses when it is too late to begin it elsewhere."""
 
