--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -251,6 +251,9 @@
 
     async def run(self) -> None:
         """Drive the request; a trial that was not sent does not use up its permits."""
+        if self._is_too_late_to_begin():
+            self._fail(AttemptEnd.NOT_SENT, ROUTER_STOPPING)
+            return
         trial_of = self._admitted.verdict.trial_of
         if not trial_of:
             await self._run()
@@ -444,6 +447,8 @@
             return f"attempt-{attempt.end}"
         if attempt.is_paused:
             return SLOW_READER
+        if self._is_too_late_to_begin():
+            return ROUTER_STOPPING
         is_unused_trial = self._admitted.is_trial and attempt.end is AttemptEnd.NOT_SENT
         verdict = self._verdict()
         if verdict.blocked_by and not is_unused_trial:
