Addresses of no host in entries and messages are refused

Seen: after an entry of a target whose address has a scope id that is no host name, such as fe80::1%a\0b:80, the socket for reports of targets is closed and 'loop-failed' of ReportFeed.run comes each second until the process ends. The same host in an entry of a router closes the socket for messages at each send, 30 times in 6 s. Cause: ip_address accepts any text as a scope id. Encoding it fails with an error that is no OSError, after which asyncio closes a datagram socket. 0.0.0.0, the broadcast address and multicast groups were taken as targets too. Why it works: one check at each place where an address comes in: entries of targets and routers, and messages of routers, before anything is sent there. Ruled out: ports (checked before) and host names (never accepted).

--- a/libs/direct/src/berylwalk/direct/_membership.py
+++ b/libs/direct/src/berylwalk/direct/_membership.py
@@ -1,7 +1,6 @@
 """Registers the router in the store and lists the other routers."""
 
 from collections.abc import Callable
-from ipaddress import ip_address
 
 from anyio import Event, create_task_group, move_on_after, sleep
 from msgspec import DecodeError, json
@@ -12,7 +11,13 @@
 from berylwalk.direct._peer_messages import MemberEntry
 from berylwalk.direct._store_health import StoreHealth
 from berylwalk.dispatch import Peer
-from berylwalk.platform import KeyValue, KeyValueClient, OutcomeUnknown, Unavailable
+from berylwalk.platform import (
+    KeyValue,
+    KeyValueClient,
+    OutcomeUnknown,
+    Unavailable,
+    is_host_address,
+)
 from berylwalk.reading import PrefixState
 
 MEMBERS_PREFIX = b"berylwalk/routers/"
@@ -189,10 +194,12 @@
             name = item.key[len(MEMBERS_PREFIX) :].decode()
             try:
                 entry = json.decode(item.value, type=MemberEntry)
-                ip_address(entry.host)
             except (DecodeError, ValueError, RecursionError) as error:
                 self._invalid_items.report(name, "not-readable", repr(error))
                 continue
+            if not is_host_address(entry.host):
+                self._invalid_items.report(name, "out-of-range", "host")
+                continue
             self._invalid_items.clear(name)
             listed.append(
                 Peer(name, entry.host, entry.port, entry.life, entry.failure_domain)
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -45,7 +45,7 @@
     Target,
     ToldUsage,
 )
-from berylwalk.platform import KeyValueClient
+from berylwalk.platform import KeyValueClient, is_host_address
 from berylwalk.quarantine import QuarantineUpdate
 from berylwalk.reading import StoreSyncReply, StoreSyncRequest
 
@@ -65,6 +65,8 @@
 """How long placements are batched before they are sent."""
 MAX_TOLD_UNITS = 2**62
 """Bound of a sum in a message, which holds integers of 64 bits."""
+MAX_LOGGED_CHARS = 200
+"""Longest part of a text from outside in a log line."""
 MAX_RELAYED_PREFIXES = 512
 """Bound of the queue of prefix placements to be relayed; the oldest are dropped."""
 MAX_RELAYED_STREAMS = 4_000
@@ -472,6 +474,11 @@
         except (DecodeError, ValidationError) as error:
             self._context.log.process("peer-message-invalid", detail=repr(error))
             return
+        odd_hosts = [host for host in _hosts_in(message) if not is_host_address(host)]
+        if odd_hosts:
+            detail = f"host {odd_hosts[0][:MAX_LOGGED_CHARS]!r}"
+            self._context.log.process("peer-message-invalid", detail=detail)
+            return
         self._context.note_suspension()
         try:
             self._apply(message)
@@ -596,6 +603,18 @@
         self._updates_by_name.pop(peer.name, None)
 
 
+def _hosts_in(message: AnyMessage) -> list[str]:
+    """Return the hosts in a message to which messages are sent in turn."""
+    match message:
+        case StoreSyncRequest():
+            return [message.host]
+        case PeerMessage():
+            return [message.update.host]
+        case DomainMessage():
+            return [update.host for update in message.routers]
+    return []
+
+
 def _told_units(units: float) -> int:
     """Return a sum of units as a number that a message can hold."""
     return max(-MAX_TOLD_UNITS, min(MAX_TOLD_UNITS, round(units)))
--- /dev/null
+++ b/libs/direct/tests/test_direct_odd_entries.py
@@ -0,0 +1,140 @@
+"""Odd entries that other programs leave in the store, beside usual ones."""
+
+from json import dumps, loads
+
+import pytest
+from msgspec import msgpack
+
+from berylwalk.reading import StoreSyncRequest
+from direct_fleet import HOST, answers
+
+pytestmark = pytest.mark.anyio
+FAILURES = (
+    "loop-failed",
+    "exchange-failed",
+    "peer-message-failed",
+    "peer-message-invalid",
+    "peer-socket-closed",
+)
+NO_HOSTS = [
+    "fe80::1%a\x00b",
+    "fe80::1%\u00e9" + "x" * 70,
+    "fe80::1%eth0",
+    "0.0.0.0",
+    "255.255.255.255",
+    "224.0.0.1",
+]
+"""Texts that are IP addresses by their form, but not of a host."""
+
+
+def odd_target(**changes):
+    """Return the entry of a target that nobody has started."""
+    value = {
+        "service": "s",
+        "address": f"{HOST}:9",
+        "zone": "fd-a",
+        "slots": 4,
+        "state": "ready",
+    }
+    return dumps({**value, **changes}).encode()
+
+
+def engine(fleet):
+    """Make the targets engines, which have monitors."""
+    fleet.services[0]["engine"] = {"slots": 4, "kv-capacity": 1000}
+
+
+class Logged:
+    """Lines that the routers have logged."""
+
+    def __init__(self, capfd):
+        self._capfd = capfd
+        self._lines = []
+
+    def lines(self, *events):
+        """Return the lines of some events so far."""
+        written = self._capfd.readouterr().out.splitlines()
+        self._lines += [loads(line) for line in written if line.startswith("{")]
+        return [line for line in self._lines if line["event"] in events]
+
+    def failures(self):
+        """Return what failed so far."""
+        return [(each["event"], each.get("detail")) for each in self.lines(*FAILURES)]
+
+
+@pytest.fixture
+def logged(capfd):
+    """Return the lines that the routers log."""
+    return Logged(capfd)
+
+
+async def is_told_of(fleet, logged, event, key):
+    """Wait until an odd entry is logged, and return the line."""
+    found = []
+
+    def is_logged():
+        found[:] = [line for line in logged.lines(event) if key in line["key"]]
+        return bool(found)
+
+    await fleet.until(is_logged)
+    return found[0]
+
+
+class TestAddresses:
+    """Addresses that name no host."""
+
+    @pytest.mark.parametrize("host", NO_HOSTS)
+    async def test_entry_of_no_host_closes_the_socket_for_reports(
+        self, running, logged, host, free_port
+    ):
+        """Asyncio closes a datagram socket for good after some errors of a send."""
+        odd = odd_target(address=f"{host}:9")
+        async with running(
+            answers("ok"), prepare=engine, monitor_port=free_port()
+        ) as fleet:
+            fleet.platform.store.put(b"servers/i-odd", odd)
+            line = await is_told_of(fleet, logged, "target-invalid", "i-odd")
+            assert (line["problem"], line["detail"]) == ("out-of-range", "address")
+            assert "i-odd" not in fleet.router._context.targets.by_id
+            fleet.router._report_feed._subscribe()
+            assert not fleet.router._report_feed._transport.is_closing()
+            assert (await fleet.call("/idempotent/")).status == 200
+            assert logged.failures() == []
+
+    @pytest.mark.parametrize("host", NO_HOSTS)
+    async def test_member_of_no_host_closes_the_socket_for_messages(
+        self, running, beside, logged, host
+    ):
+        """Each message goes to all listed routers."""
+        member = {"host": host, "port": 9, "life": "x", "failure_domain": "fd-a"}
+
+        def put_member(fleet):
+            key = b"berylwalk/routers/odd"
+            fleet.platform.store.put(key, dumps(member).encode())
+
+        async with (
+            running(answers("ok"), prepare=put_member) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            await is_told_of(fleet, logged, "member-invalid", "odd")
+            peers, clock = second._context.peers, second._context.clock
+            await fleet.until(lambda: peers.alive_count(clock()) == 2)
+            assert "odd" not in fleet.router._context.peers.by_name
+            assert logged.failures() == []
+
+    @pytest.mark.parametrize("host", NO_HOSTS)
+    async def test_message_of_no_host_closes_the_socket_for_messages(
+        self, running, logged, host
+    ):
+        """The reply to a query goes to the address in it."""
+        query = msgpack.encode(StoreSyncRequest("odd", host, 9, 1, {}))
+        async with running(answers("ok")) as fleet:
+            peering = fleet.router._peering
+            peering._receive(query)
+            assert not peering._transport.is_closing()
+            await is_told_of_message(fleet, logged)
+
+
+async def is_told_of_message(fleet, logged):
+    """Wait until a message is logged as invalid."""
+    await fleet.until(lambda: logged.lines("peer-message-invalid"))
