A start time far ahead does not hide what a target writes later

Seen: after one entry of another writer with 'born' of 20 digits under the id of a target, the target's own entry with 'draining' is not followed: it stays ready and gets requests. Deleted and written again, it is not used at all. Cause: entries of one id are ordered by their start times, since a restored store brings back earlier ones. Any integer was a valid start. Ruled out: the wall clock of the router as the bound; a router whose clock is wrong would refuse all targets.

--- a/libs/direct/tests/test_direct_odd_entries.py
+++ b/libs/direct/tests/test_direct_odd_entries.py
@@ -138,3 +138,25 @@
 async def is_told_of_message(fleet, logged):
     """Wait until a message is logged as invalid."""
     await fleet.until(lambda: logged.lines("peer-message-invalid"))
+
+
+class TestTargets:
+    """Entries of targets that are odd, but of the right types."""
+
+    @pytest.mark.parametrize(
+        "born", [10**13, 10**20, 10**400], ids=["10^13", "10^20", "10^400"]
+    )
+    async def test_start_time_far_ahead_hides_what_the_target_writes_later(
+        self, running, logged, born
+    ):
+        """An entry with an earlier start is taken to be of a process that has ended."""
+        async with running(answers("ok")) as fleet:
+            target, by_id = fleet.targets[0], fleet.router._context.targets.by_id
+            fleet.put_target(target, born=born)
+            await is_told_of(fleet, logged, "target-invalid", "i-0")
+            fleet.put_target(target, born=1796254082258)
+            await fleet.until(lambda: "i-0" in by_id)
+            assert (await fleet.call("/idempotent/")).status == 200
+            fleet.put_target(target, born=1796254082258, state="draining")
+            await fleet.until(lambda: by_id["i-0"].entry.state == "draining")
+            assert logged.failures() == []
--- a/tests/platform/test_platform_formats.py
+++ b/tests/platform/test_platform_formats.py
@@ -267,6 +267,8 @@
             ({"born": "1796254082258"}, EntryProblem.WRONG_FIELD),
             ({"born": 1796254082258.5}, EntryProblem.WRONG_FIELD),
             ({"born": 0}, EntryProblem.OUT_OF_RANGE),
+            ({"born": 10**13}, EntryProblem.OUT_OF_RANGE),
+            ({"born": 10**400}, EntryProblem.OUT_OF_RANGE),
             ({"seq-no": "4"}, EntryProblem.WRONG_FIELD),
             ({"version": 1}, EntryProblem.WRONG_FIELD),
             ({"cold-left-ms": "soon"}, EntryProblem.WRONG_FIELD),
