--- a/libs/direct/src/berylwalk/direct/_invalid_items.py
+++ b/libs/direct/src/berylwalk/direct/_invalid_items.py
@@ -6,6 +6,8 @@
 """Largest number of lines logged in a burst."""
 LINES_PER_S = 1.0
 """Lines per second after the burst."""
+MAX_LOGGED_CHARS = 200
+"""Longest part of a key, or of what is wrong with its item, in a line."""
 
 
 class InvalidItemLog:
@@ -45,7 +47,10 @@
         if key not in self._reported and self._take_line():
             self._reported.add(key)
             self._context.log.process(
-                self._event, key=key, problem=problem, detail=detail
+                self._event,
+                key=key[:MAX_LOGGED_CHARS],
+                problem=problem,
+                detail=detail[:MAX_LOGGED_CHARS],
             )
 
     def _take_line(self) -> bool:
--- a/libs/direct/tests/test_direct_odd_entries.py
+++ b/libs/direct/tests/test_direct_odd_entries.py
@@ -160,3 +160,29 @@
             fleet.put_target(target, born=1796254082258, state="draining")
             await fleet.until(lambda: by_id["i-0"].entry.state == "draining")
             assert logged.failures() == []
+
+    @pytest.mark.parametrize("field", ["version", "service", "zone"])
+    @pytest.mark.parametrize(
+        "text",
+        ["y" * 1_000_000, "y" * 129, "a\r\nHold: 1"],
+        ids=["megabyte", "long", "lines"],
+    )
+    async def test_text_without_bound_reaches_logs_records_and_messages(
+        self, running, logged, field, text
+    ):
+        """A version is written into the history of its service, and told to others."""
+        odd = odd_target(**{field: text})
+        async with running(answers("ok")) as fleet:
+            fleet.platform.store.put(b"servers/i-odd", odd)
+            line = await is_told_of(fleet, logged, "target-invalid", "i-odd")
+            assert (line["problem"], line["detail"]) == ("out-of-range", field)
+            assert "i-odd" not in fleet.router._context.targets.by_id
+            assert text not in str(logged.lines("target-listed", "versions-noted"))
+
+    async def test_key_of_a_megabyte_fills_the_log(self, running, logged):
+        """A line names the start of the key."""
+        async with running(answers("ok")) as fleet:
+            fleet.platform.store.put(b"servers/" + b"k" * 1_000_000, b"{}")
+            line = await is_told_of(fleet, logged, "target-invalid", "kkk")
+            assert line["problem"] == "bad-id"
+            assert len(str(line)) < 1_000
--- a/tests/platform/test_platform_formats.py
+++ b/tests/platform/test_platform_formats.py
@@ -271,6 +271,10 @@
             ({"born": 10**400}, EntryProblem.OUT_OF_RANGE),
             ({"seq-no": "4"}, EntryProblem.WRONG_FIELD),
             ({"version": 1}, EntryProblem.WRONG_FIELD),
+            ({"version": "v" * 129}, EntryProblem.OUT_OF_RANGE),
+            ({"version": "v\x00"}, EntryProblem.OUT_OF_RANGE),
+            ({"service": "s" * 129}, EntryProblem.OUT_OF_RANGE),
+            ({"zone": "a\nb"}, EntryProblem.OUT_OF_RANGE),
             ({"cold-left-ms": "soon"}, EntryProblem.WRONG_FIELD),
         ],
     )
