A router does not take its own address for that of a target

Seen: with an entry whose address is that of the router, it sends requests to itself. Cause: an entry's address was not compared with those of the router. Evidence: test_entry_with_the_address_of_the_router_gets_requests failed before for both addresses and passes. Why it works: such an entry is unusable and logged. The address of another router is not known from its messages; a request sent there is run by that router at a usual target.

--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -11,7 +11,7 @@
 )
 from berylwalk.direct._store_health import StoreHealth
 from berylwalk.direct._target_history import TargetHistory
-from berylwalk.dispatch import TargetEntry
+from berylwalk.dispatch import SocketAddress, TargetEntry
 from berylwalk.platform import (
     TARGETS_PREFIX,
     EntryProblem,
@@ -30,6 +30,7 @@
 """How long changes are batched at the store between watch calls: a replaced target
 writes several in a row, and each response is billed."""
 ROUNDING_TOLERANCE_S = 1e-6
+OWN_ADDRESS_DETAIL = "address of this router"
 MISSING_START_DETAIL = "start time missing, although reported before"
 
 
@@ -69,6 +70,13 @@
         self._unknown_services = InvalidItemLog(context, "target-of-no-service")
         self._history = TargetHistory()
         self._logged_outdated: dict[str, int] = {}
+        settings = context.settings
+        host = settings.caller_address.host
+        self._own_addresses = {
+            settings.caller_address,
+            settings.readiness_address,
+            SocketAddress(host, settings.metrics_port),
+        }
         rules = MirrorRules(
             prefix=TARGETS_PREFIX,
             name="targets",
@@ -166,6 +174,9 @@
     def _decode_usable(self, item: KeyValue) -> TargetEntry | None:
         """Decode an entry; an invalid one removes its target and yields None."""
         entry = decode_target(item)
+        if isinstance(entry, TargetEntry) and self._is_own_address(entry):
+            problem = EntryProblem.OUT_OF_RANGE
+            entry = UnusableEntry(entry.target_id, problem, OWN_ADDRESS_DETAIL)
         if isinstance(entry, TargetEntry):
             versions = self._context.rollouts.versions
             versions.record_version(entry.service, entry.version, item.mod_revision)
@@ -197,6 +208,10 @@
             )
         return resolved
 
+    def _is_own_address(self, entry: TargetEntry) -> bool:
+        """Return whether requests to an entry would come back to this router."""
+        return SocketAddress(entry.host, entry.port) in self._own_addresses
+
     def _is_missing_start(self, entry: TargetEntry) -> bool:
         """Return whether an entry lacks a start time that was reported before."""
         known = self._context.targets.by_id.get(entry.target_id)
--- a/libs/direct/tests/test_direct_odd_entries.py
+++ b/libs/direct/tests/test_direct_odd_entries.py
@@ -161,6 +161,20 @@
             await fleet.until(lambda: by_id["i-0"].entry.state == "draining")
             assert logged.failures() == []
 
+    @pytest.mark.parametrize("listener", ["caller_address", "readiness_address"])
+    async def test_entry_with_the_address_of_the_router_gets_requests(
+        self, running, logged, listener
+    ):
+        """The router would call itself, and itself again."""
+        async with running(answers("ok")) as fleet:
+            own = getattr(fleet.settings, listener)
+            odd = odd_target(address=f"{own.host}:{own.port}")
+            fleet.platform.store.put(b"servers/i-odd", odd)
+            line = await is_told_of(fleet, logged, "target-invalid", "i-odd")
+            assert line["problem"] == "out-of-range"
+            assert "i-odd" not in fleet.router._context.targets.by_id
+            assert (await fleet.call("/idempotent/")).status == 200
+
     @pytest.mark.parametrize("field", ["version", "service", "zone"])
     @pytest.mark.parametrize(
         "text",
--- a/libs/direct/tests/virtual_feeds.py
+++ b/libs/direct/tests/virtual_feeds.py
@@ -17,6 +17,7 @@
     IdleTimeout,
     QuotaRules,
     QuotaTracker,
+    SocketAddress,
     TargetTable,
 )
 from berylwalk.platform import KeyValueClient
@@ -41,7 +42,12 @@
         self.configuration = ConfigurationState(key_trust_s=4.5)
         self.context = SimpleNamespace(
             settings=SimpleNamespace(
-                drain_s=drain_s, configuration_s=CONFIGURATION_S, heartbeat_s=1.2
+                drain_s=drain_s,
+                configuration_s=CONFIGURATION_S,
+                heartbeat_s=1.2,
+                caller_address=SocketAddress("10.0.0.8", 80),
+                readiness_address=SocketAddress("10.0.0.8", 81),
+                metrics_port=82,
             ),
             targets=self.targets,
             configuration=self.configuration,
