Tests: routers of virtual fleets have addresses

The virtual networks found a router by its name and stated that as its host in messages and settings. Messages with a host that is no address are refused since, so that test_direct_rollout_fleet and test_direct_quarantine_fleet failed: no router heard another. The networks give each router an address now and look it up at delivery. No check of a test is changed.

--- a/libs/direct/tests/virtual_fleet.py
+++ b/libs/direct/tests/virtual_fleet.py
@@ -3,7 +3,6 @@
 import random
 from asyncio import get_running_loop
 from dataclasses import dataclass, field
-from types import SimpleNamespace
 
 from anyio import CancelScope, create_task_group, sleep
 from msgspec import msgpack
@@ -13,7 +12,7 @@
 from berylwalk.direct._shared_reads import SharedReads
 from berylwalk.direct._store_health import CALL_TIMEOUT_S, StoreHealth
 from berylwalk.direct._target_feed import TargetFeed
-from berylwalk.dispatch import Peer, PeerTable
+from berylwalk.dispatch import Peer, PeerTable, SocketAddress
 from berylwalk.platform import KeyValueClient
 from berylwalk.reading import StoreSyncReply, StoreSyncRequest
 from virtual_feeds import Feeds, in_virtual_time
@@ -76,7 +75,7 @@
         self.context.peers = self.peers
         settings = self.context.settings
         settings.name = name
-        settings.caller_address = SimpleNamespace(host=name)
+        settings.caller_address = SocketAddress(name, 80)
         settings.peer_port = 1
         self.decoder = msgpack.Decoder(StoreSyncRequest | StoreSyncReply)
 
--- a/libs/direct/tests/virtual_quarantine.py
+++ b/libs/direct/tests/virtual_quarantine.py
@@ -36,6 +36,7 @@
 from berylwalk.quarantine import Quarantine, QuarantineStatus
 from berylwalk.rollout import ExposureRules, Rollouts
 from berylwalk.standins.memory import InMemoryKeyValue
+from virtual_hosts import host_of, name_of
 from virtual_play import DOMAINS, SimulatedFleet
 from virtual_time import VirtualLoop
 
@@ -131,7 +132,7 @@
                 name=name,
                 failure_domain=domain,
                 heartbeat_s=1.2,
-                caller_address=SimpleNamespace(host=name),
+                caller_address=SimpleNamespace(host=host_of(name)),
                 peer_port=1,
             ),
             targets=targets,
@@ -173,12 +174,12 @@
         self.lines.append((round(self.clock(), 3), event, fields))
 
     def _send(self, data, address):
-        self.simulation.send_datagram(self.name, address[0], data)
+        self.simulation.send_datagram(self.name, name_of(address[0]), data)
 
     async def run(self):
         """Exchange messages and synchronize records forever."""
         others = [
-            Peer(each, each, 1, "listed", domain)
+            Peer(each, host_of(each), 1, "listed", domain)
             for each, domain in self.simulation.domains_by_name.items()
         ]
         self.context.peers.replace(others, self.clock())
--- a/libs/direct/tests/virtual_retries.py
+++ b/libs/direct/tests/virtual_retries.py
@@ -253,10 +253,9 @@
         """Return the host of a router for messages of other routers."""
         return f"{PEER_NETWORK}{list(self.domains_by_name).index(name)}"
 
-    def send_datagram(self, sender, receiver, data):
-        """Deliver a datagram to the router with an address, unless it is lost."""
-        name = list(self.domains_by_name)[int(receiver.removeprefix(PEER_NETWORK))]
-        super().send_datagram(sender, name, data)
+    def peer_name(self, host):
+        """Return the router at a host."""
+        return list(self.domains_by_name)[int(host.removeprefix(PEER_NETWORK))]
 
     async def _main(self):
         self.store.start()
--- a/libs/direct/tests/virtual_rollout.py
+++ b/libs/direct/tests/virtual_rollout.py
@@ -31,6 +31,7 @@
     QuotaRules,
     QuotaTracker,
     RefusedRequests,
+    SocketAddress,
     StreamVersions,
     TargetTable,
     VmCapacity,
@@ -53,6 +54,7 @@
 from berylwalk.platform._eras import era_of, to_revision, to_store_revision
 from berylwalk.quarantine import Quarantine
 from berylwalk.rollout import AnswerKind, ExposureRules, Rollouts
+from virtual_hosts import host_of, name_of
 from virtual_play import DOMAINS, SimulatedFleet
 from virtual_time import VirtualLoop
 
@@ -338,7 +340,9 @@
                 heartbeat_s=1.2,
                 drain_s=3.0,
                 configuration_s=3.0,
-                caller_address=SimpleNamespace(host=name),
+                caller_address=SocketAddress(host_of(name), 80),
+                readiness_address=SocketAddress(host_of(name), 81),
+                metrics_port=82,
                 peer_port=1,
             ),
             targets=self.targets,
@@ -402,12 +406,12 @@
         self.lines.append((round(self.clock(), 3), event, fields))
 
     def _send(self, data, address):
-        self.simulation.send_datagram(self.name, address[0], data)
+        self.simulation.send_datagram(self.name, name_of(address[0]), data)
 
     async def run(self):
         """Run the feeds, peering and the coordinator forever."""
         others = [
-            Peer(each, each, 1, "listed", domain)
+            Peer(each, host_of(each), 1, "listed", domain)
             for each, domain in self.simulation.domains_by_name.items()
         ]
         self.context.peers.replace(others, self.clock())
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -42,6 +42,7 @@
 from berylwalk.rollout import ExposureRules, Rollouts
 from statement_rules import FaultLog
 from stating_targets import SERVICE, SignallingTarget, SimulatedLoop
+from virtual_hosts import host_of, name_of
 from virtual_play import SimulatedFleet
 
 SWEEP_INTERVAL_S = 0.25
@@ -160,12 +161,13 @@
         return len(data)
 
     def _send(self, data, address):
-        self.simulation.send_datagram(self.name, address[0], data)
+        receiver = self.simulation.peer_name(address[0])
+        self.simulation.send_datagram(self.name, receiver, data)
 
     async def run(self):
         """Exchange messages and dispatch requests forever."""
         others = [
-            Peer(each, each, 1, "listed", domain)
+            Peer(each, self.simulation.peer_host(each), 1, "listed", domain)
             for each, domain in self.simulation.domains_by_name.items()
         ]
         self.context.peers.replace(others, self.clock())
@@ -365,7 +367,11 @@
 
     def peer_host(self, name):
         """Return the host of a router for messages of other routers."""
-        return name
+        return host_of(name)
+
+    def peer_name(self, host):
+        """Return the router at a host."""
+        return name_of(host)
 
     def make_router(self, name, domain, incarnation):
         """Return a new process of a router."""
