Values nested too deeply are malformed wherever they are read

Cause: msgspec raises RecursionError, which is no DecodeError; entries of targets, members and records expected it, these readers did not.

--- a/libs/agent/src/berylwalk/agent/_health.py
+++ b/libs/agent/src/berylwalk/agent/_health.py
@@ -119,7 +119,7 @@
 def _model_names(body: bytes) -> tuple[str, ...]:
     try:
         models = msgspec.json.decode(body, type=_Models)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return ()
     return tuple(model.id for model in models.data)
 
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -471,7 +471,7 @@
         self._context.traffic.note_message_received(len(data))
         try:
             message = self._decoder.decode(data)
-        except (DecodeError, ValidationError) as error:
+        except (DecodeError, ValidationError, RecursionError) as error:
             self._context.log.process("peer-message-invalid", detail=repr(error))
             return
         odd_hosts = [host for host in _hosts_in(message) if not is_host_address(host)]
--- a/libs/direct/tests/test_direct_odd_entries.py
+++ b/libs/direct/tests/test_direct_odd_entries.py
@@ -200,3 +200,23 @@
             line = await is_told_of(fleet, logged, "target-invalid", "kkk")
             assert line["problem"] == "bad-id"
             assert len(str(line)) < 1_000
+
+
+class TestNesting:
+    """Datagrams that are nested deeper than a decoder follows."""
+
+    NESTED = b"\x91" * 60_000 + b"\x01"
+
+    async def test_nested_message_is_not_logged(self, running, logged):
+        """A field that is appended is skipped, which follows its nesting."""
+        async with running(answers("ok")) as fleet:
+            odd = b"\x96\x05\xa1a\xa1b\x01\x80" + self.NESTED
+            fleet.router._peering._receive(odd)
+            await is_told_of_message(fleet, logged)
+
+    async def test_nested_report_is_not_logged(self, running, logged):
+        """A report of a target's monitor, in the same way."""
+        async with running(answers("ok")) as fleet:
+            odd = b"\x98\x02\xa1a\x01\x01\xc0\xa0\x00" + self.NESTED
+            fleet.router._report_feed._receive(odd)
+            await fleet.until(lambda: logged.lines("target-report-invalid"))
--- a/libs/monitor/src/berylwalk/monitor/_messages.py
+++ b/libs/monitor/src/berylwalk/monitor/_messages.py
@@ -5,7 +5,7 @@
 
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
-MESSAGE_ERRORS = (DecodeError, ValidationError)
+MESSAGE_ERRORS = (DecodeError, ValidationError, RecursionError)
 """Raised for a datagram that is not a valid message."""
 
 
--- a/libs/router/src/berylwalk/router/_records.py
+++ b/libs/router/src/berylwalk/router/_records.py
@@ -79,5 +79,5 @@
     """Decode a record, or return None if it is malformed."""
     try:
         return _decode(value)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
--- a/libs/router/tests/test_router_idempotency.py
+++ b/libs/router/tests/test_router_idempotency.py
@@ -537,3 +537,13 @@
         await records_of(store, clock).claim(request)
         clock.now += wait_s
         assert await stored_record(store) is not None
+
+
+class TestOddRecords:
+    """Records that another program has written."""
+
+    @pytest.mark.parametrize("depth", [10_000, 100_000])
+    def test_nested_record_fails_its_request(self, depth):
+        """It is malformed, as other records that can't be read."""
+        value = b'{"request_id":"r","x":' + b"[" * depth + b"]" * depth + b"}"
+        assert decode_record(value) is None
--- a/libs/settings/src/berylwalk/settings/_document.py
+++ b/libs/settings/src/berylwalk/settings/_document.py
@@ -119,7 +119,7 @@
         """
         try:
             stored = json.decode(data, type=_StoredDocument)
-        except (DecodeError, UnicodeDecodeError) as error:
+        except (DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise FindingsError([Finding(DOCUMENT_SOURCE, str(error))]) from error
         tree = SettingsTree.from_sections(stored.sections)
         return cls(stored.version, tree, stored.recent_changes)
--- a/libs/settings/tests/test_settings_store.py
+++ b/libs/settings/tests/test_settings_store.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from berylwalk.model import FindingsError
 from berylwalk.settings import (
     MAX_RECENT_CHANGES,
     Accepted,
@@ -255,3 +256,14 @@
         result = _run(submit_patch(store, self.PATCH, "ana"))
         assert isinstance(result, Undecided)
         assert store.values == [b"not settings"]
+
+
+class TestOddDocuments:
+    """Documents that another program has written."""
+
+    @pytest.mark.parametrize("depth", [10_000, 100_000])
+    def test_nested_document_ends_its_reader(self, depth):
+        """It is malformed, as other documents that can't be read."""
+        data = b'{"version":1,"x":' + b"[" * depth + b"]" * depth + b"}"
+        with pytest.raises(FindingsError):
+            SettingsDocument.decode(data)
