A time to live beyond a float does not end the loop that asked for a lease

Seen: grant_lease and keep_alive raise OverflowError for a time to live of 400 digits. Cause: the time in a response had no bound and is converted to seconds.

--- a/tests/platform/test_platform_odd_responses.py
+++ b/tests/platform/test_platform_odd_responses.py
@@ -137,3 +137,16 @@
         assert isinstance(changes, Changes)
         assert [each.key_value.key for each in changes.events] == [b"servers/i-1"]
         assert changes.unreadable == 1
+
+
+class TestLeases:
+    """Leases that no store grants."""
+
+    @pytest.mark.parametrize("ttl_ms", [-1, 2**53 + 1, 10**400])
+    async def test_time_to_live_beyond_a_float_ends_its_user(
+        self, client, responses, ttl_ms
+    ):
+        """It is converted to seconds."""
+        responses.body = b'{"ttl-ms":%d,"lease":7}' % ttl_ms
+        assert isinstance(await client.grant_lease(5.0), Unavailable)
+        assert isinstance(await client.keep_alive(7), Unavailable)
