--- a/tests/platform/test_platform_odd_responses.py
+++ b/tests/platform/test_platform_odd_responses.py
@@ -4,6 +4,7 @@
 
 from berylwalk.platform import (
     Changes,
+    Conflict,
     Listing,
     OutcomeUnknown,
     Unavailable,
@@ -139,6 +140,39 @@
         assert changes.unreadable == 1
 
 
+class TestKeys:
+    """Keys with characters that are no text."""
+
+    LONE = (b"\\ud800", b"\\udfff", b"\\uD83D", b"\\ude00\\ud83d", b"a\\\\\\ud800b")
+
+    @pytest.mark.parametrize("odd", LONE)
+    async def test_key_with_half_a_character_hides_the_whole_list(
+        self, client, responses, odd
+    ):
+        """JSON may name half of a pair of code units, which is no character."""
+        item = b'{"key":"servers/%b","value":"e30=","revision":5}' % odd
+        responses.body = b'{"store-revision":5,"entries":[%b,%b]}' % (item, USUAL)
+        listing = await client.list_prefix(b"servers/")
+        assert listing.entries[-1].key == b"servers/i-1"
+        assert "\ufffd" in listing.entries[0].key.decode()
+        responses.body = b'{"store-revision":5,"events":[%b,%b]}' % (item, USUAL)
+        changes = await client.changes(b"servers/", 3, wait_s=0.0)
+        assert changes.events[-1].key_value.key == b"servers/i-1"
+        responses.status, responses.body = 412, b'{"entries":[%b]}' % item
+        assert isinstance(await client.compare_and_swap(b"k", b"v", 1), Conflict)
+
+    async def test_whole_characters_are_kept(self, client, responses):
+        """Two code units make a character, and a backslash may be escaped."""
+        whole = b"\\ud83d\\ude00\\\\ud800"
+        items = b",".join(
+            b'{"key":"servers/%b","value":"e30=","revision":5}' % each
+            for each in (whole, b"\\ud800")
+        )
+        responses.body = b'{"store-revision":5,"entries":[%b]}' % items
+        listing = await client.list_prefix(b"servers/")
+        assert listing.entries[0].key.decode() == "servers/\U0001f600\\ud800"
+
+
 class TestLeases:
     """Leases that no store grants."""
 
