Records of roll-outs that fit no message are malformed

Seen: a record with a number of 20 digits or a version of 201 characters is taken as it is (test: never logged as invalid). By calls of the codecs alone, the message that tells it can't be encoded (OverflowError) or is refused as a whole by those that get it (ValidationError); a sender that fails so tells no loads and no spending either. Cause: what a message may hold is bounded, what a record holds was not. Why it works: the record has the bounds of the message; one that is malformed is logged with its key and written anew by the coordinator, as before.

--- a/libs/direct/tests/test_direct_odd_entries.py
+++ b/libs/direct/tests/test_direct_odd_entries.py
@@ -4,6 +4,7 @@
 
 import pytest
 from msgspec import msgpack
+from msgspec.structs import asdict
 
 from berylwalk.reading import StoreSyncRequest
 from direct_fleet import HOST, answers
@@ -220,3 +221,50 @@
             odd = b"\x98\x02\xa1a\x01\x01\xc0\xa0\x00" + self.NESTED
             fleet.router._report_feed._receive(odd)
             await fleet.until(lambda: logged.lines("target-report-invalid"))
+
+
+class TestRolloutRecords:
+    """Records of roll-outs, whose content is told to the other routers."""
+
+    ORDER = {"service": "s", "target": "v2", "period-s": 30}
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"number": 10**20},
+            {"number": 2**64 - 1},
+            {"version": "v" * 201},
+            {"phase": "reverted", "barred": ["v" * 201]},
+            {"order_revision": -1},
+            {"period_s": -1},
+            {"reason": "r" * 1_000_000},
+        ],
+        ids=["20-digits", "64-bits", "version", "barred", "order", "period", "reason"],
+    )
+    async def test_odd_record_makes_messages_that_none_can_read(
+        self, running, beside, logged, changes
+    ):
+        """Routers tell each other the record in force, and count its phases on."""
+
+        def order(fleet):
+            store = fleet.platform.store
+            store.put(b"op/rollout/s", dumps(self.ORDER).encode())
+            fleet.put_target(fleet.targets[0], version="v1")
+
+        async with (
+            running(answers("ok"), prepare=order) as fleet,
+            beside({"name": "edge-2"}) as (second,),
+        ):
+            peers, clock = second._context.peers, second._context.clock
+            await fleet.until(lambda: peers.alive_count(clock()) == 2)
+            rollouts = fleet.router._context.rollouts
+            await fleet.until(lambda: rollouts.progress("s").record is not None)
+            known = asdict(rollouts.progress("s").record)
+            odd = {**known, "number": known["number"] + 1, **changes}
+            key = b"berylwalk/rollouts/s"
+            fleet.platform.store.put(key, dumps(odd).encode())
+            await is_told_of(fleet, logged, "rollout-record-invalid", "rollouts/s")
+            sequence = peers.by_name["edge-1"].sequence
+            await fleet.until(lambda: peers.by_name["edge-1"].sequence > sequence + 4)
+            assert logged.failures() == []
+            assert (await fleet.call("/idempotent/")).status == 200
--- a/libs/rollout/src/berylwalk/rollout/_records.py
+++ b/libs/rollout/src/berylwalk/rollout/_records.py
@@ -12,6 +12,11 @@
 RECORDS_PREFIX = b"berylwalk/rollouts/"
 MAX_BARRED_VERSIONS = 16
 """Barred versions of a service that are kept; the newest."""
+VersionField = Annotated[str, Meta(max_length=200)]
+"""Version as a message to other routers holds it."""
+NumberField = Annotated[int, Meta(ge=0, le=2**53)]
+"""Number of a record; those that follow fit into a message too."""
+ReasonField = Annotated[str, Meta(max_length=2_000)]
 
 
 class Phase(StrEnum):
@@ -72,14 +77,16 @@
         Period of the order, in seconds; 0 if unknown.
     """
 
-    version: str
-    order_revision: int
+    version: VersionField
+    order_revision: Annotated[int, Meta(ge=0)]
     phase: Phase
-    number: Annotated[int, Meta(ge=0)]
+    number: NumberField
     began_s: float
-    barred: Annotated[list[str], Meta(max_length=64)] = field(default_factory=list)
-    reason: str = ""
-    period_s: float = 0.0
+    barred: Annotated[list[VersionField], Meta(max_length=64)] = field(
+        default_factory=list
+    )
+    reason: ReasonField = ""
+    period_s: Annotated[float, Meta(ge=0)] = 0.0
 
     @property
     def precedence(self) -> tuple[int, int, int]:
