A target that has said that it leaves accuses no request by its end

Requests counted as the cause of the end of a target that stopped: one that closes its listening socket before its last responses end, and whose responses end with their connection, looks like one that crashed. After three such ends the request is held back.

Cause: the quarantine asked whether the target had announced that it leaves, but regarded the state in its entry only, not what the target says in the head of its responses.

Evidence: test_request_is_accused_of_the_end_of_a_leaving_target[head-*] failed before (1 identity accused), [list-*] passed. Now what the target, or another router, has said of it counts as well. Such a response still counts as cut, which its caller sees.

Ruled out: to take other open connections to the target as proof that it goes on. Their ends may be late (a lost packet), so that a part would look whole.

--- a/libs/direct/src/berylwalk/direct/_attempt_feedback.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_feedback.py
@@ -137,7 +137,8 @@
         these requests.
         """
         is_listed = target.entry.target_id in self._context.targets.by_id
-        return is_listed and target.entry.state is TargetState.READY
+        is_ready = target.entry.state is TargetState.READY
+        return is_listed and is_ready and not target.flow_control.is_leaving
 
     def _record_timing(self, target: Target, attempt: Attempt, sent_at: float) -> None:
         if not attempt.is_stream:
