Short pauses in reading no longer make a whole stream count as cut

Callers of large streams whose target sends neither a length nor chunks got a whole stream as an incomplete one (cut-attempt-broken, "closed while it was not read"), also if they read all the time: the stream of the test has 40 events in 30 ms.

Cause: any pause within the last second made an end of the response doubtful, as a target may end what remains unread; a write buffer of 64 KiB is full for some milliseconds whenever the target is faster than the caller.

Now only a pause of 0.2 s counts, and the shorter ones that follow it within a second each: the unread data of the long one is read between them. With it an end of a target beside a short pause is counted in the quarantine again.

Ruled out: to ask such a target whether it goes on. It does, and has ended the response all the same.

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -21,9 +21,12 @@
 BEGUN_AFTER_S = 0.05
 """Time from the first event of a stream after which its target has survived the start
 of the response: the event may arrive just before the crash that it belongs to."""
+UNREAD_PAUSE_S = 0.2
+"""Shortest pause in reading for which a target may end its response, in seconds. A
+caller that reads all the time causes shorter ones."""
 UNREAD_END_S = 1.0
-"""Time after a pause within which an end of the response is put down to the pause, in
-seconds: what the target sent before is read first."""
+"""Time after such a pause within which an end of the response is put down to the pause,
+in seconds: what the target sent before is read first."""
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -126,7 +129,9 @@
         self.was_paused = False
         self.ended_unread = False
         self.kept_reason = ""
+        self._paused_at = float("-inf")
         self._resumed_at = float("-inf")
+        self._unread_until = float("-inf")
         self._heard_at = float("-inf")
         self.events = 0
         self.repeated_events = 0
@@ -173,11 +178,27 @@
 
     def set_paused(self, paused: bool) -> None:
         """Record whether the response is not read because of its caller."""
+        now = self._clock()
+        if paused and not self.is_paused:
+            self._paused_at = now
         if self.is_paused and not paused:
-            self._resumed_at = self._clock()
+            self._resumed_at = now
+            if self._may_end_unread(now):
+                self._unread_until = now
         self.is_paused = paused
         self.was_paused = self.was_paused or paused
 
+    def _may_end_unread(self, now: float) -> bool:
+        """Return whether a target may end the response because it is not read.
+
+        The end shows once all that the target sent before is read, maybe after further,
+        shorter pauses.
+        """
+        if self.is_paused and now - self._paused_at >= UNREAD_PAUSE_S:
+            return True
+        read_until = self._paused_at if self.is_paused else now
+        return read_until - self._unread_until <= UNREAD_END_S
+
     def on_head(self, status: int, headers: Headers) -> None:
         """Handle the status and headers."""
         self.status = status
@@ -242,9 +263,7 @@
         if self.end is not None:
             return
         self.response_end = end
-        # A target may end a response that remains unread, which shows once it is read.
-        since_resumed_s = self._clock() - self._resumed_at
-        self.ended_unread = self.is_paused or since_resumed_s <= UNREAD_END_S
+        self.ended_unread = self._may_end_unread(self._clock())
         self.target_ended = end is ResponseEnd.CLOSED and not self.ended_unread
         if end is ResponseEnd.AT_CLOSE and self._is_truncated():
             self.target_ended = not self.ended_unread
--- a/libs/direct/tests/test_direct_slow_readers.py
+++ b/libs/direct/tests/test_direct_slow_readers.py
@@ -30,12 +30,12 @@
 LARGER_THAN_HELD = b"id: 1\ndata: %s\n\n" % (b"x" * 5 * EVENT_BYTES)
 
 
-def start_stream(request, writer):
+def start_stream(request, writer, *, framing=CHUNKED):
     """Write the head; what is written then waits for the router to read."""
     target = writer.transport.get_extra_info("socket")
     target.setsockopt(SOL_SOCKET, SO_SNDBUF, SOCKET_BUFFER_BYTES)
     writer.transport.set_write_buffer_limits(high=EVENT_BYTES)
-    writer.write(head(request, kind=EVENTS, more=CHUNKED))
+    writer.write(head(request, kind=EVENTS, more=framing))
 
 
 async def streams_large_events(request, writer):
@@ -263,3 +263,51 @@
             reply = await fleet.call("/streaming/y")
         assert reply.status == 200
         assert reply.is_complete
+
+
+@pytest.mark.usefixtures("small_socket_buffers")
+class TestResponsesThatEndWithTheirConnection:
+    """Callers that were slower than their target for a while."""
+
+    async def test_whole_stream_counts_as_cut_after_short_pauses(self, running):
+        """Its caller reads all the time, and the router pauses it now and then."""
+
+        async def streams_unframed(request, writer):
+            writer.write(head(request, kind=EVENTS))
+            for number in range(1, EVENTS_OF_A_STREAM + 1):
+                writer.write(large_event(number))
+            await writer.drain()
+            raise ConnectionResetError
+
+        async with (
+            running(streams_unframed, routes=STREAM) as fleet,
+            slow_caller(fleet) as caller,
+        ):
+            with fail_after(5):
+                received = await read_rest(caller)
+        assert received.endswith(b"\r\n0\r\n\r\n")
+        assert received.count(b"id: ") == EVENTS_OF_A_STREAM
+
+    async def test_part_of_a_stream_looks_whole_after_a_long_pause(self, running):
+        """Its target ends what is not read, in order, and goes on."""
+
+        async def closes_when_unread(request, writer):
+            start_stream(request, writer, framing="")
+            for number in range(1, EVENTS_OF_A_STREAM + 1):
+                writer.write(large_event(number))
+                with move_on_after(0.5) as scope:
+                    await writer.drain()
+                if scope.cancelled_caught:
+                    break
+            raise ConnectionResetError
+
+        async with (
+            running(closes_when_unread, routes=STREAM) as fleet,
+            slow_caller(fleet) as caller,
+        ):
+            await fleet.until(lambda: fleet.targets[0].received)
+            await fleet.until(lambda: not fleet.targets[0].open_requests)
+            with fail_after(5):
+                received = await read_rest(caller)
+        assert 0 < received.count(b"id: ") < EVENTS_OF_A_STREAM
+        assert not received.endswith(b"\r\n0\r\n\r\n")
