--- a/libs/direct/tests/test_direct_continued_ends.py
+++ b/libs/direct/tests/test_direct_continued_ends.py
@@ -51,6 +51,21 @@
         assert reply.body == b"".join(map(event, range(3, LAST + 1)))
 
 
+class TestNothingLeft:
+    """The first target has sent all events, and ends before the end of the stream."""
+
+    @pytest.mark.parametrize("framed", [True, False], ids=["chunked", "closed"])
+    async def test_end_without_an_event(self, running, framed):
+        """A last chunk is believed; a connection that ends after a head is not."""
+        ends = streams(LAST + 1, LAST) if framed else closes_after_head
+        scripts = streams(1, LAST, until=LAST), ends
+        async with running(*scripts, routes=("streaming",), prepare=resumable) as fleet:
+            prefer_in_order(fleet)
+            reply = await fleet.call("/streaming/x")
+        assert reply.body == b"".join(map(event, range(1, LAST + 1)))
+        assert reply.is_complete is framed
+
+
 def begins_again(*, framed):
     """Return a script that begins again, and ends before what the caller has."""
 
--- a/libs/direct/tests/test_direct_end_proof.py
+++ b/libs/direct/tests/test_direct_end_proof.py
@@ -1,7 +1,7 @@
 """A response without a length counts as whole if its target is shown to go on."""
 
 import pytest
-from anyio import sleep
+from anyio import Event, create_task_group, sleep
 
 from direct_fleet import EVENTS, event, head
 
@@ -108,6 +108,38 @@
             assert reply.body == (WHOLE if is_stream else BODY)
 
 
+class TestManyAtOnce:
+    """Each response asks for itself."""
+
+    CALLS = 60
+
+    async def test_whole_responses_that_end_together_are_cut(self, running):
+        """Their target accepts as many connections at the same time."""
+        ending = Event()
+
+        async def ends_with_all(request, writer):
+            writer.write(head(request, kind=EVENTS) + WHOLE)
+            await writer.drain()
+            if fleet.targets[0].open_requests == self.CALLS:
+                ending.set()
+            await ending.wait()
+            raise ConnectionResetError
+
+        replies = []
+
+        async def call():
+            replies.append(await fleet.call("/streaming/"))
+
+        def prepare(fleet):
+            fleet.put_target(fleet.targets[0], slots=2 * self.CALLS)
+
+        async with running(ends_with_all, routes=STREAM, prepare=prepare) as fleet:
+            async with create_task_group() as tasks:
+                for _ in range(self.CALLS):
+                    tasks.start_soon(call)
+        assert {(each.is_complete, each.body) for each in replies} == {(True, WHOLE)}
+
+
 class TestNotShown:
     """Targets of which nothing shows that they went on."""
 
