A stream whose target ended waits for a place while its caller stays

Callers of streams that had begun got a closed connection 1 s after the end of their target if all others were full (cut-no-place), with 9 s of their time left, though a place was free half a second later.

Cause: RETRY_WAIT_S, one bound for all repeated requests, whatever the caller has got and however long it stays.

Callers leave a stream after a gap of 2 s, 4 objectives or 8 allowed pauses, whichever is longest. A begun stream waits for three quarters of that from its last event, less the expected start, and 1 s at least; beyond it is cut, so that its caller has time to take it up at another router. It goes before others of its rank: it had a place until its target ended, so that no account gets more than it had, and a cut wastes what was produced. More urgent ranks go first as before.

Ruled out: to wait until the deadline (the caller has left, and can't come back); precedence for streams that callers take up (any request can claim to be one); the same for requests without an event (nothing is lost by their refusal).

--- a/libs/direct/src/berylwalk/direct/_exchange.py
+++ b/libs/direct/src/berylwalk/direct/_exchange.py
@@ -27,6 +27,7 @@
     Target,
     deadlines_after_failure,
     deadlines_at_arrival,
+    deadlines_of_begun_stream,
     retry_after_s,
     short_deadlines,
 )
@@ -247,6 +248,7 @@
         self._send_by = float("-inf")
         self._available_at = float("-inf")
         self._has_sent = False
+        self._last_event_at = admitted.request.arrived_at
         self.is_finished = False
 
     async def run(self) -> None:
@@ -312,6 +314,8 @@
                 return
             attempt = await self._send(target, takeover)
             takeover = self._attempt_runner.takeover
+            if attempt.last_event_at is not None:
+                self._last_event_at = attempt.last_event_at
             if self._response_writer.started and self._stream_version is None:
                 self._stream_version = target.entry.version
             if attempt.end is AttemptEnd.ANSWERED:
@@ -322,7 +326,7 @@
                 self._respond_failure(attempt, reason)
                 return
             self._exclude(target, attempt, is_handed_over=takeover is not None)
-            deadlines = deadlines_after_failure(context.clock(), admitted.deadline)
+            deadlines = self._deadlines_after_failure()
             self._log.log_retried(
                 admitted, target, attempt, self._response_writer.last_event_id
             )
@@ -358,6 +362,22 @@
         self._log.record_deadlines(deadlines.send_by, first_arrived_at)
         return deadlines
 
+    def _deadlines_after_failure(self) -> RequestDeadlines:
+        context, admitted = self._context, self._admitted
+        now = context.clock()
+        if not self._response_writer.started:
+            return deadlines_after_failure(now, admitted.deadline)
+        return deadlines_of_begun_stream(
+            now,
+            admitted.deadline,
+            last_event_at=self._last_event_at,
+            objective_s=admitted.route.objective_s,
+            longest_pause_s=admitted.route.longest_pause_s,
+            idle_start_s=context.dispatcher.idle_start_s(
+                admitted.service, admitted.parsed_headers.work, now
+            ),
+        )
+
     def _is_too_late_to_begin(self) -> bool:
         """Return whether the request can't end before a stop under way does.
 
@@ -596,6 +616,7 @@
             version_draw=random(),
             stream_version=self._stream_version,
             is_resumable=admitted.may_be_taken_up,
+            is_begun=self._response_writer.started,
             account=admitted.account_name if self._has_time_order else None,
         )
 
--- a/libs/direct/tests/test_direct_end_proof.py
+++ b/libs/direct/tests/test_direct_end_proof.py
@@ -133,10 +133,12 @@
         def prepare(fleet):
             fleet.put_target(fleet.targets[0], slots=2 * self.CALLS)
 
-        async with running(ends_with_all, routes=STREAM, prepare=prepare) as fleet:
-            async with create_task_group() as tasks:
-                for _ in range(self.CALLS):
-                    tasks.start_soon(call)
+        async with (
+            running(ends_with_all, routes=STREAM, prepare=prepare) as fleet,
+            create_task_group() as tasks,
+        ):
+            for _ in range(self.CALLS):
+                tasks.start_soon(call)
         assert {(each.is_complete, each.body) for each in replies} == {(True, WHOLE)}
 
 
--- a/libs/dispatch/src/berylwalk/dispatch/__init__.py
+++ b/libs/dispatch/src/berylwalk/dispatch/__init__.py
@@ -58,6 +58,7 @@
     RequestDeadlines,
     deadlines_after_failure,
     deadlines_at_arrival,
+    deadlines_of_begun_stream,
     short_deadlines,
 )
 from berylwalk.dispatch._request_queue import PendingRequest, RequestQueue
@@ -177,6 +178,7 @@
     "concurrency_limit",
     "deadlines_after_failure",
     "deadlines_at_arrival",
+    "deadlines_of_begun_stream",
     "estimate_first_event",
     "is_passed_over",
     "is_stalled",
--- a/libs/dispatch/src/berylwalk/dispatch/_request_deadlines.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_request_deadlines.py
@@ -27,7 +27,19 @@
 """Upper bound of that time in seconds: callers give up streams without any event after
 two seconds."""
 RETRY_WAIT_S = 1.0
-"""Maximum queueing time after a failed attempt, in seconds."""
+"""Maximum queueing time after a failed attempt, in seconds; of a stream that has begun
+at least."""
+CALLER_GAP_S = 2.0
+"""Shortest time without an event, in seconds, after which callers leave a stream that
+has begun."""
+CALLER_GAP_OBJECTIVES = 4.0
+"""The same time as a multiple of the latency objective. The longest of the three is in
+force."""
+CALLER_GAP_PAUSES = 8.0
+"""The same time as a multiple of the longest allowed pause."""
+STREAM_WAIT_SHARE = 0.75
+"""Share of that time within which the next event should arrive. A caller whose stream
+is cut after it has time left to take the stream up at another router."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,3 +122,38 @@
     There is no start deadline: a late response is better than none.
     """
     return RequestDeadlines(min(now + RETRY_WAIT_S, deadline), float("inf"))
+
+
+def deadlines_of_begun_stream(
+    now: float,
+    deadline: float,
+    *,
+    last_event_at: float,
+    objective_s: float,
+    longest_pause_s: float,
+    idle_start_s: float = 0.0,
+) -> RequestDeadlines:
+    """Return the deadlines of a stream whose target failed after its first event.
+
+    Answers targets that end while all others are full. It waits as long as its caller
+    is likely to stay: a cut stream has to be placed again all the same.
+
+    Parameters
+    ----------
+    now, deadline : float
+        Current time, and time by which the response must be complete, in seconds.
+    last_event_at : float
+        When its last event arrived, in seconds.
+    objective_s, longest_pause_s : float
+        Latency objective and longest allowed pause in seconds; 0 for none.
+    idle_start_s : float
+        Expected time to its next event at a target without other requests, in seconds.
+    """
+    gap_s = max(
+        CALLER_GAP_S,
+        CALLER_GAP_OBJECTIVES * objective_s,
+        CALLER_GAP_PAUSES * longest_pause_s,
+    )
+    next_event_by = last_event_at + STREAM_WAIT_SHARE * gap_s
+    wait_until = max(next_event_by - idle_start_s, now + RETRY_WAIT_S)
+    return RequestDeadlines(min(wait_until, deadline), float("inf"))
--- a/libs/dispatch/src/berylwalk/dispatch/_request_queue.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_request_queue.py
@@ -56,6 +56,9 @@
         Name of the client account; None if the route needs no key.
     send_by : float
         Time after which its response is not expected to start in time, in seconds.
+    is_begun : bool
+        Whether the caller has got a part of the response from this router. It had a
+        place until its target failed, so it goes before others of its rank.
     """
 
     service: str
@@ -73,6 +76,7 @@
     is_resumable: bool = False
     account: str | None = None
     send_by: float = float("inf")
+    is_begun: bool = False
     number: int = 0
 
 
@@ -89,10 +93,11 @@
 
 def _order_key(
     pending: PendingRequest, now: float, usage_of: Callable[[str | None], float]
-) -> tuple[bool, tuple[int, int], float, tuple]:
+) -> tuple[bool, tuple[int, int], bool, float, tuple]:
     return (
         now > pending.send_by,
         pending.rank,
+        not pending.is_begun,
         usage_of(pending.account),
         _sort_key(pending),
     )
@@ -119,7 +124,8 @@
         """Return the requests in the order in which they get targets.
 
         Requests that can still start in time go before those that can't, then the
-        highest rank, then the account that has used least of the service.
+        highest rank, then responses that have begun, then the account that has used
+        least of the service.
 
         Parameters
         ----------
@@ -150,7 +156,8 @@
         usage_of: Callable[[str | None], float] = no_usage,
     ) -> bool:
         """Return whether a queued request goes before one that has just arrived."""
-        key = _order_key(pending, now, usage_of)[:3]
+        *key, _ = _order_key(pending, now, usage_of)
         return any(
-            _order_key(each, now, usage_of)[:3] <= key for each in self._requests
+            _order_key(each, now, usage_of)[: len(key)] <= tuple(key)
+            for each in self._requests
         )
--- a/libs/dispatch/tests/test_dispatch_overload_order.py
+++ b/libs/dispatch/tests/test_dispatch_overload_order.py
@@ -13,6 +13,7 @@
     concurrency_limit,
     deadlines_after_failure,
     deadlines_at_arrival,
+    deadlines_of_begun_stream,
     short_deadlines,
 )
 
@@ -117,6 +118,38 @@
         line.free(12, NOW + 0.2)
         assert line.sent == ["large"]
 
+    def test_begun_stream_waits_behind_requests_that_have_got_nothing(self, targets):
+        """It had a place until its target failed; a cut wastes what it has got."""
+        usage = AccountUsage()
+        for _ in range(20):
+            usage.note_started("s", "large", NOW - 5.0)
+        line = Line(targets, usage)
+        fill(line.target, 20)
+        line.wait("new", account="small")
+        line.wait("begun", account="large", is_begun=True, arrived_at=NOW + 0.1)
+        line.free(12, NOW + 0.2)
+        assert line.sent[0] == "begun"
+
+    def test_begun_stream_goes_before_more_urgent_requests(self, targets):
+        line = Line(targets)
+        fill(line.target, 20)
+        line.wait("begun", rank=(0, 1), is_begun=True)
+        line.wait("urgent", rank=(0, 0), arrived_at=NOW + 0.1)
+        line.free(13, NOW + 0.2)
+        assert line.sent[0] == "urgent"
+
+    def test_new_request_takes_the_place_for_which_a_begun_stream_waits(self, targets):
+        usage = AccountUsage()
+        for _ in range(20):
+            usage.note_started("s", "large", NOW - 5.0)
+        line = Line(targets, usage)
+        fill(line.target, 20)
+        line.wait("begun", account="large", is_begun=True)
+        for _ in range(13):
+            line.target.note_finished(Work(), had_first_event=True)
+        line.wait("new", account="small")
+        assert line.sent[0] == "begun"
+
 
 class HalfOfRequests:
     """Lets the lower half of the draws use the new version, and the others the old."""
@@ -225,6 +258,48 @@
     def test_failed_attempt_is_repeated_among_those_in_time(self):
         assert deadlines_after_failure(NOW, NOW + 10.0).send_by == float("inf")
 
+    @pytest.mark.parametrize(
+        ("objective_s", "longest_pause_s", "wait_s"),
+        [(0.4, 0.1, 1.5), (1.0, 0.1, 3.0), (0.4, 0.5, 3.0), (0.0, 0.0, 1.5)],
+    )
+    def test_begun_stream_is_cut_long_before_its_caller_leaves(
+        self, objective_s, longest_pause_s, wait_s
+    ):
+        deadlines = deadlines_of_begun_stream(
+            NOW + 0.1,
+            NOW + 10.0,
+            last_event_at=NOW,
+            objective_s=objective_s,
+            longest_pause_s=longest_pause_s,
+        )
+        assert deadlines.wait_until == NOW + wait_s
+        assert deadlines.send_by == float("inf")
+
+    def test_begun_stream_waits_for_a_place_that_comes_too_late(self):
+        """Its next event would arrive when its caller has left."""
+        deadlines = deadlines_of_begun_stream(
+            NOW,
+            NOW + 10.0,
+            last_event_at=NOW,
+            objective_s=1.0,
+            longest_pause_s=0.0,
+            idle_start_s=0.5,
+        )
+        assert deadlines.wait_until == NOW + 2.5
+
+    def test_begun_stream_after_a_long_silence_is_cut_at_once(self):
+        """Its caller may have more patience; others of its kind wait as long."""
+        deadlines = deadlines_of_begun_stream(
+            NOW, NOW + 10.0, last_event_at=NOW - 3.0, objective_s=0, longest_pause_s=0
+        )
+        assert deadlines.wait_until == NOW + 1.0
+
+    def test_begun_stream_waits_beyond_its_deadline(self):
+        deadlines = deadlines_of_begun_stream(
+            NOW, NOW + 0.5, last_event_at=NOW, objective_s=5.0, longest_pause_s=0
+        )
+        assert deadlines.wait_until == NOW + 0.5
+
     def test_long_objective_leaves_time_for_another_try(self):
         """A caller that is refused at its deadline can't come back."""
         deadlines = deadlines_at_arrival(NOW, 60.0, NOW + 10.0)
