A suspension of the VM is neither use of its processor nor rest of its link

For a second after a suspension a router could turn connections away while others had room: the processor counted as busy to 99.7% in a test in which it is used to 10%. The link counted as used to 0.3% where it was used to 95%.

Cause: samples of the use had times that include suspensions, while the loop's waiting time and the bytes do not grow in them. Samples now have times without suspensions, as the delay of the loop already had.

Evidence: both tests failed before. Ruled out: to drop the samples at a suspension; then nothing is judged for a second.

--- a/libs/direct/src/berylwalk/direct/_vm_meter.py
+++ b/libs/direct/src/berylwalk/direct/_vm_meter.py
@@ -22,7 +22,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _Sample:
-    """What was measured at one time."""
+    """What was measured at one time.
+
+    Parameters
+    ----------
+    at : float
+        Time without suspensions of the VM, in seconds.
+    sent_bytes, received_bytes, control_bytes : int
+        Bytes on the link since the start.
+    delay_s : float
+        How late a timer of the event loop fired, in seconds.
+    waited_s : float
+        Time without work since the start, in seconds.
+    """
 
     at: float
     sent_bytes: int
@@ -87,9 +99,10 @@
         """
         context = self._context
         now, traffic = context.clock(), context.traffic
+        measured_at = now - context.suspension.total_s
         self._samples.append(
             _Sample(
-                now,
+                measured_at,
                 traffic.sent_bytes,
                 traffic.received_bytes,
                 traffic.control_bytes,
@@ -97,8 +110,9 @@
                 0.0 if self._waited_s is None else self._waited_s(),
             )
         )
-        while len(self._samples) > 2 and now - self._samples[1].at >= WINDOW_S:
-            self._samples.popleft()
+        samples = self._samples
+        while len(samples) > 2 and measured_at - samples[1].at >= WINDOW_S:
+            samples.popleft()
         peers = self._peers(now)
         context.vm_capacity.record(
             self._shares(), now, open_requests=context.open_requests
--- a/libs/direct/tests/test_direct_vm_capacity.py
+++ b/libs/direct/tests/test_direct_vm_capacity.py
@@ -114,6 +114,27 @@
             await router.meter.run()
         assert router.shares[VmResource.EVENT_LOOP] == pytest.approx(0.0, abs=0.01)
 
+    async def test_suspension_is_use_of_the_processor(self, measured):
+        """Connections would be turned away for a second after it."""
+        router = measured()
+        waited = (0.9 * INTERVAL_S * step for step in count())
+        router.meter._waited_s = lambda: next(waited)
+        router.measure()
+        router.suspended_s += 30.0
+        router.context.note_suspension()
+        for _ in range(20):
+            router.measure(1)
+            assert router.shares[VmResource.PROCESSOR] == pytest.approx(0.1, abs=0.01)
+
+    async def test_suspension_hides_the_use_of_the_link(self, measured):
+        """What was sent before it counts as sent in a short time."""
+        router = measured()
+        router.measure(sent_bytes=9_500)
+        router.suspended_s += 30.0
+        router.context.note_suspension()
+        router.measure(1, sent_bytes=9_500)
+        assert router.shares[VmResource.LINK] == pytest.approx(0.95)
+
     async def test_bytes_held_count_against_the_memory(self, measured):
         """A quarter is for responses, another one for bodies; the fuller one counts."""
         router = measured()
