A suspension of the VM is no time between two events of a target

After a suspension of its VM a router took targets whose streams it was reading for slow ones that pause too long, and sent them less: a stream of events each 5 ms, suspended for 30 s, gave 0.41 s for an event and a share of pauses of 0.12.

Cause: the times between events were taken from the clock that includes suspensions. They are taken from it less the suspensions, as the time to a first event already was.

Evidence: test_suspension_counts_as_time_between_events failed before with these figures. Ruled out: to drop the sample; what came before the suspension is as good as ever.

--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -54,6 +54,9 @@
         Called periodically with a number of events and their duration in seconds.
     on_signals : callable
         Called with the signals in the response headers, and the status.
+    suspended_s : callable
+        Returns for how long the VM has been suspended so far, in seconds, which is no
+        time of the target.
 
     Attributes
     ----------
@@ -98,6 +101,7 @@
         on_begun: Callable[[], None],
         on_output: Callable[[int, float], None],
         on_signals: Callable[[TargetSignals, int], None],
+        suspended_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._response_writer = response_writer
         self._request_id = request_id
@@ -108,8 +112,10 @@
         self._begun_reported = False
         self._on_output = on_output
         self._on_signals = on_signals
+        self._suspended_s = suspended_s
         self._events_reported = 0
         self._reported_at = 0.0
+        self._awake_event_at = 0.0
         self._splitter: EventSplitter | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -231,11 +237,13 @@
             return
         if not events:
             return
+        awake_at = now - self._suspended_s()
         if self.last_event_at is not None:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
-        self.last_event_at = now
+            pause_s = awake_at - self._awake_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_event_at, self._awake_event_at = now, awake_at
         if self.first_event_at is None:
-            self.first_event_at = self._reported_at = now
+            self.first_event_at, self._reported_at = now, awake_at
             self._events_reported = len(events)
             self._on_first_event()
         elif not self._begun_reported and self.has_begun(now):
@@ -243,7 +251,7 @@
             self._on_begun()
         self.events += len(events)
         if self.events - self._events_reported >= SPEED_REPORT_EVENTS:
-            self._report_output(now)
+            self._report_output()
         try:
             self._response_writer.write_events(self.status, self.headers, events)
         except EventOrderError as error:
@@ -251,12 +259,12 @@
         self.repeated_events = self._response_writer.event_order.repeated_events
         self.misplaced_events = self._response_writer.event_order.misplaced_events
 
-    def _report_output(self, now: float) -> None:
+    def _report_output(self) -> None:
         events = self.events - self._events_reported
         if events > 0:
-            self._on_output(events, now - self._reported_at)
+            self._on_output(events, self._awake_event_at - self._reported_at)
         self._events_reported = self.events
-        self._reported_at = now
+        self._reported_at = self._awake_event_at
 
     def on_end(self, end: ResponseEnd, detail: str) -> None:
         """Handle the end of the response."""
@@ -303,7 +311,7 @@
                 self._finish(AttemptEnd.BROKEN, "stream ends before the caller's last")
             else:
                 if self.last_event_at is not None:
-                    self._report_output(self.last_event_at)
+                    self._report_output()
                 self._finish(AttemptEnd.ANSWERED, "")
         else:
             self._finish(*self._classify_answer())
--- a/libs/direct/src/berylwalk/direct/_attempt_runner.py
+++ b/libs/direct/src/berylwalk/direct/_attempt_runner.py
@@ -189,6 +189,10 @@
                     slots = target.entry.slots
                     target.flow_control.backoff.note_accepted(slots, sent_at=sent_at)
 
+        def suspended_s() -> float:
+            self._context.note_suspension()
+            return self._context.suspension.total_s
+
         attempt = Attempt(
             self._response_writer,
             request_id=self._admitted.request_id,
@@ -198,6 +202,7 @@
             on_begun=on_begun,
             on_output=on_output,
             on_signals=on_signals,
+            suspended_s=suspended_s,
         )
         return attempt
 
--- a/libs/direct/tests/test_direct_suspension.py
+++ b/libs/direct/tests/test_direct_suspension.py
@@ -11,7 +11,7 @@
 from berylwalk.direct._elapsed_time import elapsed_clock
 from berylwalk.direct._suspension_detector import MIN_SUSPENSION_S, SuspensionDetector
 from berylwalk.dispatch import Target, TargetEntry, TargetState, Work
-from direct_fleet import answers
+from direct_fleet import CHUNKED, EVENTS, answers, chunk, event, head
 
 pytestmark = pytest.mark.anyio
 SUSPENDED_S = 30.0
@@ -128,3 +128,35 @@
             )
         (fields,) = [fields for event, fields in logged if event == "was-suspended"]
         assert SUSPENDED_S * 1000 <= fields["suspended_ms"] < SUSPENDED_S * 1000 + 500
+
+    async def test_suspension_counts_as_time_between_events(self, running, monkeypatch):
+        """The target would seem to be slow, and to pause too long."""
+        offset_s = 0.0
+        monkeypatch.setattr(
+            "berylwalk.direct._daemon.elapsed_clock",
+            lambda: (lambda: time.monotonic() + offset_s, True),
+        )
+
+        async def streams_across_it(request, writer):
+            nonlocal offset_s
+            writer.write(head(request, kind=EVENTS, more=CHUNKED))
+            for number in range(1, 31):
+                writer.write(chunk(event(number)))
+                await writer.drain()
+                await sleep(0.005)
+                if number == 15:
+                    offset_s = SUSPENDED_S
+            writer.write(b"0\r\n\r\n")
+
+        def prepare(fleet):
+            fleet.routes[0]["gap-target-ms"] = 1_000
+            fleet.services[0]["engine"] = {"stride": 8}
+
+        async with running(
+            streams_across_it, routes=("streaming",), prepare=prepare
+        ) as fleet:
+            reply = await fleet.call("/streaming/", Deadline_Ms="60000")
+            target = fleet.router._context.targets.by_id["i-0"]
+        assert reply.is_complete
+        assert target.event_s < 0.1
+        assert target.paused_share == 0.0
