--- a/libs/direct/tests/test_direct_needs.py
+++ b/libs/direct/tests/test_direct_needs.py
@@ -3,6 +3,7 @@
 import pytest
 from anyio import sleep
 
+from berylwalk.direct._flow_control import MAX_SIGNALS_PER_MESSAGE, rotate
 from berylwalk.direct._gauges import refresh_gauges
 from berylwalk.dispatch import IneligibilityReason
 from direct_fleet import ScriptedTarget, answers, head
@@ -35,6 +36,23 @@
     await fleet.until_ready()
 
 
+class TestMessages:
+    """More signals than a message between routers holds."""
+
+    @pytest.mark.parametrize("interval_s", [0.05, 0.1, 0.25, 0.3])
+    @pytest.mark.parametrize("count", [65, 128, 192, 300])
+    def test_signal_beyond_the_largest_message_is_never_told(self, count, interval_s):
+        """They are told in turns, whatever the interval of messages is."""
+        told = set()
+        for number in range(round(3.0 / interval_s)):
+            part = rotate(
+                list(range(count)), MAX_SIGNALS_PER_MESSAGE, number * interval_s
+            )
+            assert len(part) == MAX_SIGNALS_PER_MESSAGE
+            told.update(part)
+        assert told == set(range(count))
+
+
 class TestLeaving:
     """Targets that signal in a response that they are leaving."""
 
