A large request has 5 s at a target that does not read it

Callers of requests that must not be repeated got 502 when their target read nothing for 1.5 s and went on: the kernel closed the connection ("Connection timed out") while it still had a part of the body.

Cause: UNACKNOWLEDGED_MS, meant for VMs that are gone, also counts the time in which the target's receive buffer is full. Small requests are not concerned: the kernel of the target acknowledges them without the process.

Requests of 32 KiB or more have 5 s now; the next one on the connection has 1.5 s again. Repeatable ones are handed over at the silence of their target as before.

Ruled out: 5 s for all (a small request at a VM that is gone waits longer for nothing); the time that the request has left (a VM that is gone would hold it up to its deadline).

--- a/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_connection.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from enum import StrEnum
-from socket import SHUT_RDWR
+from socket import IPPROTO_TCP, SHUT_RDWR
 from typing import Protocol as Interface
 
 import httptools
@@ -30,6 +30,16 @@
 """Interim statuses that the parser ends with their head, whatever length they state."""
 READ_BYTES = 64 * 1024
 """Bytes that are read at once of a connection that has failed."""
+TCP_USER_TIMEOUT = 18
+"""Number of the socket option, which Python 3.11 does not define on all platforms."""
+UNACKNOWLEDGED_MS = 1500
+"""Time after which the kernel closes a connection with unacknowledged data."""
+UNREAD_MS = 5000
+"""The same time for a request that the kernel of the target may not hold as a whole:
+what the target does not read remains unacknowledged, and a sound one may go on after a
+second or two."""
+LARGE_REQUEST_BYTES = 32 * 1024
+"""Size of a request from which that is so; receive buffers are rarely smaller."""
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes of a response up to which none has to be part of a head or of a body that is
 complete; the parser keeps them."""
@@ -55,7 +65,10 @@
 
 
 class Socket(Interface):
-    """Part of a socket that is used to close a connection."""
+    """Part of a socket that is used to limit and to close a connection."""
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Set an option."""
 
     def shutdown(self, how: int) -> None:
         """Shut down the connection."""
@@ -112,6 +125,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport: Transport | None = None
         self._socket: Socket | None = None
+        self._unacknowledged_ms = 0
         self._sink: ResponseSink | None = None
         self._request_id = b""
         self._is_head = False
@@ -174,6 +188,8 @@
         self._is_head = is_head
         self._unused_bytes = 0
         self.uses += 1
+        is_large = len(data) >= LARGE_REQUEST_BYTES
+        self._limit_unacknowledged(UNREAD_MS if is_large else UNACKNOWLEDGED_MS)
         self._traffic.note_sent(len(data))
         self._transport.write(data)
         self._has_sent = self.is_open
@@ -192,6 +208,14 @@
         """Store the socket of the transport, which `close` shuts down."""
         self._socket = connected
 
+    def _limit_unacknowledged(self, limit_ms: int) -> None:
+        """Set the time after which the kernel gives up unacknowledged data."""
+        if self._socket is None or limit_ms == self._unacknowledged_ms:
+            return
+        self._unacknowledged_ms = limit_ms
+        with suppress(OSError):
+            self._socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, limit_ms)
+
     def close(self) -> None:
         """Close immediately and abandon a request in progress.
 
--- a/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
+++ b/libs/forwarding/src/berylwalk/forwarding/_target_pool.py
@@ -2,9 +2,7 @@
 
 from asyncio import AbstractEventLoop
 from collections.abc import Callable, Container
-from contextlib import suppress
 from enum import StrEnum
-from socket import IPPROTO_TCP
 from typing import Protocol
 
 from anyio import move_on_after
@@ -12,10 +10,6 @@
 from berylwalk.forwarding._target_connection import TargetConnection
 from berylwalk.forwarding._traffic import TrafficCounter
 
-TCP_USER_TIMEOUT = 18
-"""Number of the socket option, which Python 3.11 does not define on all platforms."""
-UNACKNOWLEDGED_MS = 1500
-"""Time after which a connection with unacknowledged data is closed by the kernel."""
 CONNECT_TIMEOUT_S = 0.3
 """Timeout of opening a connection; a request that hits it was certainly not sent."""
 
@@ -113,10 +107,7 @@
             except OSError:
                 return ConnectFailure.UNREACHABLE
             self._on_opened()
-            connected = transport.get_extra_info("socket")
-            connection.use_socket(connected)
-            with suppress(OSError):
-                connected.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+            connection.use_socket(transport.get_extra_info("socket"))
             return connection
         return ConnectFailure.UNREACHABLE
 
