A note of spending that a restore took away is no proof of low spending

An account could spend its limit once more: all routers ended after the store had come back from a copy without the note of large spending, and those that started took its absence for proof that no account had spent much.

Routers note the era of the store once one that knows all spending of the window is the leader, after the note of the spending itself. A start in a later era than the noted one ignores the note and assumes that all may have been spent, for one window. With a router at work the era is noted half a second after a restore, so 429 is added only where all routers end before.

Evidence: test_account_spends_twice_its_limit failed before (200 for a third of the limit, though all of it may have been spent), 4 of 4.

Ruled out: unknown spending at each start without a note (429 at each start of a quiet fleet); a note without end (a write each half second for as long as nothing is spent).

--- a/libs/direct/src/berylwalk/direct/_spending_store.py
+++ b/libs/direct/src/berylwalk/direct/_spending_store.py
@@ -11,6 +11,9 @@
 from berylwalk.platform import KeyValue, KeyValueClient, OutcomeUnknown, Unavailable
 
 SNAPSHOT_KEY = b"berylwalk/spending"
+ERA_KEY = b"berylwalk/spending-era"
+"""The last era of the store in which a router that knew all spending was at work, so
+that a snapshot that is missing was not due."""
 SNAPSHOT_LEASE_S = 14.0
 """Time to live of a snapshot: longer than the quota window and a restart."""
 WRITE_INTERVAL_S = 0.5
@@ -27,7 +30,9 @@
 class SpendingStore:
     """Loads the snapshot at the start, then writes it while spending is high.
 
-    Only the leader writes, and only while the spending of some account is high.
+    Only the leader writes, and only while the spending of some account is high. Once in
+    each era of the store it notes the era, without which a missing snapshot does not
+    show that the spending was low.
 
     Parameters
     ----------
@@ -47,6 +52,7 @@
         self._store_health = store_health
         self._lease_id: int | None = None
         self._renewed_at = float("-inf")
+        self._noted_era = 0
         store.on_restored.add(self._on_restored)
 
     def _on_restored(self) -> None:
@@ -55,22 +61,52 @@
 
     async def run(self) -> None:
         """Load the snapshot, then write it as needed."""
-        failures = 0
-        while isinstance(snapshot := await self._read(), Unavailable):
-            failures += 1
-            await self._store_health.back_off(failures)
-        self._restore(snapshot)
+        noted = await self._read(ERA_KEY)
+        snapshot = await self._read(SNAPSHOT_KEY)
+        if self._is_up_to_date(noted):
+            self._noted_era = self._store.era
+            self._restore(snapshot)
+        else:
+            self._context.log.process("spending-unknown", era=self._store.era)
         while True:
             await sleep(WRITE_INTERVAL_S)
             now = self._context.clock()
-            spent = self._context.quotas.heavy_spending_by_bin(now)
-            if spent and self._context.peers.is_leader(now):
-                await self._write(spent)
+            if self._context.peers.is_leader(now):
+                await self._write_due(now)
+
+    async def _read(self, key: bytes) -> KeyValue | None:
+        """Read a key, as often as it takes."""
+        failures = 0
+        while True:
+            item = await self._store_health.track("read-spending", self._store.get(key))
+            if not isinstance(item, Unavailable):
+                return item
+            failures += 1
+            await self._store_health.back_off(failures)
 
-    async def _read(self) -> KeyValue | Unavailable | None:
-        return await self._store_health.track(
-            "read-spending", self._store.get(SNAPSHOT_KEY)
+    def _is_up_to_date(self, noted: KeyValue | None) -> bool:
+        """Return whether the snapshot is that of this era of the store.
+
+        After a restore it is an older one, or missing, until it is written again.
+        """
+        era, is_first_start = self._store.era, self._context.settings.is_first_start
+        is_noted = noted is not None and noted.value == b"%d" % era
+        return era == 0 or is_noted or is_first_start
+
+    async def _write_due(self, now: float) -> None:
+        """Write the snapshot if it is due, then the era in which it is kept."""
+        quotas, era = self._context.quotas, self._store.era
+        spent = quotas.heavy_spending_by_bin(now)
+        if spent and not await self._write(spent):
+            return
+        is_known = quotas.has_full_window(now)
+        if not is_known or era == self._noted_era or era != self._store.era:
+            return
+        noted = await self._store_health.track(
+            "note-spending-era", self._store.put(ERA_KEY, b"%d" % era)
         )
+        if not isinstance(noted, Unavailable | OutcomeUnknown):
+            self._noted_era = era
 
     def _restore(self, snapshot: KeyValue | None) -> None:
         spent: dict[str, list[float]] = {}
@@ -84,9 +120,10 @@
         context.quotas.restore(spent, HistoryCoverage.PARTIAL, context.clock())
         context.log.process("spending-learned", accounts=sorted(spent))
 
-    async def _write(self, spent: dict[str, list[float]]) -> None:
+    async def _write(self, spent: dict[str, list[float]]) -> bool:
+        """Write the snapshot; returns whether that is certain."""
         if not await self._ensure_lease():
-            return
+            return False
         value = json.encode(
             {name: [round(units) for units in bins] for name, bins in spent.items()}
         )
@@ -96,6 +133,8 @@
         )
         if isinstance(written, Unavailable | OutcomeUnknown):
             self._lease_id = None
+            return False
+        return True
 
     async def _ensure_lease(self) -> bool:
         """Renew the lease, or acquire a new one; return whether there is one."""
--- a/libs/direct/tests/test_direct_snapshots_restored.py
+++ b/libs/direct/tests/test_direct_snapshots_restored.py
@@ -14,6 +14,7 @@
 pytestmark = pytest.mark.anyio
 SPEEDS_KEY = b"berylwalk/speeds"
 SPENDING_KEY = b"berylwalk/spending"
+ERA_KEY = b"berylwalk/spending-era"
 LEASES_OF_OTHERS = 10
 LEASE_S = 60.0
 
@@ -115,3 +116,73 @@
             await fleet.until(lambda: fleet.router._store.era == 1)
             await sleep(0.5)
             assert store.get(SPENDING_KEY).lease_id not in others
+
+
+class TestSpendingUnknown:
+    """All routers start after a restore, and the copy lacks the snapshot."""
+
+    @staticmethod
+    def _prepare(*, noted_era=None, era=1):
+        def prepare(fleet):
+            limited(fleet)
+            store = fleet.platform.store
+            for _ in range(era):
+                store.restore(store.take_copy(), monotonic())
+            if noted_era is not None:
+                store.put(ERA_KEY, noted_era)
+
+        return prepare
+
+    async def _status_of_large_request(self, running, **options):
+        rules = QuotaRules(window_s=60.0)
+        async with running(
+            answers("ok"),
+            prepare=self._prepare(**options),
+            allowances=rules,
+            is_first_start=False,
+        ) as fleet:
+            # The snapshot is read meanwhile.
+            await sleep(0.3)
+            return (await fleet.call("/idempotent/", Token_Count="2000,0")).status
+
+    @pytest.mark.parametrize("noted_era", [None, b"1", b"x", b"9" * 5000])
+    async def test_account_spends_twice_its_limit(self, running, noted_era):
+        """Nothing tells that the snapshot would be there."""
+        status = await self._status_of_large_request(
+            running, era=2, noted_era=noted_era
+        )
+        assert status == 429
+
+    @pytest.mark.parametrize(("era", "noted_era"), [(0, None), (2, b"2")])
+    async def test_account_without_snapshot_is_refused(self, running, era, noted_era):
+        """A router that knew all spending was at work since the restore."""
+        status = await self._status_of_large_request(
+            running, era=era, noted_era=noted_era
+        )
+        assert status == 200
+
+    async def test_era_is_not_noted(self, running, quick):
+        """The snapshot is written before it."""
+        rules = QuotaRules(window_s=8.0)
+        async with running(answers("ok"), prepare=limited, allowances=rules) as fleet:
+            store, context = fleet.platform.store, fleet.router._context
+            copy = store.take_copy()
+            context.quotas.restore({}, HistoryCoverage.COMPLETE, context.clock())
+            await fleet.call("/idempotent/", Token_Count="700,0")
+            await fleet.until(lambda: store.get(SPENDING_KEY) is not None)
+            store.restore(copy, monotonic())
+            await fleet.until(lambda: store.get(ERA_KEY) is not None)
+            assert store.get(ERA_KEY).value == b"1"
+            assert store.get(SPENDING_KEY) is not None
+
+    async def test_router_that_knows_no_spending_notes_the_era(self, running, quick):
+        rules = QuotaRules(window_s=60.0)
+        async with running(
+            answers("ok"),
+            prepare=self._prepare(),
+            allowances=rules,
+            is_first_start=False,
+        ) as fleet:
+            await fleet.until(lambda: fleet.router._store.era == 1)
+            await sleep(0.3)
+            assert fleet.platform.store.get(ERA_KEY) is None
--- a/libs/direct/tests/test_direct_unread_bodies.py
+++ b/libs/direct/tests/test_direct_unread_bodies.py
@@ -28,6 +28,10 @@
 class UnreadingTarget(ScriptedTarget):
     """A target that reads nothing of a connection at first."""
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._unread = []
+
     async def start(self):
         """Listen with a small receive buffer."""
         listener = socket()
@@ -36,7 +40,14 @@
         listener.bind((HOST, self.port))
         self.server = await start_server(self._serve_later, sock=listener)
 
+    async def close(self):
+        """Close the listener and the connections that were not read yet."""
+        await super().close()
+        for writer in self._unread:
+            writer.transport.abort()
+
     async def _serve_later(self, reader, writer):
+        self._unread.append(writer)
         writer.transport.pause_reading()
         await sleep(UNREAD_S)
         writer.transport.resume_reading()
