--- a/libs/direct/src/berylwalk/direct/_attempt.py
+++ b/libs/direct/src/berylwalk/direct/_attempt.py
@@ -21,9 +21,12 @@
 BEGUN_AFTER_S = 0.05
 """Time from the first event of a stream after which its target has survived the start
 of the response: the event may arrive just before the crash that it belongs to."""
+UNREAD_PAUSE_S = 0.2
+"""Shortest pause in reading for which a target may end its response, in seconds. A
+caller that reads all the time causes shorter ones."""
 UNREAD_END_S = 1.0
-"""Time after a pause within which an end of the response is put down to the pause, in
-seconds: what the target sent before is read first."""
+"""Time after such a pause within which an end of the response is put down to the pause,
+in seconds: what the target sent before is read first."""
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -51,6 +54,9 @@
         Called periodically with a number of events and their duration in seconds.
     on_signals : callable
         Called with the signals in the response headers, and the status.
+    suspended_s : callable
+        Returns for how long the VM has been suspended so far, in seconds, which is no
+        time of the target.
 
     Attributes
     ----------
@@ -95,6 +101,7 @@
         on_begun: Callable[[], None],
         on_output: Callable[[int, float], None],
         on_signals: Callable[[TargetSignals, int], None],
+        suspended_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._response_writer = response_writer
         self._request_id = request_id
@@ -105,8 +112,10 @@
         self._begun_reported = False
         self._on_output = on_output
         self._on_signals = on_signals
+        self._suspended_s = suspended_s
         self._events_reported = 0
         self._reported_at = 0.0
+        self._awake_event_at = 0.0
         self._splitter: EventSplitter | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -126,7 +135,9 @@
         self.was_paused = False
         self.ended_unread = False
         self.kept_reason = ""
+        self._paused_at = float("-inf")
         self._resumed_at = float("-inf")
+        self._unread_until = float("-inf")
         self._heard_at = float("-inf")
         self.events = 0
         self.repeated_events = 0
@@ -173,11 +184,27 @@
 
     def set_paused(self, paused: bool) -> None:
         """Record whether the response is not read because of its caller."""
+        now = self._clock()
+        if paused and not self.is_paused:
+            self._paused_at = now
         if self.is_paused and not paused:
-            self._resumed_at = self._clock()
+            self._resumed_at = now
+            if self._may_end_unread(now):
+                self._unread_until = now
         self.is_paused = paused
         self.was_paused = self.was_paused or paused
 
+    def _may_end_unread(self, now: float) -> bool:
+        """Return whether a target may end the response because it is not read.
+
+        The end shows once all that the target sent before is read, maybe after further,
+        shorter pauses.
+        """
+        if self.is_paused and now - self._paused_at >= UNREAD_PAUSE_S:
+            return True
+        read_until = self._paused_at if self.is_paused else now
+        return read_until - self._unread_until <= UNREAD_END_S
+
     def on_head(self, status: int, headers: Headers) -> None:
         """Handle the status and headers."""
         self.status = status
@@ -210,11 +237,13 @@
             return
         if not events:
             return
+        awake_at = now - self._suspended_s()
         if self.last_event_at is not None:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
-        self.last_event_at = now
+            pause_s = awake_at - self._awake_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_event_at, self._awake_event_at = now, awake_at
         if self.first_event_at is None:
-            self.first_event_at = self._reported_at = now
+            self.first_event_at, self._reported_at = now, awake_at
             self._events_reported = len(events)
             self._on_first_event()
         elif not self._begun_reported and self.has_begun(now):
@@ -222,7 +251,7 @@
             self._on_begun()
         self.events += len(events)
         if self.events - self._events_reported >= SPEED_REPORT_EVENTS:
-            self._report_output(now)
+            self._report_output()
         try:
             self._response_writer.write_events(self.status, self.headers, events)
         except EventOrderError as error:
@@ -230,21 +259,19 @@
         self.repeated_events = self._response_writer.event_order.repeated_events
         self.misplaced_events = self._response_writer.event_order.misplaced_events
 
-    def _report_output(self, now: float) -> None:
+    def _report_output(self) -> None:
         events = self.events - self._events_reported
         if events > 0:
-            self._on_output(events, now - self._reported_at)
+            self._on_output(events, self._awake_event_at - self._reported_at)
         self._events_reported = self.events
-        self._reported_at = now
+        self._reported_at = self._awake_event_at
 
     def on_end(self, end: ResponseEnd, detail: str) -> None:
         """Handle the end of the response."""
         if self.end is not None:
             return
         self.response_end = end
-        # A target may end a response that remains unread, which shows once it is read.
-        since_resumed_s = self._clock() - self._resumed_at
-        self.ended_unread = self.is_paused or since_resumed_s <= UNREAD_END_S
+        self.ended_unread = self._may_end_unread(self._clock())
         self.target_ended = end is ResponseEnd.CLOSED and not self.ended_unread
         if end is ResponseEnd.AT_CLOSE and self._is_truncated():
             self.target_ended = not self.ended_unread
@@ -284,7 +311,7 @@
                 self._finish(AttemptEnd.BROKEN, "stream ends before the caller's last")
             else:
                 if self.last_event_at is not None:
-                    self._report_output(self.last_event_at)
+                    self._report_output()
                 self._finish(AttemptEnd.ANSWERED, "")
         else:
             self._finish(*self._classify_answer())
