A router's drain no longer waits for requests that it refuses

Callers saw a router that refused them with 503 leaving for as long as they sent requests: it didn't end. Cause: the drain waited until no request at all was active, and beside many callers that send on without a pause some refused request is always just about to end.

Now the drain waits for the requests that were active when the state machine reported that all accepted ones had ended: later ones are refused at once, and need no waiting for. The responses that are still being sent are waited for when the port is closed, as before.

--- a/libs/router/src/berylwalk/router/_shell.py
+++ b/libs/router/src/berylwalk/router/_shell.py
@@ -195,7 +195,10 @@
         """Refuse new requests and wait until the accepted ones have ended."""
         self.handle(DrainRequested())
         await self.drained.wait()
-        while self._active_by_id:
+        # Later requests are refused; waiting for those would not end while callers
+        # send more of them.
+        accepted = set(self._active_by_id)
+        while accepted & self._active_by_id.keys():
             await sleep(0.02)
 
     def _activate(self, request: Request, sink: ResponseSink) -> ActiveRequest:
--- a/libs/router/tests/test_router_shell.py
+++ b/libs/router/tests/test_router_shell.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from itertools import count
 
 import anyio
 import pytest
@@ -112,6 +113,9 @@
         if not isinstance(event, Tick):
             self.events.append(event)
         match event:
+            case RequestArrived(request) if self.draining:
+                refusal = Refusal(RefusalReason.LEAVING)
+                return [self._end(request.request_id, Outcome.NOT_RUN, refusal)]
             case RequestArrived(request) if request.idempotency_key:
                 return [ClaimKey(request)]
             case RequestArrived(request):
@@ -128,6 +132,7 @@
             case CallerDisconnected(request_id):
                 return [AbandonGrant(request_id, 1)]
             case DrainRequested():
+                self.draining = True
                 return [DrainFinished()]
         return []
 
@@ -418,3 +423,20 @@
                 may_end.set()
                 await shell.drain()
             assert sink.body == b"first last"
+
+    async def test_ends_while_refused_requests_arrive_without_a_pause(self):
+        """Callers that send on whatever they are told do not hold up the drain."""
+
+        async def send_without_a_pause(shell, serials):
+            for serial in serials:
+                await shell.submit(make_request(serial), Sink())
+
+        async with running_shell() as (shell, machine):
+            machine.draining = True
+            async with anyio.create_task_group() as callers:
+                for caller in range(3):
+                    serials = count(caller, 3)
+                    callers.start_soon(send_without_a_pause, shell, serials)
+                await shell.drain()
+                callers.cancel_scope.cancel()
+            assert shell.drained.is_set()
