Requests sent ahead are answered while a server closes its connections

Callers that read a response slowly and had sent their next request ahead got no answer to it, with their router closing its port: it was read, not run, and dropped. A caller whose stream had just ended saw its next request reset. Cause: the drain of a server marks the response in progress as the last one although its head has announced no close, and the connection was then closed with the next request parsed; and an idle connection was closed in the moment its response ended.

Now only the last request that was read may end its connection, and only if its head can still say so; otherwise the connection is closed 0.1 s after it is idle, and what arrives until then is answered.

--- a/libs/transport/src/berylwalk/transport/_http_protocol.py
+++ b/libs/transport/src/berylwalk/transport/_http_protocol.py
@@ -6,7 +6,10 @@
 from functools import partial
 from typing import Any
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from berylwalk.transport._asgi import (
     AbortConnection,
@@ -19,6 +22,9 @@
 from berylwalk.transport._close_delimited_sender import CloseDelimitedSender
 
 ABORT_EXTENSION = "berylwalk.abort"
+NEXT_REQUEST_S = 0.1
+"""Time in which the next request of a caller that sends without a pause arrives, in
+seconds."""
 WITHOUT_CHUNKS = "1.0"
 """HTTP version whose callers know no chunks."""
 
@@ -63,6 +69,9 @@
 
     uvicorn has no timeout for receiving a request; without one, a slow client can
     hold a connection indefinitely.
+
+    A request that was read is always answered, also while the server drains: a
+    response whose head has announced no close does not end its connection.
     """
 
     def __init__(self, limits: HttpLimits, **uvicorn_arguments: Any) -> None:
@@ -72,10 +81,13 @@
         self._deadline: TimerHandle | None = None
         self._header_bytes = 0
         self._draining = False
+        self._idle_since = 0.0
+        self._closing_cycle: RequestResponseCycle | None = None
 
     def connection_made(self, transport: Transport) -> None:
         """Start the header deadline."""
         super().connection_made(transport)
+        self._idle_since = self.loop.time()
         self._arm(self._limits.header_timeout_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -105,29 +117,69 @@
         self._phase = _Phase.BODY
         self._disarm()
         self._arm(self._limits.body_timeout_s)
+        self._withdraw_close()
         super().on_headers_complete()
         if self._draining:
-            self.cycle.keep_alive = False
+            self.announce_close()
 
     def on_message_complete(self) -> None:
         """Cancel the deadline."""
         self._phase = _Phase.IDLE
         self._disarm()
         super().on_message_complete()
+        if self._draining:
+            self._close_once_idle()
+
+    def on_response_complete(self) -> None:
+        """Serve the next request; while the server drains, close once idle."""
+        self._idle_since = self.loop.time()
+        super().on_response_complete()
+        if self._draining:
+            self._close_once_idle()
+
+    def announce_close(self) -> None:
+        """Let the response to the last request that was read end the connection.
+
+        Without effect if its head is sent already.
+        """
+        cycle = self.cycle
+        if cycle is not None and cycle.keep_alive and not cycle.response_started:
+            cycle.keep_alive = False
+            self._closing_cycle = cycle
 
     def shutdown(self) -> None:
-        """Close the connection if it is idle, else after the current request."""
+        """Close the connection once it is idle.
+
+        One whose response has just ended is kept for a moment: a request that its
+        caller sends at once is read and answered, instead of crossing the close.
+        """
         self._draining = True
-        if self._phase is _Phase.IDLE:
-            super().shutdown()
-        elif self.cycle is not None:
-            self.cycle.keep_alive = False
+        self.announce_close()
+        self._close_once_idle()
 
-    def _is_awaiting_request(self) -> bool:
-        if self._deadline is not None or self._phase is not _Phase.IDLE:
+    def _withdraw_close(self) -> None:
+        """Keep the connection for a request that was sent ahead."""
+        cycle, self._closing_cycle = self._closing_cycle, None
+        if cycle is not None and not cycle.response_started:
+            cycle.keep_alive = True
+
+    def _close_once_idle(self) -> None:
+        if self.transport.is_closing() or not self._is_idle():
+            return
+        remaining_s = self._idle_since + NEXT_REQUEST_S - self.loop.time()
+        if remaining_s > 0:
+            self.loop.call_later(remaining_s, self._close_once_idle)
+        else:
+            self.transport.close()
+
+    def _is_idle(self) -> bool:
+        if self._phase is not _Phase.IDLE:
             return False
         return self.cycle is None or self.cycle.response_complete
 
+    def _is_awaiting_request(self) -> bool:
+        return self._deadline is None and self._is_idle()
+
     def _arm(self, timeout_s: float) -> None:
         self._deadline = self.loop.call_later(timeout_s, self._expire)
 
--- a/libs/transport/tests/test_transport_http.py
+++ b/libs/transport/tests/test_transport_http.py
@@ -87,6 +87,14 @@
         return received
 
 
+async def receive_until(stream, end):
+    """Return the data that the peer sends up to some bytes."""
+    received = b""
+    while end not in received:
+        received += await stream.receive()
+    return received
+
+
 async def send_repeatedly(stream, data, pause_s):
     """Send data repeatedly until the peer closes the connection."""
     try:
@@ -414,6 +422,34 @@
 
         run(main, use_uvloop)
 
+    def test_requests_sent_ahead_are_answered_on_their_connection(self, use_uvloop):
+        """The head of the first response was sent before, and announced no close."""
+
+        async def main():
+            release = anyio.Event()
+
+            async def waiting(scope, receive, send):
+                await send_start(send, 200)
+                await send_chunk(send, b"first ")
+                await release.wait()
+                await send_end(send, b"last")
+
+            async with serving(waiting) as (server, _, _):
+                stream = await anyio.connect_tcp(*server.address)
+                await stream.send(REQUEST)
+                received = await receive_until(stream, b"first ")
+                server.begin_drain()
+                await stream.send(2 * REQUEST)
+                await anyio.wait_all_tasks_blocked()
+                release.set()
+                received += await read_to_end(stream)
+                assert received.count(b"HTTP/1.1 200") == 3
+                assert received.count(b"0\r\n\r\n") == 3
+                assert received.count(b"connection: close") == 1
+                await stream.aclose()
+
+        run(main, use_uvloop)
+
     def test_close_aborts_unfinished_responses(self, use_uvloop):
         """Close reports an aborted response, and the client sees the truncation."""
 
