A router that drains announces the close of its callers' connections

Callers on open connections were refused with 503 leaving for as long as the drain went on, and came back on the same connection: the balancer, which chooses a router per connection, can't send them elsewhere. When the port was closed, their next request crossed the close. Cause: only the close of the port told connections to end, not the begin of the drain.

Now the drain begins with HttpServer.announce_close: each response whose head isn't sent yet ends its connection, on open and on new connections.

--- a/libs/router/src/berylwalk/router/_daemon.py
+++ b/libs/router/src/berylwalk/router/_daemon.py
@@ -88,6 +88,7 @@
         parts = self._parts
         parts.readiness.is_draining = True
         parts.control.leaving = True
+        parts.listeners.announce_close()
         async with create_task_group() as tasks:
             tasks.start_soon(sleep, MIN_DRAIN_S)
             tasks.start_soon(parts.requests.shell.drain)
--- a/libs/router/src/berylwalk/router/_listeners.py
+++ b/libs/router/src/berylwalk/router/_listeners.py
@@ -112,6 +112,10 @@
         for server in (self._ops, self._admin, self._caller):
             await server.start()
 
+    def announce_close(self) -> None:
+        """Tell callers with each further response that their connection ends."""
+        self._caller.announce_close()
+
     async def close(self, *, timeout_s: float = 0.0) -> None:
         """Wait for open caller API responses, then close all servers."""
         await self._caller.close(timeout_s=timeout_s)
--- a/libs/transport/src/berylwalk/transport/_http_protocol.py
+++ b/libs/transport/src/berylwalk/transport/_http_protocol.py
@@ -1,6 +1,7 @@
 """uvicorn's httptools protocol with timeouts, a header size limit and aborts."""
 
 from asyncio import TimerHandle, Transport
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
 from functools import partial
@@ -74,9 +75,15 @@
     response whose head has announced no close does not end its connection.
     """
 
-    def __init__(self, limits: HttpLimits, **uvicorn_arguments: Any) -> None:
+    def __init__(
+        self,
+        limits: HttpLimits,
+        announces_close: Callable[[], bool],
+        **uvicorn_arguments: Any,
+    ) -> None:
         super().__init__(**uvicorn_arguments)
         self._limits = limits
+        self._announces_close = announces_close
         self._phase = _Phase.IDLE
         self._deadline: TimerHandle | None = None
         self._header_bytes = 0
@@ -119,7 +126,7 @@
         self._arm(self._limits.body_timeout_s)
         self._withdraw_close()
         super().on_headers_complete()
-        if self._draining:
+        if self._announces_close():
             self.announce_close()
 
     def on_message_complete(self) -> None:
@@ -213,20 +220,24 @@
         self.loop.call_later(self._limits.linger_s, self.transport.abort)
 
 
-def protocol_factory(limits: HttpLimits) -> partial[LimitedHttpProtocol]:
+def protocol_factory(
+    limits: HttpLimits, announces_close: Callable[[], bool]
+) -> partial[LimitedHttpProtocol]:
     """Return the protocol factory that uvicorn calls for each connection.
 
     Parameters
     ----------
     limits : HttpLimits
         Limits of the server.
+    announces_close : callable
+        Returns whether responses that begin now end their connections.
 
     Returns
     -------
     callable
         Takes the keyword arguments that uvicorn passes to a protocol.
     """
-    return partial(LimitedHttpProtocol, limits)
+    return partial(LimitedHttpProtocol, limits, announces_close)
 
 
 def with_abort(application: Application) -> Application:
--- a/libs/transport/src/berylwalk/transport/_http_server.py
+++ b/libs/transport/src/berylwalk/transport/_http_server.py
@@ -1,6 +1,7 @@
 """HTTP server based on uvicorn, with explicit start, drain and close."""
 
 import socket
+from functools import partial
 from typing import Self
 
 import anyio
@@ -9,6 +10,7 @@
 from berylwalk.transport._asgi import Application
 from berylwalk.transport._http_protocol import (
     HttpLimits,
+    LimitedHttpProtocol,
     protocol_factory,
     with_abort,
 )
@@ -44,7 +46,10 @@
         limits: HttpLimits | None = None,
     ) -> None:
         self._bind_address = (host, port)
-        self._server = Server(_config(application, limits or HttpLimits()))
+        self._announces_close = False
+        limits = limits or HttpLimits()
+        factory = protocol_factory(limits, lambda: self._announces_close)
+        self._server = Server(_config(application, limits, factory))
         self._socket: socket.socket | None = None
         self._address: tuple[str, int] | None = None
         self._draining = False
@@ -87,6 +92,15 @@
         self._server.lifespan = self._server.config.lifespan_class(self._server.config)
         await self._server.startup(sockets=[self._socket])
 
+    def announce_close(self) -> None:
+        """Let each response whose head is not sent yet end its connection.
+
+        New connections are accepted as before.
+        """
+        self._announces_close = True
+        for connection in list(self._server.server_state.connections):
+            connection.announce_close()
+
     def begin_drain(self) -> None:
         """Stop accepting connections, and let requests in progress finish.
 
@@ -95,6 +109,7 @@
         if self._draining or self._socket is None:
             return
         self._draining = True
+        self._announces_close = True
         for listener in self._server.servers:
             listener.close()
         self._socket.close()
@@ -139,10 +154,14 @@
             task.cancel()
 
 
-def _config(application: Application, limits: HttpLimits) -> Config:
+def _config(
+    application: Application,
+    limits: HttpLimits,
+    factory: partial[LimitedHttpProtocol],
+) -> Config:
     return Config(
         with_abort(application),
-        http=protocol_factory(limits),
+        http=factory,
         ws="none",
         lifespan="off",
         interface="asgi3",
--- a/libs/transport/tests/test_transport_http.py
+++ b/libs/transport/tests/test_transport_http.py
@@ -450,6 +450,28 @@
 
         run(main, use_uvloop)
 
+    def test_responses_that_begin_after_the_announcement_end_connections(
+        self, use_uvloop
+    ):
+        """The caller learns from it that its next request belongs elsewhere."""
+
+        async def main():
+            async with serving(echo) as (server, _, _):
+                kept = await anyio.connect_tcp(*server.address)
+                await kept.send(REQUEST)
+                before = await receive_until(kept, b"\r\n\r\n0\r\n\r\n")
+                server.announce_close()
+                new = await anyio.connect_tcp(*server.address)
+                for stream in (kept, new):
+                    await stream.send(REQUEST)
+                    after = await read_to_end(stream)
+                    assert b"connection: close" in after
+                    assert after.endswith(b"0\r\n\r\n")
+                    await stream.aclose()
+                assert b"connection: close" not in before
+
+        run(main, use_uvloop)
+
     def test_close_aborts_unfinished_responses(self, use_uvloop):
         """Close reports an aborted response, and the client sees the truncation."""
 
--- a/tests/processes/test_processes_stopping_routers.py
+++ b/tests/processes/test_processes_stopping_routers.py
@@ -3,15 +3,18 @@
 from asyncio import gather, run, to_thread
 from itertools import count
 
+import pytest
+
 from berylwalk.localfleet import ChatCall
-from open_connections import OpenConnection
+from open_connections import NO_HEAD, OpenConnection
 
 VICTIM = "entry-1"
 CALLERS = 100
+STREAM_TOKENS = 100
 NUMBERS = count()
 
 
-def chat(fleet, token, tokens=20):
+def chat(token, tokens=20):
     """Return a chat completion request with a unique text."""
     text = f"stopping {next(NUMBERS)}"
     return ChatCall(token=token, service="", text=text, max_tokens=tokens)
@@ -39,7 +42,7 @@
             connection = await OpenConnection.to(fleet.urls[0])
             reply = None
             while reply is None or reply.is_whole:
-                connection.send(chat(fleet, tokens["parkovisko"]))
+                connection.send(chat(tokens["parkovisko"]))
                 reply = await connection.reply()
                 if is_first:  # With each of its replies, as platforms repeat it.
                     process.terminate()
@@ -48,3 +51,58 @@
             return [send_on(process, number == 0) for number in range(CALLERS)]
 
         assert stopped(fleet, callers) == 0
+
+
+class TestOpenConnection:
+    def test_next_request_after_a_stream_is_refused_and_told_of_the_close(
+        self, fleet, tokens
+    ):
+        """The head of the stream was sent before SIGTERM and announced no close."""
+        replies = []
+
+        async def stream_then_next(process):
+            connection = await OpenConnection.to(fleet.urls[0])
+            connection.send(chat(tokens["parkovisko"], STREAM_TOKENS))
+            head = await connection.head()
+            process.terminate()
+            replies.append(await connection.rest(head))
+            connection.send(chat(tokens["parkovisko"]))
+            replies.append(await connection.reply())
+            replies.append(await connection.reply())
+
+        assert stopped(fleet, lambda process: [stream_then_next(process)]) == 0
+        stream, refused, end = replies
+        assert (stream.status, stream.is_whole, stream.ends_connection) == (
+            200,
+            True,
+            False,
+        )
+        assert (refused.status, refused.outcome) == (503, "not-run")
+        assert refused.ends_connection
+        assert end.status == NO_HEAD
+
+    @pytest.mark.parametrize("is_ahead_of_signal", [True, False])
+    def test_requests_sent_ahead_of_the_end_of_a_stream_are_refused(
+        self, fleet, tokens, is_ahead_of_signal
+    ):
+        """Each that was read is answered; the last answer ends the connection."""
+        replies = []
+
+        async def send_ahead(process):
+            connection = await OpenConnection.to(fleet.urls[0])
+            connection.send(chat(tokens["parkovisko"], STREAM_TOKENS))
+            head = await connection.head()
+            ahead = chat(tokens["parkovisko"])
+            if is_ahead_of_signal:
+                connection.send(ahead)
+            process.terminate()
+            if not is_ahead_of_signal:
+                connection.send(ahead)
+            replies.append(await connection.rest(head))
+            replies.append(await connection.reply())
+
+        assert stopped(fleet, lambda process: [send_ahead(process)]) == 0
+        stream, refused = replies
+        assert (stream.status, stream.is_whole) == (200, True)
+        assert (refused.status, refused.outcome) == (503, "not-run")
+        assert (refused.is_whole, refused.ends_connection) == (True, True)
