A router that is killed after a grace begins only requests that end before the process

Callers whose requests waited at SIGTERM saw their streams cut, or their connection end without an answer, when the platform killed the router after its grace; targets were at work on requests that the router had begun after SIGTERM. Cause: a drain finishes all accepted requests, and nothing that places them knew how long the process has.

Now routers have a setting [stop] grace_s. Without the setting nothing changes.

--- a/libs/localfleet/src/berylwalk/localfleet/_settings_files.py
+++ b/libs/localfleet/src/berylwalk/localfleet/_settings_files.py
@@ -78,6 +78,7 @@
     }
     sections["routing"] = {}
     sections["caller"] = {}
+    sections["stop"] = {}
     if traces:
         _enable_traces(sections, directory, router.vm_id)
     return _write_sections(sections, spec.overrides, directory / f"{router.vm_id}.ini")
--- a/libs/router/src/berylwalk/router/_arrivals.py
+++ b/libs/router/src/berylwalk/router/_arrivals.py
@@ -11,7 +11,6 @@
     RequestId,
 )
 from berylwalk.router._accounts import account_refusal
-from berylwalk.router._config import DEFAULT_RETRY_AFTER_MS
 from berylwalk.router._core import RouterCore
 from berylwalk.router._ending import end_not_run, end_unknown
 from berylwalk.router._events import (
@@ -25,6 +24,7 @@
 from berylwalk.router._messages import grant_ready_reservation
 from berylwalk.router._placing import deadline_refusal, place
 from berylwalk.router._request_state import KeyState, RequestState
+from berylwalk.router._stopping import leaving_refusal
 
 
 def on_arrival(core: RouterCore, request: Request, now: float) -> None:
@@ -84,8 +84,7 @@
 
 def _refusal_at_arrival(core: RouterCore, request: Request) -> Refusal | None:
     if core.draining:
-        detail = "the router is draining"
-        return Refusal(RefusalReason.LEAVING, DEFAULT_RETRY_AFTER_MS, detail)
+        return leaving_refusal()
     account = request.service_policy.client_account
     ids = core.ids_by_account.get(account, ())
     states = (core.requests_by_id[request_id] for request_id in ids)
--- a/libs/router/src/berylwalk/router/_core.py
+++ b/libs/router/src/berylwalk/router/_core.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from random import Random
 
+from berylwalk.dispatch import GracefulStop
 from berylwalk.model import Request, RequestId
 from berylwalk.placement import (
     Chooser,
@@ -56,6 +57,7 @@
         self.unclaimed_by_id: dict[RequestId, Request] = {}
         self.unplaced_ids: dict[RequestId, None] = {}
         self.draining = False
+        self.stop: GracefulStop | None = None
 
     def _policy_chooser(self) -> Chooser:
         if self.config.policy is RoutingPolicy.ROUND_ROBIN:
--- a/libs/router/src/berylwalk/router/_daemon.py
+++ b/libs/router/src/berylwalk/router/_daemon.py
@@ -10,6 +10,7 @@
 from anyio import CancelScope, create_task_group, move_on_after, sleep
 from anyio.abc import TaskGroup
 
+from berylwalk.dispatch import GracefulStop
 from berylwalk.model import Finding
 from berylwalk.process import keep_running, run_daemon
 from berylwalk.router._parts import RouterParts
@@ -47,6 +48,7 @@
 
     def __init__(self, settings: RouterSettings, *, incarnation: int) -> None:
         self._name = settings.node.id
+        self._grace_s = settings.stop.grace_s
         self._exit_stack = AsyncExitStack()
         self._task_group: TaskGroup | None = None
         self._parts = RouterParts.from_config(
@@ -83,18 +85,22 @@
         logging.info("router %s started", self._name)
 
     async def drain(self) -> None:
-        """Refuse new requests, and return when the accepted ones have ended."""
+        """Refuse new requests, and return when the accepted ones have ended.
+
+        If the platform kills the process after a grace, return before that.
+        """
         logging.info("draining")
         parts = self._parts
+        stop = self._graceful_stop()
         parts.readiness.is_draining = True
         parts.control.leaving = True
         parts.listeners.announce_close()
         async with create_task_group() as tasks:
-            tasks.start_soon(sleep, MIN_DRAIN_S)
-            tasks.start_soon(parts.requests.shell.drain)
-        with move_on_after(FLUSH_TIMEOUT_S):
+            tasks.start_soon(sleep, _limited(MIN_DRAIN_S, stop))
+            tasks.start_soon(parts.requests.shell.drain, stop)
+        with move_on_after(_limited(FLUSH_TIMEOUT_S, stop)):
             await parts.requests.records.flush()
-        await parts.listeners.close(timeout_s=CLOSE_TIMEOUT_S)
+        await parts.listeners.close(timeout_s=_limited(CLOSE_TIMEOUT_S, stop))
         logging.info("drained")
 
     async def close(self) -> None:
@@ -114,6 +120,11 @@
         """Return the reasons why the router is not ready; empty if it is."""
         return self._parts.readiness.findings()
 
+    def _graceful_stop(self) -> GracefulStop | None:
+        if self._grace_s is None:
+            return None
+        return GracefulStop.from_grace(time.monotonic(), self._grace_s)
+
     def _background_tasks(self) -> list[tuple[str, Task]]:
         parts = self._parts
         writers = [
@@ -147,6 +158,13 @@
             await sleep(SEED_INTERVAL_S)
 
 
+def _limited(timeout_s: float, stop: GracefulStop | None) -> float:
+    """Return a timeout that ends before the process does, in seconds."""
+    if stop is None:
+        return timeout_s
+    return max(0.0, min(timeout_s, stop.flushed_by - time.monotonic()))
+
+
 async def _log_exceptions(function: Callable[..., Awaitable[None]], *args: Any) -> None:
     # An exception in one task would cancel all tasks of the group.
     try:
--- a/libs/router/src/berylwalk/router/_events.py
+++ b/libs/router/src/berylwalk/router/_events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from berylwalk.dispatch import GracefulStop
 from berylwalk.model import FinalResponse, Refusal, Request, RequestId
 from berylwalk.wire import ControlMessage, Datagram, Grant
 
@@ -117,7 +118,16 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainRequested:
-    """Stop accepting requests and finish the accepted ones."""
+    """Stop accepting requests and finish the accepted ones.
+
+    Parameters
+    ----------
+    stop : GracefulStop or None
+        When the process ends. Requests that wait and may outlast it are refused, and
+        those that run then are ended. Without it, all accepted requests finish.
+    """
+
+    stop: GracefulStop | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/router/src/berylwalk/router/_machine.py
+++ b/libs/router/src/berylwalk/router/_machine.py
@@ -43,6 +43,7 @@
 from berylwalk.router._hellos import probe_agents
 from berylwalk.router._liveness import on_agents_listed, on_datagram, scan
 from berylwalk.router._standstill import StandstillDetector
+from berylwalk.router._stopping import begin_drain
 from berylwalk.router._views import (
     AgentView,
     RequestView,
@@ -141,8 +142,8 @@
                 on_key_refused(core, event)
             case AgentsListed():
                 on_agents_listed(core, event, now)
-            case DrainRequested():
-                core.draining = True
+            case DrainRequested(stop):
+                begin_drain(core, stop)
             case _:
                 self._dispatch_grant_event(event, now)
 
--- a/libs/router/src/berylwalk/router/_placing.py
+++ b/libs/router/src/berylwalk/router/_placing.py
@@ -20,19 +20,23 @@
 from berylwalk.router._issuing import grant_directly
 from berylwalk.router._request_state import AgentRefusal, RequestState
 from berylwalk.router._reserving import reserve
+from berylwalk.router._stopping import leaving_refusal, may_outlast_process
 
 
 def place(core: RouterCore, state: RequestState, now: float) -> None:
     """Grant or reserve at an agent, unless a grant or a retry is pending.
 
-    Ends the request if its deadline has passed or every eligible agent has
-    refused it.
+    Ends the request if its deadline has passed, if every eligible agent has
+    refused it, or if it may outlast a process that stops.
     """
     if state.grant is not None or state.retry_pending:
         return
     if now >= state.request.deadline_at:
         end_not_run(core, state, deadline_refusal())
         return
+    if may_outlast_process(core, state):
+        end_not_run(core, state, leaving_refusal())
+        return
     if state.reservations_by_agent:
         _schedule_second(core, state, now)
         return
@@ -79,7 +83,8 @@
         found.record_no_slot(state.work.tier_rank)
     if not core.uses_reservations:
         record_refusal(state, agent, refusal, now)
-    if now >= state.request.deadline_at or agent in state.refusals_by_agent:
+    is_ending = now >= state.request.deadline_at or may_outlast_process(core, state)
+    if is_ending or agent in state.refusals_by_agent:
         place(core, state, now)
     elif found is not None and found in core.eligible(state, now):
         reserve(core, state, found, now)
--- a/libs/router/src/berylwalk/router/_shell.py
+++ b/libs/router/src/berylwalk/router/_shell.py
@@ -8,6 +8,7 @@
 from absl import logging
 from anyio import Event, get_cancelled_exc_class, sleep
 
+from berylwalk.dispatch import GracefulStop
 from berylwalk.model import (
     FinalResponse,
     Outcome,
@@ -191,9 +192,15 @@
         """Send `Tick` events to the state machine until cancelled."""
         await self._ticks.run()
 
-    async def drain(self) -> None:
-        """Refuse new requests and wait until the accepted ones have ended."""
-        self.handle(DrainRequested())
+    async def drain(self, stop: GracefulStop | None = None) -> None:
+        """Refuse new requests and wait until the accepted ones have ended.
+
+        Parameters
+        ----------
+        stop : GracefulStop, optional
+            When the process ends, in seconds of the clock; see `DrainRequested`.
+        """
+        self.handle(DrainRequested(stop))
         await self.drained.wait()
         # Later requests are refused; waiting for those would not end while callers
         # send more of them.
--- a/libs/router/tests/test_router_machine.py
+++ b/libs/router/tests/test_router_machine.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from berylwalk.dispatch import GracefulStop
 from berylwalk.model import (
     Outcome,
     Refusal,
@@ -593,6 +594,81 @@
         assert len(driver.actions_of(DrainFinished)) == 1
 
 
+class TestStopWithGrace:
+    """A router that the platform kills a time after SIGTERM."""
+
+    GRACE_S = 8.0
+
+    def stop(self, driver):
+        """Request the stop; return when requests that remain are ended."""
+        stop = GracefulStop.from_grace(driver.now, self.GRACE_S)
+        driver.feed(DrainRequested(stop))
+        return stop.exit_at
+
+    def test_waiting_request_that_may_outlast_the_process_is_not_begun(self):
+        """It would be cut with its target at work; another router has the time."""
+        driver, request_id = waiting_at_two()
+        self.stop(driver)
+        assert driver.end().outcome is Outcome.NOT_RUN
+        assert driver.end().refusal.reason is RefusalReason.LEAVING
+        assert {agent for agent, _ in driver.sent(Withdraw)} == {"a", "b"}
+        for agent, attempt in driver.reserved().items():
+            driver.deliver(agent, Ready(request_id, attempt))
+        assert not driver.actions_of(IssueGrant)
+        assert len(driver.actions_of(DrainFinished)) == 1
+
+    def test_waiting_request_whose_deadline_comes_first_is_served(self):
+        """It ends before the process, whatever happens to it."""
+        driver = Driver("a")
+        driver.fill("a")
+        request_id = driver.arrive(deadline_s=self.GRACE_S / 2)
+        self.stop(driver)
+        driver.deliver("a", Ready(request_id, 1))
+        assert driver.last_grant().request_id == request_id
+        assert not driver.actions_of(EndRequest)
+
+    @pytest.mark.parametrize("reason", [RefusalReason.NO_SLOT, RefusalReason.TOMBSTONE])
+    def test_refused_grant_is_not_issued_again(self, reason):
+        """The request has not run, and may outlast the process."""
+        driver, request_id, grant = granted("a", "b")
+        self.stop(driver)
+        driver.feed(GrantRefused(request_id, grant.attempt, Refusal(reason)))
+        driver.advance(1.0, alive=("a", "b"))
+        assert len(driver.actions_of(IssueGrant)) == 1
+        assert driver.end().refusal.reason is RefusalReason.LEAVING
+
+    def test_lost_grant_that_did_not_run_is_not_issued_again(self):
+        """Its agent confirms the revocation while the router stops."""
+        driver, request_id, grant = granted("a")
+        driver.feed(GrantLost(request_id, grant.attempt, started=False))
+        self.stop(driver)
+        driver.deliver("a", RevokeResult(request_id, grant.attempt, ran=False))
+        driver.advance(3.0, alive=("a",))
+        assert len(driver.actions_of(IssueGrant)) == 1
+        assert driver.end().refusal.reason is RefusalReason.LEAVING
+
+    def test_request_that_runs_at_the_end_is_ended_as_unknown(self):
+        """Its caller is told before the process is killed, and its target freed."""
+        driver, _, grant = granted("a")
+        exit_at = self.stop(driver)
+        driver.advance(exit_at - driver.now - 2 * STEP_S, alive=("a",))
+        assert not driver.actions_of(EndRequest)
+        driver.advance(4 * STEP_S, alive=("a",))
+        assert driver.end().outcome is Outcome.UNKNOWN
+        [abandoned] = driver.actions_of(AbandonGrant)
+        assert abandoned.attempt == grant.attempt
+        assert len(driver.actions_of(DrainFinished)) == 1
+
+    def test_stop_without_a_grace_begins_what_waits(self):
+        """Nothing ends the process before its accepted requests have ended."""
+        driver = Driver("a")
+        driver.fill("a")
+        request_id = driver.arrive()
+        driver.feed(DrainRequested())
+        driver.deliver("a", Ready(request_id, 1))
+        assert driver.last_grant().request_id == request_id
+
+
 class TestRoundRobin:
     def test_agents_get_grants_in_turn(self):
         """The round-robin baseline ignores load and sends no reservations."""
--- a/libs/router/tests/test_router_machine_fuzz.py
+++ b/libs/router/tests/test_router_machine_fuzz.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+from berylwalk.dispatch import GracefulStop
 from berylwalk.model import (
     Outcome,
     Refusal,
@@ -60,6 +61,7 @@
 RESOURCE = "model:m"
 SERVICE_POLICY = ServicePolicy("acme", "", TierPolicy("urgent", 0), max_waiting=6)
 MAX_DEADLINE_S = 20.0
+REQUESTS_BEFORE_STOP = 6
 STEP_S = 0.25
 
 agents = st.sampled_from(AGENTS)
@@ -78,6 +80,7 @@
     """Expected state of one request."""
 
     has_key: bool
+    deadline_at: float
     claimed: bool = False
     ended: bool = False
     completed: bool = False
@@ -109,6 +112,7 @@
         self.lost_grants: list[Grant] = []
         self.open_claims: list[RequestId] = []
         self.drains = 0
+        self.graceful_stop: GracefulStop | None = None
         self.feed(AgentsListed(AGENTS))
         for agent in AGENTS:
             self.digest(agent, 2, running, False)
@@ -154,6 +158,8 @@
         assert not model.ended
         assert model.unresolved is None
         assert model.claimed or not model.has_key
+        if self.graceful_stop is not None:
+            assert model.deadline_at <= self.graceful_stop.exit_at
         assert grant.attempt > model.last_granted
         assert grant.agent_incarnation == self.incarnations[grant.agent]
         model.last_granted = grant.attempt
@@ -225,7 +231,7 @@
         """A request arrives."""
         self.serial += 1
         request_id = RequestId("r1", 1, self.serial)
-        self.model[request_id] = RequestModel(has_key)
+        self.model[request_id] = RequestModel(has_key, self.now + deadline_s)
         request = Request(
             request_id=request_id,
             service_policy=SERVICE_POLICY,
@@ -347,6 +353,14 @@
         request_id = data.draw(st.sampled_from(sorted(self.model)))
         self.feed(CallerDisconnected(request_id))
 
+    @precondition(lambda self: self.serial >= REQUESTS_BEFORE_STOP)
+    @precondition(lambda self: self.graceful_stop is None)
+    @rule(grace_s=st.sampled_from([1.0, 8.0, 2 * MAX_DEADLINE_S]))
+    def stop(self, grace_s):
+        """The router gets SIGTERM, and is killed after a grace."""
+        self.graceful_stop = GracefulStop.from_grace(self.now, grace_s)
+        self.feed(DrainRequested(self.graceful_stop))
+
     def teardown(self):
         """Every request ends exactly once, even if no agent responds."""
         if not hasattr(self, "machine"):
--- a/libs/settings/src/berylwalk/settings/_router.py
+++ b/libs/settings/src/berylwalk/settings/_router.py
@@ -66,9 +66,21 @@
     )
 
 
+class StopSection(StrictModel):
+    """Stop of the process."""
+
+    grace_s: float | None = Field(
+        default=None,
+        gt=0,
+        description="Time from SIGTERM to the platform's kill, in seconds; when unset, "
+        "the process ends once its accepted requests have ended.",
+    )
+
+
 class RouterSettings(NodeSettings):
     """All settings of a router."""
 
     caller: CallerSection
     admin: AdminSection
     routing: RoutingSection
+    stop: StopSection = StopSection()
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future
+from dataclasses import replace
 from hashlib import sha256
 
 import httpcore
@@ -29,6 +30,7 @@
 
 WAIT_S = 60.0
 POLL_S = 0.05
+GRACE_SUBNET_OFFSET = 2
 TOKENS = {"parkovisko": "parkovisko-test-token", "arsivsan": "arsivsan-test-token"}
 ENGINES = ("engine-1", "engine-2", "engine-3")
 ROUTERS = ("entry-1", "entry-2")
@@ -302,6 +304,26 @@
     started_fleet.check(before)
 
 
+@pytest.fixture
+def fleet_with_grace() -> Iterator[FleetUnderTest]:
+    """Start a router that is killed a time after SIGTERM, and one engine."""
+    spec = fleet_spec()
+    spec = replace(
+        spec,
+        routers=spec.routers[:1],
+        targets=spec.targets[:1],
+        overrides=spec.overrides | {"stop": {"grace_s": "4"}},
+    )
+    fleet = LocalFleet.from_spec(spec, subnet_offset=GRACE_SUBNET_OFFSET)
+    caller = CheckedCaller()
+    try:
+        fleet.start()
+        yield FleetUnderTest(fleet, caller)
+    finally:
+        fleet.close()
+        caller.close()
+
+
 @pytest.fixture
 def tokens() -> dict[str, str]:
     """Return the bearer tokens by client account."""
--- a/tests/processes/test_processes_stopping_routers.py
+++ b/tests/processes/test_processes_stopping_routers.py
@@ -5,12 +5,15 @@
 
 import pytest
 
-from berylwalk.localfleet import ChatCall
+from berylwalk.localfleet import AnswerEnd, ChatCall
 from open_connections import NO_HEAD, OpenConnection
 
 VICTIM = "entry-1"
 CALLERS = 100
 STREAM_TOKENS = 100
+LOAD = 6
+OUTLASTING = 600
+"""Tokens of a stream that is longer than the grace."""
 NUMBERS = count()
 
 
@@ -106,3 +109,29 @@
         assert (stream.status, stream.is_whole) == (200, True)
         assert (refused.status, refused.outcome) == (503, "not-run")
         assert (refused.is_whole, refused.ends_connection) == (True, True)
+
+
+class TestStopWithGrace:
+    def test_no_waiting_request_is_begun_and_cut(self, fleet_with_grace):
+        """It is refused at once; streams that outlast the grace end as unknown."""
+        fleet = fleet_with_grace
+        calls = fleet.chats(LOAD, (0,), tokens=OUTLASTING, stream=True)
+
+        def run_or_wait():
+            target = fleet.targets()["engine-1"]
+            return target["running"] and target["running"] + target["waiting"] == LOAD
+
+        fleet.wait(run_or_wait, "all requests to run or to wait")
+        process = fleet.process(VICTIM)
+        process.terminate()
+        responses = fleet.results(calls)
+        refused = [each for each in responses if each.end is AnswerEnd.NOT_RUN]
+        cut = [each for each in responses if each.end is AnswerEnd.BROKEN]
+        assert refused
+        assert cut
+        assert len(refused) + len(cut) == LOAD
+        assert {(each.status, each.code) for each in refused} == {(503, "leaving")}
+        assert {each.code for each in cut} == {"unknown-outcome"}
+        begun = {each.request_id for each in cut}
+        assert set(fleet.seen_at("engine-1")) == begun
+        assert process.wait_for_exit() == 0
