--- a/tests/processes/test_processes_stopping_routers.py
+++ b/tests/processes/test_processes_stopping_routers.py
@@ -1,17 +1,21 @@
-"""Routers that get SIGTERM while callers go on using their open connections."""
+"""Processes that get SIGTERM, mostly while callers go on using open connections."""
 
+import time
 from asyncio import gather, run, to_thread
 from itertools import count
+from signal import SIGTERM
 
 import pytest
 
-from berylwalk.localfleet import AnswerEnd, ChatCall
-from open_connections import NO_HEAD, OpenConnection
+from berylwalk.localfleet import AnswerEnd, ChatCall, admin_request
+from open_connections import NO_HEAD, OpenConnection, encoded
 
 VICTIM = "entry-1"
 CALLERS = 100
 STREAM_TOKENS = 100
 LOAD = 6
+OPS_PORT = 8082
+STARTED_FOR_S = (0.2, 0.6, 0.9, 1.0, 1.1, 1.3)
 OUTLASTING = 600
 """Tokens of a stream that is longer than the grace."""
 NUMBERS = count()
@@ -135,3 +139,46 @@
         begun = {each.request_id for each in cut}
         assert set(fleet.seen_at("engine-1")) == begun
         assert process.wait_for_exit() == 0
+
+
+class TestHalfReadBody:
+    def test_request_whose_body_ends_after_sigterm_is_refused(self, fleet, tokens):
+        """It has begun to arrive before, but is accepted only when it is complete."""
+        replies = []
+
+        async def send_halves(process):
+            connection = await OpenConnection.to(fleet.urls[0])
+            connection.send(chat(tokens["parkovisko"]))
+            await connection.reply()
+            request = encoded(chat(tokens["parkovisko"]))
+            connection.writer.write(request[:-10])
+            await connection.writer.drain()
+            process.terminate()
+            await to_thread(fleet.wait, is_draining, "the router to drain")
+            connection.writer.write(request[-10:])
+            replies.append(await connection.reply())
+
+        def is_draining():
+            address = fleet.fleet.subnet.router(0)
+            ready = admin_request("GET", f"http://{address}:{OPS_PORT}/readyz")
+            return b"draining" in ready.content
+
+        assert stopped(fleet, lambda process: [send_halves(process)]) == 0
+        [refused] = replies
+        assert (refused.status, refused.outcome) == (503, "not-run")
+        assert (refused.is_whole, refused.ends_connection) == (True, True)
+
+
+class TestStart:
+    @pytest.mark.parametrize("name", [VICTIM, "engine-1"])
+    def test_process_ends_at_sigterm_whenever_it_comes(self, fleet, name):
+        """Before it handles signals it ends at once, later it drains."""
+        process = fleet.process(name)
+        process.close()
+        try:
+            for started_for_s in STARTED_FOR_S:
+                process.start()
+                time.sleep(started_for_s)
+                assert process.close() in (0, -SIGTERM)
+        finally:
+            fleet.restart(name)
