A draining server closes a connection only when its response is received

Callers that read slowly and sent their next request ahead lost the rest of a response that was complete, with a reset, when a router that got SIGTERM closed its port. Cause: with the response in the buffers of the kernel, its connection counted as idle and was closed; the request that arrived then reset it, which drops what is not received.

--- a/libs/transport/src/berylwalk/transport/_http_protocol.py
+++ b/libs/transport/src/berylwalk/transport/_http_protocol.py
@@ -21,6 +21,7 @@
 )
 from berylwalk.transport._chunk_sender import ChunkSender
 from berylwalk.transport._close_delimited_sender import CloseDelimitedSender
+from berylwalk.transport._send_buffers import unacknowledged_bytes
 
 ABORT_EXTENSION = "berylwalk.abort"
 NEXT_REQUEST_S = 0.1
@@ -173,6 +174,10 @@
     def _close_once_idle(self) -> None:
         if self.transport.is_closing() or not self._is_idle():
             return
+        if unacknowledged_bytes(self.transport):
+            # A request that arrives at a closed socket resets the connection, and the
+            # rest of the response would be lost.
+            self._idle_since = self.loop.time()
         remaining_s = self._idle_since + NEXT_REQUEST_S - self.loop.time()
         if remaining_s > 0:
             self.loop.call_later(remaining_s, self._close_once_idle)
--- a/libs/transport/tests/test_transport_http.py
+++ b/libs/transport/tests/test_transport_http.py
@@ -1,6 +1,7 @@
 """HTTP server and client, with each other and with raw sockets."""
 
 from contextlib import asynccontextmanager
+from socket import SO_RCVBUF, SOL_SOCKET, socket
 
 import anyio
 import pytest
@@ -23,6 +24,7 @@
     send_json,
     send_start,
 )
+from berylwalk.transport._http_protocol import NEXT_REQUEST_S
 
 HOST = "127.78.1.1"
 REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
@@ -30,6 +32,8 @@
 NUMBERS = b"".join(b"%d," % number for number in range(300))
 CHUNKS = 400
 TEST_TIMEOUT_S = 20.0
+LARGE = b"x" * 60_000
+SMALL_BUFFER_BYTES = 2048
 
 pytestmark = pytest.mark.parametrize("use_uvloop", [True, False])
 
@@ -95,6 +99,14 @@
     return received
 
 
+def read_all(connection):
+    """Return all data that the peer sends until it closes the connection."""
+    received = b""
+    while part := connection.recv(65536):
+        received += part
+    return received
+
+
 async def send_repeatedly(stream, data, pause_s):
     """Send data repeatedly until the peer closes the connection."""
     try:
@@ -450,6 +462,31 @@
 
         run(main, use_uvloop)
 
+    def test_response_in_buffers_is_not_lost_to_a_request_sent_ahead(self, use_uvloop):
+        """A request at a closed socket would reset the connection."""
+
+        async def large(scope, receive, send):
+            await send_start(send, 200)
+            await send_end(send, LARGE)
+
+        async def main():
+            async with serving(large) as (server, _, _):
+                with socket() as connection:
+                    connection.setsockopt(SOL_SOCKET, SO_RCVBUF, SMALL_BUFFER_BYTES)
+                    connection.connect(server.address)
+                    connection.sendall(REQUEST)
+                    while not server.connection_count:
+                        await anyio.sleep(0.001)
+                    await anyio.sleep(0.05)
+                    server.begin_drain()
+                    await anyio.sleep(2 * NEXT_REQUEST_S)
+                    connection.sendall(REQUEST)
+                    received = await anyio.to_thread.run_sync(read_all, connection)
+                assert received.count(LARGE) == 2
+                assert received.count(b"connection: close") == 1
+
+        run(main, use_uvloop)
+
     def test_responses_that_begin_after_the_announcement_end_connections(
         self, use_uvloop
     ):
