A router that stops answers what is under way at its admin port

Operators whose change was under way when a router closed its ports got no answer, and didn't know whether it was applied. Cause: the admin server was closed without a wait, after the one for callers. Now both are closed beside each other, with the same limit of time.

--- a/libs/router/src/berylwalk/router/_listeners.py
+++ b/libs/router/src/berylwalk/router/_listeners.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Self
 
+from anyio import create_task_group
+
 from berylwalk.admin import FleetView, OrderService, SettingsService, admin_app
 from berylwalk.caller import CallerLimits, KnownResources, caller_app
 from berylwalk.model import Submitter
@@ -117,9 +120,16 @@
         self._caller.announce_close()
 
     async def close(self, *, timeout_s: float = 0.0) -> None:
-        """Wait for open caller API responses, then close all servers."""
-        await self._caller.close(timeout_s=timeout_s)
-        await self._admin.close()
+        """Wait for responses of the caller and admin APIs, then close all servers.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait, in seconds.
+        """
+        async with create_task_group() as tasks:
+            for server in (self._caller, self._admin):
+                tasks.start_soon(partial(server.close, timeout_s=timeout_s))
         await self._ops.close()
 
 
