Logs of streams that are taken up: which history and routers decided, and standstills

Operators reported streams that joined versions at a router that was out of step. The line of such a stream said only-one both for a history that the store had just confirmed and for one that the router guessed from while the store failed, and named neither the history nor the routers known and heard; a process that stood still (SIGSTOP) left no line. Nothing else changes.

--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -68,6 +68,9 @@
 READY_MAX_AGE_S = 3.0
 """Age of the configuration above which the router reports itself as not ready."""
 SWEEP_INTERVAL_S = 0.25
+MIN_STANDSTILL_S = 0.75
+"""Shortest delay of a sweep after which the process counts as having stood still, in
+seconds."""
 FLUSH_CHECK_S = 0.05
 LOOP_PAUSE_S = 1.0
 """Time after which a loop that has failed is begun again, in seconds."""
@@ -515,9 +518,16 @@
                 version=0 if current is None else current.version,
             )
 
+    def _log_standstill(self, late_s: float) -> None:
+        """Log that nothing ran for a while: what was read since may be as old."""
+        if late_s >= MIN_STANDSTILL_S:
+            self._context.log.process("stood-still", late_ms=round(late_s * 1000))
+
     async def _sweep(self) -> None:
         while True:
+            due_at = self._context.clock() + SWEEP_INTERVAL_S
             await sleep(SWEEP_INTERVAL_S)
+            self._log_standstill(self._context.clock() - due_at)
             self._context.note_suspension()
             self._close_idle_callers()
             for listener in (self._readiness, self._metrics):
--- a/libs/direct/src/berylwalk/direct/_exchange_log.py
+++ b/libs/direct/src/berylwalk/direct/_exchange_log.py
@@ -148,6 +148,8 @@
         listed: Collection[str],
     ) -> None:
         """Log which version a stream that the caller takes up is bound to, and why."""
+        now, peers = self.context.clock(), self.context.peers
+        stored = self.context.targets.versions.stored(admitted.service)
         self.stream_version = version
         self.context.metrics.streams_taken_up.labels(source).inc()
         headers = admitted.parsed_headers
@@ -160,7 +162,10 @@
             version=version,
             source=source,
             listed_versions=sorted(listed),
-            took_ms=_ms(self.context.clock() - self.arrived_at),
+            known_versions=None if stored is None else sorted(stored),
+            known_routers=peers.known_count(),
+            heard_routers=peers.alive_count(now),
+            took_ms=_ms(now - self.arrived_at),
         )
 
     def record_attempt(
--- a/libs/direct/src/berylwalk/direct/_stream_binding.py
+++ b/libs/direct/src/berylwalk/direct/_stream_binding.py
@@ -49,8 +49,10 @@
     # The record may be absent since the service has one version.
     is_confirmed = await context.confirm_versions(admitted.service)
     version = context.targets.versions.only_version(admitted.service)
-    if version is not None and (is_confirmed or context.is_store_away()):
+    if version is not None and is_confirmed:
         return version, VersionSource.ONLY_ONE
+    if version is not None and context.is_store_away():
+        return version, VersionSource.STORE_AWAY
     if not is_named:
         return None, VersionSource.NOT_NAMED
     return None, VersionSource.from_failure(found)
--- a/libs/direct/src/berylwalk/direct/_stream_lookup.py
+++ b/libs/direct/src/berylwalk/direct/_stream_lookup.py
@@ -29,6 +29,9 @@
     ONLY_ONE = "only-one"
     """The stream can only have begun at one version."""
 
+    STORE_AWAY = "store-away"
+    """The same, as far as this router knows while the store answers no router."""
+
     NOT_NAMED = "not-named"
     """The caller does not say which request began the stream."""
 
