A read of the version history confirms only streams that were taken up after it began

Callers saw a stream that had begun at a version which has just joined go on at another (ORDER), at a router that reaches the store. Cause: callers that come back together share one read, and the time of its answer counted; an answer that the store gave before the version joined, and that arrived later (a slow store, a process that stood still), confirmed the old history for a caller that came after. A caller now counts only a read that began after it came; it waits for the one under way and shares the next. Ruled out: the record of a stream, which each caller reads for itself.

--- a/libs/direct/src/berylwalk/direct/_version_history_store.py
+++ b/libs/direct/src/berylwalk/direct/_version_history_store.py
@@ -78,6 +78,7 @@
         self._store_health = store_health
         self._started_at = context.clock()
         self._read_at_by_service: dict[str, float] = {}
+        self._confirmed_at_by_service: dict[str, float] = {}
         self._revision_by_service: dict[str, int] = {}
         self._missing_since_by_service: dict[str, float] = {}
         self._reads_by_service: dict[str, Event] = {}
@@ -104,14 +105,16 @@
     async def confirm(self, service: str) -> bool:
         """Read the history of a service; returns whether it succeeded in time.
 
-        Callers that come back together share one read.
+        Callers that come back together share one read. One that is under way already
+        does not count: its answer may be from before a version was added at which the
+        stream of this caller began.
         """
         begun_at = self._context.clock()
         with move_on_after(CONFIRM_TIMEOUT_S):
             while under_way := self._reads_by_service.get(service):
                 # It ends without a result if its caller leaves.
                 await under_way.wait()
-                if self._read_at_by_service.get(service, -inf) >= begun_at:
+                if self._confirmed_at_by_service.get(service, -inf) >= begun_at:
                     return True
             return await self._read(service)
         return False
@@ -178,17 +181,21 @@
     async def _read(self, service: str) -> bool:
         """Read the history; returns whether it is known now."""
         done = self._reads_by_service[service] = Event()
+        requested_at = self._context.clock()
         try:
             item = await self._store_health.track(
                 "read-versions", self._store.get(_store_key(service))
             )
+            is_known = not isinstance(item, Unavailable) and await self._apply(
+                service, item
+            )
+            if is_known:
+                self._confirmed_at_by_service[service] = requested_at
         finally:
             if self._reads_by_service.get(service) is done:
                 del self._reads_by_service[service]
             done.set()
-        if isinstance(item, Unavailable):
-            return False
-        return await self._apply(service, item)
+        return is_known
 
     async def _apply(self, service: str, item: KeyValue | None) -> bool:
         """Use a history that was read; one that lacks versions is written anew."""
--- a/libs/direct/tests/test_direct_unknown_histories.py
+++ b/libs/direct/tests/test_direct_unknown_histories.py
@@ -1,7 +1,7 @@
 """Streams that begin or go on while a router does not know the stored history."""
 
 import pytest
-from anyio import create_task_group, move_on_after, sleep, sleep_forever
+from anyio import Event, create_task_group, move_on_after, sleep, sleep_forever
 
 from berylwalk.dispatch import stream_key
 from direct_fleet import CHUNKED, answers, chunk, event, head
@@ -74,6 +74,25 @@
             assert resumed_at(fleet) == []
 
 
+class LateStore:
+    """A client of the store whose first answer is held after the store gave it."""
+
+    def __init__(self, store):
+        self._store = store
+        self.era = store.era
+        self.reads = 0
+        self.may_arrive = Event()
+
+    async def get(self, key):
+        """Return the item; the first one comes late."""
+        self.reads += 1
+        is_first = self.reads == 1
+        item = await self._store.get(key)
+        if is_first:
+            await self.may_arrive.wait()
+        return item
+
+
 class TestUnknownHistory:
     """A router that has just started has not read the history."""
 
@@ -133,6 +152,28 @@
                     await confirm("s")
         assert results == [True]
 
+    async def test_read_from_before_a_caller_came_back_does_not_confirm(self, running):
+        """Its stream may have begun at a version that was added since."""
+        async with running(GOES_ON, routes=STREAM, prepare=ONE) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            histories = fleet.router._version_history_store
+            late = histories._store = LateStore(histories._store)
+            async with create_task_group() as tasks:
+                tasks.start_soon(histories.confirm, "s")
+                await sleep(0.05)
+                key = b"berylwalk/versions/s"
+                fleet.platform.store.put(key, b'{"era": 0, "versions": ["v1", "v2"]}')
+                replies = []
+
+                async def come_back():
+                    replies.append(await fleet.call("/streaming/", Last_Event_Id="5"))
+
+                tasks.start_soon(come_back)
+                await sleep(0.1)
+                late.may_arrive.set()
+            assert replies[0].status == 503
+            assert resumed_at(fleet) == []
+
 
 class TestRecords:
     """What needs a record."""
