A router whose store fails asks all that it knows before it takes the only version

Callers saw streams that had begun at a version which has just joined go on at another (ORDER), at a router that was cut off. Cause: without an answer of the store the one version that the router knew counted if the store 'answered no router', and silence was taken for that: it was so if this router knew no other, or if one of those it heard said so in the last second.

Now such a router asks every router that it knows; each has to answer that the store does not answer it either and that it may have begun streams at the same version only. Answers count from their question. A silent router, one that has not read the history, or no other router at all: the caller gets 503 and comes back. So versions that a router has begun streams at are told by that router.

test_only_router_takes_streams_up_while_the_store_is_away was wrong: it asked that a router which can't know whether it is the only one guesses. In its place: it guesses nothing, serves the same caller within 2 s of the return of the store, continues what it has begun, and three routers that agree go on. In the simulation each router told a health that no client of the store had changed (always 0), which hid the second case; it is the real one now.

Ruled out: a shorter validity of what is told (silence stays, and so do datagrams in the socket of a process that stood still); a majority (the store may be on the smaller side of a division).

--- a/libs/direct/src/berylwalk/direct/_context.py
+++ b/libs/direct/src/berylwalk/direct/_context.py
@@ -45,6 +45,10 @@
     return False
 
 
+async def _no_agreed_version(_: str) -> None:
+    """Find no version."""
+
+
 async def _no_stored_stream(_: int) -> LookupFailure:
     """Find no stream."""
     return LookupFailure.ABSENT
@@ -115,8 +119,9 @@
         now.
     confirm_versions : callable
         Reads the history of the versions of a service; returns whether it succeeded.
-    is_store_away : callable
-        Returns whether the store answers no router.
+    find_agreed_version : callable
+        Returns the only version of a service at which any known router may have begun
+        streams, or None; see `AgreedVersions.find`.
     find_stored_stream : callable
         Returns the stored version of the stream with a key, or why it is not known.
     """
@@ -152,7 +157,7 @@
     on_signals_changed: Callable[[], None] = lambda: None
     when_stream_stored: Callable[[int, Callable[[], None]], None] = _immediately
     confirm_versions: Callable[[str], Awaitable[bool]] = _unconfirmed
-    is_store_away: Callable[[], bool] = lambda: False
+    find_agreed_version: Callable[[str], Awaitable[str | None]] = _no_agreed_version
     find_stored_stream: Callable[[int], Awaitable[str | LookupFailure]] = (
         _no_stored_stream
     )
--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -107,7 +107,7 @@
         context.when_stream_stored = self._stream_store.when_stored
         self._version_history_store = VersionHistoryStore(context, store, store_health)
         context.confirm_versions = self._version_history_store.confirm
-        context.is_store_away = store_health.is_away_for_all
+        context.find_agreed_version = self._peering.agreed_versions.find
         self._quarantine_store = QuarantineStore(context, store, store_health)
         context.quarantine.on_urgent_update = self._peering.send_soon
         context.quarantine.on_change = self._on_quarantine_change
--- a/libs/direct/src/berylwalk/direct/_peer_messages.py
+++ b/libs/direct/src/berylwalk/direct/_peer_messages.py
@@ -222,6 +222,48 @@
     loads: Loads
 
 
+class VersionsQuery(Struct, array_like=True, tag=6):
+    """Question at which versions of a service a router may have begun streams.
+
+    Parameters
+    ----------
+    sender, host, port : str, str, int
+        Name of the sender, and the address to which the reply is sent.
+    number : int
+        Repeated in the reply.
+    service : str
+        The service.
+    """
+
+    sender: str
+    host: str
+    port: Port
+    number: int
+    service: str
+
+
+class VersionsReply(Struct, array_like=True, tag=7):
+    """Reply to a `VersionsQuery`.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the sender.
+    number : int
+        Number of the query.
+    is_store_away : bool
+        Whether the store does not answer the sender.
+    versions : list of str or None
+        Versions at which the sender may have begun streams; None if it does not know,
+        since it has not read the history of the service.
+    """
+
+    sender: str
+    number: int
+    is_store_away: bool
+    versions: list[str] | None
+
+
 class PeerSocket(DatagramProtocol):
     """Receives the datagrams of peers.
 
--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -16,6 +16,7 @@
 from msgspec import DecodeError, ValidationError, msgpack
 from msgspec.structs import replace
 
+from berylwalk.direct._agreed_versions import AgreedVersions
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._flow_control import (
     limited_rates,
@@ -31,6 +32,8 @@
     PeerMessage,
     PeerSocket,
     RouterUpdate,
+    VersionsQuery,
+    VersionsReply,
 )
 from berylwalk.direct._shared_reads import SharedReads
 from berylwalk.direct._signals_aggregate import SignalsAggregate
@@ -70,7 +73,13 @@
 MAX_RELAYED_STREAMS = 4_000
 """Bound of the queue of stream versions to be relayed; the oldest are dropped."""
 AnyMessage = (
-    PeerMessage | DomainMessage | StoreSyncRequest | StoreSyncReply | LoadMessage
+    PeerMessage
+    | DomainMessage
+    | StoreSyncRequest
+    | StoreSyncReply
+    | LoadMessage
+    | VersionsQuery
+    | VersionsReply
 )
 """Whatever a router receives from another one."""
 DOMAIN_SOURCE = "failure-domain "
@@ -94,6 +103,8 @@
     ----------
     shared_reads : SharedReads
         Shares reads of the store between routers.
+    agreed_versions : AgreedVersions
+        Asks the other routers at which versions they may have begun streams.
     is_unready : callable
         Returns whether the router tells the load balancer that it is not ready.
     """
@@ -104,6 +115,7 @@
         self._context = context
         self._store_health = store_health
         self.shared_reads = SharedReads(context, store_health, self._send)
+        self.agreed_versions = AgreedVersions(context, store_health, self._send)
         self._incarnation = uuid4().hex[:8]
         self._membership = Membership(
             context,
@@ -492,6 +504,12 @@
             case StoreSyncReply():
                 self.shared_reads.handle_reply(message)
                 return
+            case VersionsQuery():
+                self.agreed_versions.handle_query(message)
+                return
+            case VersionsReply():
+                self.agreed_versions.handle_reply(message)
+                return
             case LoadMessage():
                 self._receive_loads(message, now)
                 return
--- a/libs/direct/src/berylwalk/direct/_store_health.py
+++ b/libs/direct/src/berylwalk/direct/_store_health.py
@@ -156,18 +156,6 @@
         self._context.targets.note_outage_ended(now)
         self._wake()
 
-    def is_away_for_all(self) -> bool:
-        """Return whether the store is known to answer no router.
-
-        A router that hears of no other can't tell it from being cut off itself.
-        """
-        if self.unreachable_since is None:
-            return False
-        if self._context.peers.known_count() == 1:
-            return True
-        is_told = self._context.clock() - self._peer_health_at <= PEER_HEALTH_TTL_S
-        return is_told and self._peer_healthy_since >= self._peer_health_at
-
     def healthy_s(self, now: float) -> float:
         """Return how long the store has been healthy, in seconds."""
         if now - self._answered_at >= self._harmless_gap_s:
--- a/libs/direct/src/berylwalk/direct/_stream_binding.py
+++ b/libs/direct/src/berylwalk/direct/_stream_binding.py
@@ -18,8 +18,8 @@
     A version that is listed now says nothing: the stream may have begun at one that has
     left. What decides are the record of the stream and, without one, a history of the
     service that holds one version only. If the store can't tell the history, the one
-    that is known counts only while the store answers no router: then no version was
-    added to it.
+    that is known counts only if all known routers have the same, and the store answers
+    none of them: then no version was added to it.
 
     Parameters
     ----------
@@ -51,7 +51,9 @@
     version = context.targets.versions.only_version(admitted.service)
     if version is not None and is_confirmed:
         return version, VersionSource.ONLY_ONE
-    if version is not None and context.is_store_away():
+    if version is not None:
+        version = await context.find_agreed_version(admitted.service)
+    if version is not None:
         return version, VersionSource.STORE_AWAY
     if not is_named:
         return None, VersionSource.NOT_NAMED
--- a/libs/direct/src/berylwalk/direct/_stream_lookup.py
+++ b/libs/direct/src/berylwalk/direct/_stream_lookup.py
@@ -30,7 +30,7 @@
     """The stream can only have begun at one version."""
 
     STORE_AWAY = "store-away"
-    """The same, as far as this router knows while the store answers no router."""
+    """The same, as all known routers say while the store answers none of them."""
 
     NOT_NAMED = "not-named"
     """The caller does not say which request began the stream."""
--- a/libs/direct/tests/test_direct_unknown_histories.py
+++ b/libs/direct/tests/test_direct_unknown_histories.py
@@ -1,11 +1,19 @@
 """Streams that begin or go on while a router does not know the stored history."""
 
 import pytest
-from anyio import Event, create_task_group, move_on_after, sleep, sleep_forever
+from anyio import (
+    Event,
+    create_task_group,
+    fail_after,
+    move_on_after,
+    sleep,
+    sleep_forever,
+)
 
 from berylwalk.dispatch import stream_key
 from direct_fleet import CHUNKED, answers, chunk, event, head
 from test_direct_stream_versions import (
+    CUT,
     GOES_ON,
     STREAM,
     resumable,
@@ -31,6 +39,28 @@
     return b"".join(each.value for each in entries)
 
 
+async def lose_store(fleet, *routers):
+    """Let the store go away, and wait until some routers have noticed it."""
+    fleet.platform.faults.key_value_down = True
+    for router in routers:
+        health = router._store_health
+        await fleet.until(lambda health=health: health.unreachable_since is not None)
+
+
+async def lose_store_together(fleet, others):
+    """Let the store go away once all routers know each other and the history."""
+    routers = [fleet.router, *others]
+    for router in routers:
+        context = router._context
+        await fleet.until(
+            lambda context=context: (
+                context.peers.alive_count(context.clock()) == len(routers)
+                and context.targets.versions.stored("s") == {"v1"}
+            )
+        )
+    await lose_store(fleet, *routers)
+
+
 class SilentStore:
     """A client of the store whose calls get no answer."""
 
@@ -53,16 +83,65 @@
             assert reply.status == 503
             assert resumed_at(fleet) == []
 
-    async def test_only_router_takes_streams_up_while_the_store_is_away(self, running):
-        """No version was added meanwhile."""
+    async def test_only_router_guesses_no_version_while_the_store_is_away(
+        self, running
+    ):
+        """It may be cut off; others may have started, and added versions."""
         async with running(GOES_ON, routes=STREAM, prepare=ONE) as fleet:
             await fleet.until(lambda: b"v1" in stored_history(fleet))
-            fleet.platform.faults.key_value_down = True
-            health = fleet.router._store_health
-            await fleet.until(lambda: health.unreachable_since is not None)
+            await lose_store(fleet, fleet.router)
+            reply = await take_up(fleet, fleet.router)
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) < 0.4
+            assert resumed_at(fleet) == []
+            fleet.platform.faults.key_value_down = False
+            with fail_after(2.0):
+                while (await take_up(fleet, fleet.router)).status != 200:
+                    await sleep(0.05)
+
+    async def test_only_router_continues_its_streams_while_the_store_is_away(
+        self, running
+    ):
+        """It has seen them begin."""
+        scripts = (CUT, GOES_ON)
+        both = listing(i_0="v1", i_1="v1")
+        async with running(*scripts, routes=STREAM, prepare=both) as fleet:
+            await fleet.until(lambda: b"v1" in stored_history(fleet))
+            by_id = fleet.router._context.targets.by_id
+            by_id["i-1"].fixed_s = 9.0
+            await fleet.call("/streaming/", request_id="first")
+            await lose_store(fleet, fleet.router)
+            by_id["i-0"].fixed_s, by_id["i-1"].fixed_s = 9.0, 0.01
             reply = await take_up(fleet, fleet.router)
             assert reply.status == 200
 
+    async def test_stream_goes_on_while_the_store_answers_no_router(
+        self, running, beside
+    ):
+        """All routers tell that they know no other version."""
+        async with (
+            running(GOES_ON, routes=STREAM, prepare=ONE) as fleet,
+            beside({"name": "edge-2"}, {"name": "edge-3"}) as others,
+        ):
+            await lose_store_together(fleet, others)
+            for router in (fleet.router, *others):
+                reply = await take_up(fleet, router)
+                assert reply.status == 200
+
+    async def test_no_version_is_guessed_while_a_router_does_not_answer(
+        self, running, beside
+    ):
+        """It may reach the store, and add versions."""
+        async with (
+            running(GOES_ON, routes=STREAM, prepare=ONE) as fleet,
+            beside({"name": "edge-2"}, {"name": "edge-3"}) as others,
+        ):
+            await lose_store_together(fleet, others)
+            others[1]._peering.agreed_versions.handle_query = lambda _: None
+            reply = await take_up(fleet, fleet.router)
+            assert reply.status == 503
+            assert resumed_at(fleet) == []
+
     async def test_record_of_a_stream_goes_before_the_history(self, running):
         """A version may have begun it before it was added."""
         async with running(GOES_ON, routes=STREAM, prepare=ONE) as fleet:
--- a/libs/direct/tests/virtual_version_changes.py
+++ b/libs/direct/tests/virtual_version_changes.py
@@ -135,7 +135,10 @@
         context.find_stored_stream = self.stream_store.find
         context.when_stream_stored = self.stream_store.when_stored
         context.confirm_versions = self.version_history_store.confirm
-        context.is_store_away = self.store_health.is_away_for_all
+        # The peering tells and hears the health that the clients of the store see.
+        self.peering._store_health = self.store_health
+        self.peering.agreed_versions._store_health = self.store_health
+        context.find_agreed_version = self.peering.agreed_versions.find
 
     async def run(self):
         """Serve forever."""
