A version that may have been listed unseen is not removed from the history

The time now starts anew after a gap in the confirmed lists of targets, and nothing is removed by a list that is too old.

--- a/libs/direct/src/berylwalk/direct/_target_feed.py
+++ b/libs/direct/src/berylwalk/direct/_target_feed.py
@@ -11,7 +11,7 @@
 )
 from berylwalk.direct._store_health import StoreHealth
 from berylwalk.direct._target_history import TargetHistory
-from berylwalk.dispatch import TargetEntry
+from berylwalk.dispatch import RouterSettings, TargetEntry
 from berylwalk.platform import (
     TARGETS_PREFIX,
     EntryProblem,
@@ -29,10 +29,21 @@
 CHANGE_BATCH_S = 0.2
 """How long changes are batched at the store between watch calls: a replaced target
 writes several in a row, and each response is billed."""
+UNSEEN_MARGIN_S = 1.0
+"""Time beyond the bound of its age in which a list of a healthy store is confirmed."""
 ROUNDING_TOLERANCE_S = 1e-6
 MISSING_START_DETAIL = "start time missing, although reported before"
 
 
+def max_unseen_s(settings: RouterSettings) -> float:
+    """Return the longest time between two confirmations of the list, in seconds.
+
+    After a longer one the router may have been cut off from the store, or its process
+    stood still; versions may have come and gone.
+    """
+    return settings.drain_s + UNSEEN_MARGIN_S
+
+
 class TargetFeed:
     """Mirrors the target entries in the store to the table of targets.
 
@@ -118,7 +129,7 @@
     ) -> None:
         context = self._context
         now = context.clock()
-        context.targets.note_confirmed(requested_at)
+        self._note_confirmed(requested_at)
         entries = []
         for item in items:
             entry = self._decode_usable(item)
@@ -132,11 +143,18 @@
         self._process_ended_incarnations(revision)
         context.dispatcher.dispatch_all_queued(now)
 
+    def _note_confirmed(self, known_at: float) -> None:
+        """Record a time at which the entries were those of the store."""
+        targets = self._context.targets
+        if known_at - targets.confirmed_at > max_unseen_s(self._context.settings):
+            targets.versions.note_unseen(known_at)
+        targets.note_confirmed(known_at)
+
     def _confirm(self, items: list[KeyValue], known_at: float) -> None:
-        self._context.targets.note_confirmed(known_at)
+        self._note_confirmed(known_at)
 
     def _apply_changes(self, events: list[WatchEvent], known_at: float) -> None:
-        self._context.targets.note_confirmed(known_at)
+        self._note_confirmed(known_at)
         for event in events:
             if event.kind is EventKind.PUT:
                 self._apply_one(event.key_value)
--- a/libs/direct/src/berylwalk/direct/_version_history_store.py
+++ b/libs/direct/src/berylwalk/direct/_version_history_store.py
@@ -13,6 +13,7 @@
 
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._store_health import StoreHealth
+from berylwalk.direct._target_feed import max_unseen_s
 from berylwalk.dispatch import UNKNOWN_VERSION, Configuration
 from berylwalk.platform import (
     ABSENT_REVISION,
@@ -174,6 +175,8 @@
         now = context.clock()
         if not context.peers.is_leader(now) or self._store_health.healthy_s(now) <= 0:
             return ()
+        if now - context.targets.confirmed_at > max_unseen_s(context.settings):
+            return ()
         return context.targets.versions.outdated(
             service, now, keep_s=context.streams.keep_s
         )
--- a/libs/direct/tests/test_direct_suspension.py
+++ b/libs/direct/tests/test_direct_suspension.py
@@ -11,10 +11,16 @@
 from berylwalk.direct._elapsed_time import elapsed_clock
 from berylwalk.direct._suspension_detector import MIN_SUSPENSION_S, SuspensionDetector
 from berylwalk.dispatch import Target, TargetEntry, TargetState, Work
+from berylwalk.dispatch._stream_versions import KEEP_S
 from direct_fleet import answers
+from test_direct_stream_versions import GOES_ON, STREAM
+from test_direct_unknown_histories import stored_history
+from test_direct_versions_that_left import listing, unlist
 
 pytestmark = pytest.mark.anyio
 SUSPENDED_S = 30.0
+REMOVED_S = 4.0
+"""Time in which a router removes a version that has not been listed for long."""
 
 
 class Clocks:
@@ -111,6 +117,25 @@
             await fleet.until(lambda: trusts(fleet.router._context.clock()))
             assert (await fleet.call("/idempotent/")).status == 200
 
+    async def test_version_is_kept_that_may_have_served_meanwhile(
+        self, running, monkeypatch
+    ):
+        """It was not listed before, which tells nothing of the time of suspension."""
+        offset_s = 0.0
+        monkeypatch.setattr(
+            "berylwalk.direct._daemon.elapsed_clock",
+            lambda: (lambda: time.monotonic() + offset_s, True),
+        )
+        both = listing(i_0="v1", i_1="v2")
+        async with running(GOES_ON, GOES_ON, routes=STREAM, prepare=both) as fleet:
+            await fleet.until(lambda: b"v2" in stored_history(fleet))
+            unlist(fleet, fleet.targets[1])
+            targets = fleet.router._context.targets
+            await fleet.until(lambda: targets.versions_of("s") == {"v1"})
+            offset_s = KEEP_S + 1.0
+            await sleep(REMOVED_S)
+            assert b"v2" in stored_history(fleet)
+
     async def test_suspension_is_logged_and_counted(self, running, monkeypatch):
         """A log line and a counter contain the duration."""
         offset_s = 0.0
--- a/libs/dispatch/src/berylwalk/dispatch/_version_history.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_version_history.py
@@ -63,6 +63,13 @@
             self._gone_since.pop((service, version), None)
         self._find_missing(service)
 
+    def note_unseen(self, now: float) -> None:
+        """Record that versions may have been listed without being seen, until now.
+
+        The time for which versions have not been listed starts anew.
+        """
+        self._gone_since = dict.fromkeys(self._gone_since, now)
+
     def stored(self, service: str) -> Versions | None:
         """Return the stored history of a service; None if it is not known."""
         return self._stored_by_service.get(service)
--- a/libs/dispatch/tests/test_dispatch_version_history.py
+++ b/libs/dispatch/tests/test_dispatch_version_history.py
@@ -65,6 +65,13 @@
         versions.note_listed("s", {"v2"}, 25.0)
         assert not versions.outdated("s", 40.0, keep_s=KEEP_S)
 
+    def test_time_starts_anew_if_versions_may_have_been_listed_unseen(self):
+        """Streams may have begun at them while the router was out of step."""
+        versions = history("v1", "v2", listed={"v2"})
+        versions.note_unseen(25.0)
+        assert not versions.outdated("s", 54.0, keep_s=KEEP_S)
+        assert versions.outdated("s", 56.0, keep_s=KEEP_S) == {"v1"}
+
 
 def unstored_keys(streams, now=1.0):
     """Return the keys of the records that are to be stored."""
