Questions of a router whose store fails are rarer in large fleets

By reading, not met by callers: a router asks all others up to 20 times a second for each service while callers come back and the store fails; at 320 routers that would be 6,400 datagrams a second each, and as many answers. Rounds are now at least 1 ms a router apart, a quarter of a second at most, so that each caller still has one in its time.

--- a/libs/direct/src/berylwalk/direct/_agreed_versions.py
+++ b/libs/direct/src/berylwalk/direct/_agreed_versions.py
@@ -23,9 +23,13 @@
 """How long a caller waits for the answers of all routers, in seconds."""
 RESEND_S = 0.1
 """Time after which a query is sent again to those that have not answered."""
-ROUND_INTERVAL_S = 0.05
+MIN_ROUND_INTERVAL_S = 0.05
 """Least time between two rounds of queries, in seconds: callers that come back one
 after the other share them."""
+MAX_ROUND_INTERVAL_S = 0.25
+"""The same in large fleets: a caller has a round within its time."""
+QUERY_INTERVAL_S = 0.001
+"""Mean time between two queries of this router in between, in seconds."""
 NUMBER_BITS = 48
 """Size of the random first number: a process gets no reply to its predecessor."""
 
@@ -67,6 +71,12 @@
         return None if self.is_refuted or self.unanswered else self.version
 
 
+def round_interval_s(peers: int) -> float:
+    """Return the time between two rounds of queries to a number of routers."""
+    interval_s = max(MIN_ROUND_INTERVAL_S, peers * QUERY_INTERVAL_S)
+    return min(interval_s, MAX_ROUND_INTERVAL_S)
+
+
 class AgreedVersions:
     """Finds the version of a service on which all known routers agree.
 
@@ -161,7 +171,7 @@
         try:
             await sleep(max(0.0, self._next_round_at - self._context.clock()))
             asked.asked_at = self._context.clock()
-            self._next_round_at = asked.asked_at + ROUND_INTERVAL_S
+            self._next_round_at = asked.asked_at + round_interval_s(len(peers))
             await self._send_until_done(service, number, peers)
         finally:
             del self._round_by_service[service], self._round_by_number[number]
--- a/libs/direct/tests/test_direct_out_of_step.py
+++ b/libs/direct/tests/test_direct_out_of_step.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from berylwalk.direct._agreed_versions import AgreedVersions
+from berylwalk.direct._agreed_versions import (
+    ANSWER_TIMEOUT_S,
+    AgreedVersions,
+    round_interval_s,
+)
 from virtual_out_of_step import OutOfStep, share_gone_on
 
 SHARE = 0.9
@@ -95,6 +99,13 @@
         assert share_gone_on(simulation.out_of_step) >= SHARE
         assert share_gone_on(simulation.in_step_again) >= SHARE
 
+    def test_questions_are_rarer_in_large_fleets(self):
+        """But each caller has its round in time."""
+        intervals = [round_interval_s(peers) for peers in (1, 5, 100, 319)]
+        assert intervals == sorted(intervals)
+        assert intervals[0] < intervals[2]
+        assert intervals[-1] < ANSWER_TIMEOUT_S
+
 
 class TestInjectedDefects:
     """Injected defects that the checks must detect."""
