--- a/libs/direct/src/berylwalk/direct/_stream_lookup.py
+++ b/libs/direct/src/berylwalk/direct/_stream_lookup.py
@@ -29,6 +29,9 @@
     ONLY_ONE = "only-one"
     """The stream can only have begun at one version."""
 
+    STORE_AWAY = "store-away"
+    """The same, as all known routers say while the store answers none of them."""
+
     NOT_NAMED = "not-named"
     """The caller does not say which request began the stream."""
 
