--- a/libs/direct/tests/virtual_out_of_step.py
+++ b/libs/direct/tests/virtual_out_of_step.py
@@ -99,9 +99,8 @@
 
     def send_datagram(self, sender, receiver, data):
         """Deliver a datagram, unless something cuts its way."""
-        name = self.peer_name(receiver)
-        is_between = any((sender in side) != (name in side) for side in self.sides)
-        if not is_between and sender not in self.mute and name not in self.deaf:
+        is_between = any((sender in side) != (receiver in side) for side in self.sides)
+        if not is_between and sender not in self.mute and receiver not in self.deaf:
             super().send_datagram(sender, receiver, data)
 
     def start_version(self):
