Spending after a restore: a first start does not count the era as noted

A router with the first-start setting in a later era of the store took the era for noted, though nothing was written, so that a later start of all routers would have found no note. The era counts as noted only if it is read or written. The order of the queue is a function of its own, without the slice of a key.

--- a/libs/direct/src/berylwalk/direct/_spending_store.py
+++ b/libs/direct/src/berylwalk/direct/_spending_store.py
@@ -63,8 +63,9 @@
         """Load the snapshot, then write it as needed."""
         noted = await self._read(ERA_KEY)
         snapshot = await self._read(SNAPSHOT_KEY)
-        if self._is_up_to_date(noted):
+        if noted is not None and noted.value == b"%d" % self._store.era:
             self._noted_era = self._store.era
+        if self._is_up_to_date():
             self._restore(snapshot)
         else:
             self._context.log.process("spending-unknown", era=self._store.era)
@@ -84,14 +85,13 @@
             failures += 1
             await self._store_health.back_off(failures)
 
-    def _is_up_to_date(self, noted: KeyValue | None) -> bool:
+    def _is_up_to_date(self) -> bool:
         """Return whether the snapshot is that of this era of the store.
 
         After a restore it is an older one, or missing, until it is written again.
         """
-        era, is_first_start = self._store.era, self._context.settings.is_first_start
-        is_noted = noted is not None and noted.value == b"%d" % era
-        return era == 0 or is_noted or is_first_start
+        is_first_start = self._context.settings.is_first_start
+        return is_first_start or self._noted_era == self._store.era
 
     async def _write_due(self, now: float) -> None:
         """Write the snapshot if it is due, then the era in which it is kept."""
--- a/libs/direct/tests/test_direct_snapshots_restored.py
+++ b/libs/direct/tests/test_direct_snapshots_restored.py
@@ -186,3 +186,10 @@
             await fleet.until(lambda: fleet.router._store.era == 1)
             await sleep(0.3)
             assert fleet.platform.store.get(ERA_KEY) is None
+
+    async def test_first_start_does_not_note_the_era(self, running, quick):
+        """A later start of all routers would find nothing."""
+        async with running(answers("ok"), prepare=self._prepare()) as fleet:
+            store = fleet.platform.store
+            await fleet.until(lambda: store.get(ERA_KEY) is not None)
+            assert store.get(ERA_KEY).value == b"1"
--- a/libs/dispatch/src/berylwalk/dispatch/_request_queue.py
+++ b/libs/dispatch/src/berylwalk/dispatch/_request_queue.py
@@ -91,15 +91,14 @@
     return prompt_s + work.output_tokens * TYPICAL_OUTPUT_TOKEN_S
 
 
-def _order_key(
+def _precedence(
     pending: PendingRequest, now: float, usage_of: Callable[[str | None], float]
-) -> tuple[bool, tuple[int, int], bool, float, tuple]:
+) -> tuple[bool, tuple[int, int], bool, float]:
     return (
         now > pending.send_by,
         pending.rank,
         not pending.is_begun,
         usage_of(pending.account),
-        _sort_key(pending),
     )
 
 
@@ -134,7 +133,10 @@
         usage_of : callable
             Returns how much of the service an account has used lately.
         """
-        return sorted(self._requests, key=lambda each: _order_key(each, now, usage_of))
+        return sorted(
+            self._requests,
+            key=lambda each: (_precedence(each, now, usage_of), _sort_key(each)),
+        )
 
     def add(self, pending: PendingRequest) -> None:
         """Add a request."""
@@ -156,8 +158,7 @@
         usage_of: Callable[[str | None], float] = no_usage,
     ) -> bool:
         """Return whether a queued request goes before one that has just arrived."""
-        *key, _ = _order_key(pending, now, usage_of)
+        precedence = _precedence(pending, now, usage_of)
         return any(
-            _order_key(each, now, usage_of)[: len(key)] <= tuple(key)
-            for each in self._requests
+            _precedence(each, now, usage_of) <= precedence for each in self._requests
         )
