--- a/libs/direct/src/berylwalk/direct/_daemon.py
+++ b/libs/direct/src/berylwalk/direct/_daemon.py
@@ -14,7 +14,8 @@
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._decision_log import DecisionLog
 from berylwalk.direct._elapsed_time import elapsed_clock
-from berylwalk.direct._exchange import SLOW_READER, Exchange, TrialPermits
+from berylwalk.direct._end_reasons import SLOW_READER
+from berylwalk.direct._exchange import Exchange
 from berylwalk.direct._gauges import refresh_gauges
 from berylwalk.direct._graceful_end import GracefulEnd
 from berylwalk.direct._listeners import Listener
@@ -24,6 +25,7 @@
 from berylwalk.direct._peering import Peering
 from berylwalk.direct._quarantine_store import QuarantineStore
 from berylwalk.direct._report_feed import ReportFeed
+from berylwalk.direct._request_lifecycle import TrialPermits
 from berylwalk.direct._rollout_coordinator import RolloutCoordinator
 from berylwalk.direct._speed_store import SpeedStore
 from berylwalk.direct._spending_store import SpendingStore
--- a/libs/direct/tests/test_direct_platform.py
+++ b/libs/direct/tests/test_direct_platform.py
@@ -238,7 +238,7 @@
             dispatcher = fleet.router._context.dispatcher
             monkeypatch.setattr(dispatcher, "_choose", lambda pending, now: None)
             monkeypatch.setattr(
-                "berylwalk.direct._exchange.deadlines_at_arrival",
+                "berylwalk.direct._request_lifecycle.deadlines_at_arrival",
                 lambda *_, **__: deadlines_after_failure(1e9, 2e9),
             )
             reader, writer = await fleet.connect()
--- a/libs/direct/tests/test_direct_version_changes.py
+++ b/libs/direct/tests/test_direct_version_changes.py
@@ -9,7 +9,7 @@
 import pytest
 from anyio import sleep
 
-from berylwalk.direct import _exchange
+from berylwalk.direct import _request_lifecycle
 from berylwalk.direct._response_writer import ResponseWriter
 from berylwalk.direct._stream_binding import VersionSource, find_stream_version
 from berylwalk.direct._stream_store import StreamStore
@@ -124,7 +124,7 @@
                 return min(listed), VersionSource.ONLY_ONE
             return await find_stream_version(context, admitted)
 
-        monkeypatch.setattr(_exchange, "find_stream_version", only_listed)
+        monkeypatch.setattr(_request_lifecycle, "find_stream_version", only_listed)
         assert play(1, routers=6).joined() > 0
 
     def test_version_gets_streams_before_it_is_in_the_history(self, monkeypatch):
--- a/libs/direct/tests/virtual_parts.py
+++ b/libs/direct/tests/virtual_parts.py
@@ -11,8 +11,9 @@
 
 from anyio import create_task_group, sleep
 
-from berylwalk.direct._exchange import Exchange, TrialPermits
+from berylwalk.direct._exchange import Exchange
 from berylwalk.direct._quarantine_store import QuarantineStore
+from berylwalk.direct._request_lifecycle import TrialPermits
 from berylwalk.direct._store_health import StoreHealth
 from berylwalk.dispatch import (
     Account,
--- a/libs/direct/tests/virtual_statements.py
+++ b/libs/direct/tests/virtual_statements.py
@@ -16,10 +16,10 @@
 from berylwalk.direct._admission import Admitted
 from berylwalk.direct._context import RouterContext
 from berylwalk.direct._decision_log import DecisionLog
-from berylwalk.direct._exchange import RequestLifecycle
 from berylwalk.direct._exchange_log import ExchangeLog
 from berylwalk.direct._metrics import RouterMetrics
 from berylwalk.direct._peering import Peering
+from berylwalk.direct._request_lifecycle import RequestLifecycle
 from berylwalk.direct._store_health import StoreHealth
 from berylwalk.direct._suspension_detector import SuspensionDetector
 from berylwalk.dispatch import (
