Configurations with integers beyond 64 bits or names that end a header are malformed

Cause: integers had no bound and are compared and divided as floats; the name of an account is sent to targets in a header as it is. Evidence: 24 new cases of TestConfiguration fail before and pass. Ruled out: floats, which JSON bounds.

--- a/tests/platform/test_platform_formats.py
+++ b/tests/platform/test_platform_formats.py
@@ -215,6 +215,38 @@
         route = configuration.route_for("h.example", "/p/")
         assert route.repeatable is (kind == "idempotent")
 
+    @pytest.mark.parametrize("number", [10**20, 10**400, -(10**20)])
+    @pytest.mark.parametrize(
+        ("part", "name"),
+        [
+            ("routes", "priority"),
+            ("routes", "max-attempts"),
+            ("services", "max-conns"),
+            ("tenants", "priority"),
+            ("tenants", "plain-tokens"),
+        ],
+    )
+    def test_integer_that_fits_no_float_or_message(self, part, name, number):
+        """An engine capacity of 400 digits made a 502 of each request."""
+        changed = [{**CONFIGURATION[part][0], name: number}]
+        with pytest.raises(ValidationError):
+            decode_configuration(encoded({**CONFIGURATION, part: changed}))
+
+    @pytest.mark.parametrize("number", [10**20, 10**400])
+    @pytest.mark.parametrize("name", ["slots", "kv-capacity", "stride"])
+    def test_engine_capacity_that_fits_no_float(self, name, number):
+        """Requests are compared with the capacity."""
+        services = [{"name": "s1", "engine": {name: number}}]
+        with pytest.raises(ValidationError):
+            decode_configuration(encoded({**CONFIGURATION, "services": services}))
+
+    @pytest.mark.parametrize("name", ["a\r\nHold: 1", "a\x00", "a\nb"])
+    def test_account_name_that_ends_a_header(self, name):
+        """The name is sent to targets in a header."""
+        tenants = [{**CONFIGURATION["tenants"][0], "name": name}]
+        with pytest.raises(ValueError, match="name of an account"):
+            decode_configuration(encoded({**CONFIGURATION, "tenants": tenants}))
+
 
 class TestTargets:
     """Entries that targets register."""
