--- a/libs/direct/src/berylwalk/direct/_peering.py
+++ b/libs/direct/src/berylwalk/direct/_peering.py
@@ -624,7 +624,7 @@
 def _hosts_in(message: AnyMessage) -> list[str]:
     """Return the hosts in a message to which messages are sent in turn."""
     match message:
-        case StoreSyncRequest():
+        case StoreSyncRequest() | VersionsQuery():
             return [message.host]
         case PeerMessage():
             return [message.update.host]
--- a/libs/direct/tests/test_direct_odd_entries.py
+++ b/libs/direct/tests/test_direct_odd_entries.py
@@ -6,6 +6,7 @@
 from msgspec import msgpack
 from msgspec.structs import asdict
 
+from berylwalk.direct._peer_messages import VersionsQuery
 from berylwalk.reading import StoreSyncRequest
 from direct_fleet import HOST, answers
 
@@ -17,6 +18,10 @@
     "peer-message-invalid",
     "peer-socket-closed",
 )
+QUERIES = [
+    lambda host: StoreSyncRequest("odd", host, 9, 1, {}),
+    lambda host: VersionsQuery("odd", host, 9, 1, "s"),
+]
 NO_HOSTS = [
     "fe80::1%a\x00b",
     "fe80::1%\u00e9" + "x" * 70,
@@ -123,12 +128,13 @@
             assert "odd" not in fleet.router._context.peers.by_name
             assert logged.failures() == []
 
+    @pytest.mark.parametrize("ask", QUERIES)
     @pytest.mark.parametrize("host", NO_HOSTS)
     async def test_message_of_no_host_closes_the_socket_for_messages(
-        self, running, logged, host
+        self, running, logged, host, ask
     ):
         """The reply to a query goes to the address in it."""
-        query = msgpack.encode(StoreSyncRequest("odd", host, 9, 1, {}))
+        query = msgpack.encode(ask(host))
         async with running(answers("ok")) as fleet:
             peering = fleet.router._peering
             peering._receive(query)
