review: show that an empty answer of a watch prolongs the trust in keys

Case 5, a script: a watch is answered early, then the store turns the router away and a key is revoked. Its requests run until 9.9 s after, the bound is 5 s.

--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -25,6 +25,8 @@
         self.leases = {}
         self.next_lease = 700
         self.changed = asyncio.Event()
+        self.cut = asyncio.Event()
+        self.watching = {}
         self.server = None
         self.tasks = set()
 
@@ -54,6 +56,12 @@
             self._delete(key)
             self._wake()
 
+    def cut_watches(self):
+        """Answer all watches that wait: nothing has changed."""
+        self.cut.set()
+        self.cut = asyncio.Event()
+        self._wake()
+
     def _put(self, key, value, lease):
         known = self.items.get(key)
         created = known["created"] if known else self.revision
@@ -118,6 +126,8 @@
                     status, answer = 503, {}
                 else:
                     status, answer = await self._answer(method, target, body)
+                if self.fault(peer, method, target) == "silent":
+                    await asyncio.sleep(3600)
                 data = dumps(answer).encode()
                 writer.write(
                     b"HTTP/1.1 %d OK\r\nContent-Type: application/json\r\n"
@@ -183,6 +193,8 @@
     async def _watch(self, query):
         until = monotonic() + min(30_000, int(query["wait-ms"])) / 1000
         after = int(query["after"])
+        self.watching[query["path-prefix"]] = monotonic()
+        cut = self.cut
         while True:
             changed = self.changed
             events = [
@@ -192,7 +204,7 @@
                 and event["key"].startswith(query["path-prefix"])
             ]
             left = until - monotonic()
-            if events or left <= 0:
+            if events or left <= 0 or cut.is_set():
                 return 200, {"events": events, "store-revision": self.revision}
             try:
                 await asyncio.wait_for(changed.wait(), left)
