--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,15 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parents[1] / "target" / "review-2"))
 
-from fleet import Router, Worker, address, answer, call, main  # noqa: E402
+from fleet import (  # noqa: E402
+    Router,
+    Worker,
+    address,
+    answer,
+    call,
+    free_port,
+    main,
+)
 from store import Store  # noqa: E402
 
 RATE_PER_S, BURST = 36_000, 36_000
@@ -22,9 +30,9 @@
 """How long the routers are at work before the tenant comes."""
 BEFORE = 34
 """Requests before the kill."""
-PAUSE_S = 1 / 21
-"""Time between two requests of the tenant: 21 a second, 7.5 times its usual."""
-AFTER_S = 9.0
+PAUSE_S = 1 / 17
+"""Time between two requests of the tenant: 17 a second, 3.3 times its allowance."""
+AFTER_S = 6.0
 DOWN_S = 0.3
 WORK_S = 0.05
 TENANT = "t1"
@@ -75,7 +83,7 @@
         writer.write(answer(request, 200, b"done"))
 
     store = Store()
-    place = (address(1), 8225)
+    place = (address(1), free_port(address(1)))
     await store.start(*place)
     workers = [Worker("lm", 20 + n, record, run) for n in range(3)]
     routers = [Router(f"edge-{n}", 10 + n, place, record) for n in range(2)]
